--- /dev/null
+++ b/cell/owner.go
@@ -0,0 +1,417 @@
+package cell
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/api/result"
+	"leverstile.dev/platform"
+	"leverstile.dev/scheduler"
+	"leverstile.dev/shard"
+)
+
+// Params are the fixed parameters of an Owner. Times are by the entry's
+// monotonic clock unless said otherwise.
+type Params struct {
+	// Cell is the cell's name, Self this entry's id.
+	Cell string
+	Self string
+	// TaskLease is how long a worker may run tasks after the last clock reading
+	// that it sent.
+	TaskLease time.Duration
+	// OutageGrace is how long after the end of its own lease an owner goes on
+	// renewing the leases of running tasks. A new owner waits for it to pass
+	// before it gives up a worker that it can't reach.
+	OutageGrace time.Duration
+	// ClockMargin covers the difference in rate of two machines' clocks over
+	// TaskLease.
+	ClockMargin time.Duration
+	// HeartbeatEvery is how long a worker may hold its answer when idle.
+	HeartbeatEvery time.Duration
+	// RetryEvery is the wait after a call to a worker without an answer.
+	RetryEvery time.Duration
+	// StoreSilence is how long a commit may go unanswered before submissions
+	// are refused.
+	StoreSilence time.Duration
+	// MaxFailures of its own make a task fail for good.
+	MaxFailures uint32
+	// Retain is how long a finished task is known.
+	Retain time.Duration
+	// EvictionsPerMinute is the eviction budget.
+	EvictionsPerMinute float64
+	// PlanEvery is the least time between two plans.
+	PlanEvery time.Duration
+	// WorkerCalls bounds the calls to workers under way, so that a takeover or
+	// the end of an outage is no storm.
+	WorkerCalls int
+	// NoSelfFence makes an owner go on after its lease; tests use it to show
+	// that the oracle notices.
+	NoSelfFence bool
+}
+
+// DefaultParams returns the parameters in use for a cell.
+func DefaultParams(cell, self string) Params {
+	return Params{
+		Cell: cell, Self: self,
+		TaskLease:          30 * time.Second,
+		OutageGrace:        time.Hour,
+		ClockMargin:        300 * time.Millisecond,
+		HeartbeatEvery:     8 * time.Second,
+		RetryEvery:         time.Second,
+		StoreSilence:       3 * time.Second,
+		MaxFailures:        3,
+		Retain:             time.Hour,
+		EvictionsPerMinute: 60,
+		PlanEvery:          50 * time.Millisecond,
+		WorkerCalls:        1024,
+	}
+}
+
+// Sync is a call to a worker that the shell must make. Its outcome goes to
+// Owner.WorkerAnswer with the same worker and sequence number.
+type Sync struct {
+	Worker  string
+	Address string
+	Request *platform.SyncRequest
+}
+
+// TaskResult is the outcome of one submitted or cancelled task.
+type TaskResult struct {
+	ID     string
+	Code   result.Code
+	Detail string
+}
+
+// Reply answers a call by its ticket, once all that it tells is durable.
+type Reply struct {
+	Ticket  uint64
+	Results []TaskResult
+	Tasks   []*journalv1.TaskState
+	// Err refuses the call as a whole.
+	Err *result.Error
+}
+
+// Decision is a line of the decision log.
+type Decision struct {
+	What    string
+	Task    string
+	Attempt uint32
+	Worker  string
+	Reason  string
+	Score   float64
+	Fitting int
+	Term    uint64
+}
+
+// Commands are what an Owner wants done.
+type Commands struct {
+	Store     []shard.Op
+	Syncs     []Sync
+	Replies   []Reply
+	Decisions []Decision
+	// Errs are faults of stored state, for the log.
+	Errs []error
+}
+
+// Counters count what an Owner did since it was made.
+type Counters struct {
+	Submitted, Started, Finished, Evicted, Lost, Refused uint64
+}
+
+// Owner is the cell at one entry, whether or not this entry owns it now. It
+// isn't safe for concurrent use.
+type Owner struct {
+	params  Params
+	core    *shard.Core
+	table   *table
+	planner *scheduler.Planner
+	model   *scheduler.Interference
+	sizes   *scheduler.Estimator
+	shares  *scheduler.Shares
+	ladder  scheduler.LadderParams
+
+	groups     []scheduler.GroupSpec
+	vms        map[string]platform.VM
+	vmsKnown   bool
+	missing    map[string]time.Duration // since when a VM isn't in the list
+	workers    map[string]*worker
+	order      []*worker // workers by id; nil when out of date
+	inFlight   int
+	wasOwning  bool
+	owningFrom time.Duration
+	// leaseEndFloor is until when tasks that a former owner started may run at
+	// workers that have not answered under this term.
+	leaseEndFloor time.Duration
+	dirty         bool // something changed that a new plan could use
+	lastPlan      time.Duration
+	budget        float64
+	budgetAt      time.Duration
+	reasons       map[string]scheduler.Reason
+	done          []*task
+	waiting       []waitingReply
+	counters      Counters
+	out           Commands
+}
+
+type waitingReply struct {
+	pos   uint64
+	reply Reply
+}
+
+// NewOwner returns an Owner that owns nothing yet. planner may use model;
+// model learns from the workers' samples.
+func NewOwner(params Params, sp shard.Params, planner *scheduler.Planner, model *scheduler.Interference) *Owner {
+	o := &Owner{
+		params:  params,
+		table:   newTable(),
+		planner: planner,
+		model:   model,
+		sizes:   scheduler.NewEstimator(),
+		ladder:  scheduler.DefaultLadderParams,
+		vms:     map[string]platform.VM{},
+		missing: map[string]time.Duration{},
+		workers: map[string]*worker{},
+	}
+	o.core = shard.New(sp, o.table)
+	o.resetVolatile()
+	return o
+}
+
+func (o *Owner) resetVolatile() {
+	o.shares = scheduler.NewShares(o.groups, o.totalCapacity(), scheduler.DefaultHalfLife)
+	o.workers, o.order = map[string]*worker{}, nil
+	o.reasons = map[string]scheduler.Reason{}
+	o.done = nil
+	o.inFlight = 0
+	o.dirty = true
+}
+
+// Core gives access to ownership: SetWanted, SetLease, Phase, Term.
+func (o *Owner) Core() *shard.Core { return o.core }
+
+// Counters returns what was done so far.
+func (o *Owner) Counters() Counters { return o.counters }
+
+// Take returns the commands that have come up and forgets them.
+func (o *Owner) Take() Commands {
+	c := o.out
+	o.out = Commands{}
+	return c
+}
+
+// SetGroups sets the declared groups.
+func (o *Owner) SetGroups(groups []scheduler.GroupSpec) {
+	o.groups = groups
+	o.shares.SetGroups(groups)
+	o.dirty = true
+}
+
+// SetElsewhere sets what each group holds in other cells, and the capacity of
+// those cells.
+func (o *Owner) SetElsewhere(use map[string]platform.Resources, capacity platform.Resources) {
+	for _, name := range o.shares.Names() {
+		o.shares.SetElsewhere(name, use[name])
+	}
+	o.shares.SetTotal(o.totalCapacity().Add(capacity))
+}
+
+// InUse returns what each group holds in this cell.
+func (o *Owner) InUse() map[string]platform.Resources { return o.shares.InUse() }
+
+// Capacity returns what the cell's workers have for tasks.
+func (o *Owner) Capacity() platform.Resources { return o.totalCapacity() }
+
+func (o *Owner) totalCapacity() platform.Resources {
+	var sum platform.Resources
+	for _, vm := range o.vms {
+		sum = sum.Add(vm.Capacity.Sub(vm.Reserved))
+	}
+	return sum
+}
+
+// mayDecide reports whether this entry may start, evict and submit at now.
+func (o *Owner) mayDecide(now time.Duration) bool {
+	if o.params.NoSelfFence {
+		return o.core.Phase() == shard.Owning
+	}
+	return o.core.MayDecide(now)
+}
+
+// mayRenew reports whether this entry may renew leases of running tasks. A
+// store outage must not end them, so this goes on for a bounded time after the
+// entry's own lease; see Params.OutageGrace.
+func (o *Owner) mayRenew(now time.Duration) bool {
+	if o.core.Phase() != shard.Owning && o.core.Phase() != shard.Releasing {
+		return false
+	}
+	return o.params.NoSelfFence || now < o.core.LeaseUntil()+o.params.OutageGrace
+}
+
+// propose applies a record and puts it into the next commit.
+func (o *Owner) propose(rec *journalv1.TaskRecord) uint64 {
+	if err := o.table.apply(rec); err != nil {
+		o.out.Errs = append(o.out.Errs, err)
+		return o.core.Proposed()
+	}
+	b, err := proto.Marshal(rec)
+	if err != nil {
+		o.out.Errs = append(o.out.Errs, err)
+	}
+	o.dirty = true
+	pos := o.core.Propose(b)
+	if t := o.table.tasks[rec.GetId()]; t != nil {
+		t.pos = pos
+	}
+	return pos
+}
+
+// Tick does what is due at now.
+func (o *Owner) Tick(now time.Duration) {
+	o.out.Store = append(o.out.Store, o.core.Tick(now)...)
+	o.noticeOwnership(now)
+	o.flushReplies()
+	if !o.wasOwning {
+		return
+	}
+	o.expireWorkers(now)
+	o.plan(now)
+	o.syncWorkers(now)
+	o.forget(now)
+}
+
+// StoreAnswer takes the outcome of a store operation.
+func (o *Owner) StoreAnswer(now time.Duration, a shard.Answer) {
+	if err := o.core.Answer(now, a); err != nil {
+		o.out.Errs = append(o.out.Errs, err)
+	}
+	o.Tick(now)
+}
+
+// noticeOwnership starts and ends a time of ownership.
+func (o *Owner) noticeOwnership(now time.Duration) {
+	phase := o.core.Phase()
+	owning := phase == shard.Owning || phase == shard.Releasing
+	if owning == o.wasOwning {
+		return
+	}
+	o.wasOwning = owning
+	if !owning {
+		o.lost()
+		return
+	}
+	o.gained(now)
+}
+
+func (o *Owner) gained(now time.Duration) {
+	o.owningFrom = now
+	// A former owner may have renewed until its grace was over, just before
+	// which it may have had a fresh reading of the worker's clock.
+	o.leaseEndFloor = now + o.params.OutageGrace + o.params.TaskLease + o.params.ClockMargin
+	o.resetVolatile()
+	o.table.listener = o.onChange
+	for _, t := range o.table.ordered() {
+		o.adopt(now, t)
+	}
+	for id := range o.table.onWorker {
+		o.worker(id)
+	}
+	for id := range o.vms {
+		o.worker(id)
+	}
+	o.decide(Decision{What: "takeover", Reason: "ownership gained"})
+}
+
+// adopt accounts for a task read from the journal.
+func (o *Owner) adopt(now time.Duration, t *task) {
+	switch t.phase {
+	case Assigned:
+		o.hold(t)
+	case Done:
+		t.doneAt = now
+		o.done = append(o.done, t)
+	default:
+		t.since = now
+	}
+}
+
+func (o *Owner) lost() {
+	o.table.listener = nil
+	o.table.Reset()
+	for _, w := range o.waiting {
+		unknown := result.New(result.CommitUnknown, "ownership was lost before the commit was confirmed")
+		o.out.Replies = append(o.out.Replies, Reply{Ticket: w.reply.Ticket, Err: unknown})
+	}
+	o.waiting = nil
+	o.resetVolatile()
+	o.decide(Decision{What: "ownership-lost", Reason: "lease or term lost, or handed over"})
+}
+
+func (o *Owner) decide(d Decision) {
+	d.Term = o.core.Term()
+	o.out.Decisions = append(o.out.Decisions, d)
+}
+
+// onChange keeps room and shares in step with the table.
+func (o *Owner) onChange(t *task, from Phase) {
+	switch {
+	case from == Pending && t.phase == Assigned:
+		o.hold(t)
+	case from == Assigned && t.phase != Assigned:
+		o.release(t)
+	}
+}
+
+func (o *Owner) hold(t *task) {
+	w := o.worker(t.worker)
+	w.view.Free = w.view.Free.Sub(t.given)
+	w.view.Kinds[t.spec.GetKind()]++
+	o.shares.Hold(t.spec.GetGroup(), t.given)
+}
+
+func (o *Owner) release(t *task) {
+	w := o.worker(t.worker)
+	w.view.Free = w.view.Free.Add(t.given)
+	if w.view.Kinds[t.spec.GetKind()]--; w.view.Kinds[t.spec.GetKind()] <= 0 {
+		delete(w.view.Kinds, t.spec.GetKind())
+	}
+	o.shares.Hold(t.spec.GetGroup(), platform.Resources{}.Sub(t.given))
+}
+
+func (o *Owner) flushReplies() {
+	rest := o.waiting[:0]
+	for _, w := range o.waiting {
+		if w.pos <= o.core.Committed() {
+			o.out.Replies = append(o.out.Replies, w.reply)
+			continue
+		}
+		rest = append(rest, w)
+	}
+	o.waiting = rest
+}
+
+// answerAfter sends a reply once the records up to pos are committed.
+func (o *Owner) answerAfter(pos uint64, reply Reply) {
+	if pos <= o.core.Committed() {
+		o.out.Replies = append(o.out.Replies, reply)
+		return
+	}
+	o.waiting = append(o.waiting, waitingReply{pos, reply})
+}
+
+// forget drops finished tasks after their retention.
+func (o *Owner) forget(now time.Duration) {
+	if !o.mayDecide(now) {
+		return
+	}
+	n := 0
+	for n < len(o.done) && now-o.done[n].doneAt >= o.params.Retain {
+		o.propose(&journalv1.TaskRecord{
+			Id:     o.done[n].spec.GetId(),
+			Change: &journalv1.TaskRecord_Forgotten{Forgotten: &journalv1.Forgotten{}},
+		})
+		n++
+	}
+	o.done = o.done[n:]
+}
--- /dev/null
+++ b/cell/planning.go
@@ -0,0 +1,195 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/api/result"
+	"leverstile.dev/platform"
+	"leverstile.dev/scheduler"
+)
+
+const (
+	// offeredPerGroup is how many waiting tasks of a group a plan looks at.
+	offeredPerGroup = 64
+	// replanEvery makes a plan without any change, as waits grow.
+	replanEvery = 5 * time.Second
+	// budgetBurst is how many evictions may come at once.
+	budgetBurst = 16
+)
+
+// plan starts and evicts tasks.
+func (o *Owner) plan(now time.Duration) {
+	o.shares.Advance(now)
+	if !o.mayDecide(now) || now-o.lastPlan < o.params.PlanEvery {
+		return
+	}
+	if !o.dirty && now-o.lastPlan < replanEvery {
+		return
+	}
+	o.lastPlan = now
+	o.dirty = false
+	o.refillBudget(now)
+	snap := &scheduler.Snapshot{
+		Workers:       o.views(),
+		Queues:        o.offers(now),
+		Shares:        o.shares,
+		EvictionsLeft: int(o.budget),
+	}
+	o.carryOut(now, o.planner.Plan(snap))
+}
+
+func (o *Owner) refillBudget(now time.Duration) {
+	passed := (now - o.budgetAt).Minutes()
+	o.budgetAt = now
+	o.budget = min(o.budget+passed*o.params.EvictionsPerMinute, budgetBurst)
+}
+
+// views returns the planner's views of all workers, in order of id.
+func (o *Owner) views() []*scheduler.Worker {
+	out := make([]*scheduler.Worker, 0, len(o.workers))
+	for _, w := range o.sorted() {
+		out = append(out, w.view)
+	}
+	return out
+}
+
+func (o *Owner) offers(now time.Duration) []*scheduler.Queue {
+	var queues []*scheduler.Queue
+	urgent := false
+	for group, q := range o.table.queues {
+		tasks := q.first(offeredPerGroup, func(t *task) bool { return !t.unfit && !t.evictingFor })
+		if len(tasks) == 0 {
+			continue
+		}
+		sq := &scheduler.Queue{Group: group}
+		for _, t := range tasks {
+			urgent = urgent || t.spec.GetUrgent()
+			sq.Tasks = append(sq.Tasks, o.candidate(now, t))
+		}
+		queues = append(queues, sq)
+	}
+	sort.Slice(queues, func(i, j int) bool { return queues[i].Group < queues[j].Group })
+	if urgent {
+		o.listRunning(now)
+	}
+	return queues
+}
+
+func (o *Owner) candidate(now time.Duration, t *task) *scheduler.Task {
+	ask := fromProto(t.spec.GetRequest())
+	if t.failures == 0 {
+		ask = o.sizes.Ask(t.spec.GetKind(), ask)
+	}
+	return &scheduler.Task{
+		ID: t.spec.GetId(), Kind: t.spec.GetKind(), Group: t.spec.GetGroup(),
+		Ask: ask, Selector: t.selector, Urgent: t.spec.GetUrgent(),
+		Waited: now - t.since, Avoid: t.avoid,
+	}
+}
+
+// listRunning fills in what an urgent task could replace.
+func (o *Owner) listRunning(now time.Duration) {
+	for id, w := range o.workers {
+		w.view.Running = w.view.Running[:0]
+		for _, t := range o.table.onWorker[id] {
+			if !o.evictable(t) {
+				continue
+			}
+			w.view.Running = append(w.view.Running, &scheduler.Running{
+				ID: t.spec.GetId(), Kind: t.spec.GetKind(), Given: t.given, Loss: now - t.since,
+			})
+		}
+	}
+}
+
+// evictable: a task that is not repeatable is left alone, as is one that has
+// not surely begun, for then there is no telling what a stop would do.
+func (o *Owner) evictable(t *task) bool {
+	return t.running && !t.stopping && !t.spec.GetUrgent() && !t.spec.GetNotRepeatable()
+}
+
+func (o *Owner) carryOut(now time.Duration, p scheduler.Plan) {
+	for _, pl := range p.Placements {
+		o.startPlaced(now, pl)
+	}
+	for _, ev := range p.Evictions {
+		o.evict(ev)
+	}
+	for _, wt := range p.Waiting {
+		o.noteWaiting(wt)
+	}
+}
+
+// startPlaced checks a placement against the table and commits it. The planner
+// took the room already; it is given back first, so that the record's own
+// effect on the accounts is the only one.
+func (o *Owner) startPlaced(now time.Duration, pl scheduler.Placement) {
+	o.giveBack(pl)
+	t, w := o.table.tasks[pl.Task.ID], o.workers[pl.Worker.ID]
+	if t == nil || t.phase != Pending || w == nil || !pl.Task.Ask.Fits(w.view.Free) {
+		o.dirty = true
+		return
+	}
+	delete(o.reasons, pl.Task.ID)
+	t.startPos = o.propose(&journalv1.TaskRecord{
+		Id: pl.Task.ID,
+		Change: &journalv1.TaskRecord_Started{Started: &journalv1.Started{
+			Attempt: t.attempt + 1, Worker: w.id, Boot: w.boot, Given: toProto(pl.Task.Ask),
+		}},
+	})
+	t.since = now
+	w.untold = append(w.untold, t.startPos)
+	w.history.Record(now, w.view.Kinds)
+	o.counters.Started++
+	o.decide(Decision{What: "start", Task: pl.Task.ID, Attempt: t.attempt, Worker: w.id, Score: pl.Score, Fitting: pl.Fitting})
+}
+
+func (o *Owner) giveBack(pl scheduler.Placement) {
+	pl.Worker.Free = pl.Worker.Free.Add(pl.Task.Ask)
+	if pl.Worker.Kinds[pl.Task.Kind]--; pl.Worker.Kinds[pl.Task.Kind] <= 0 {
+		delete(pl.Worker.Kinds, pl.Task.Kind)
+	}
+	o.shares.Hold(pl.Task.Group, platform.Resources{}.Sub(pl.Task.Ask))
+}
+
+func (o *Owner) evict(ev scheduler.Eviction) {
+	t := o.table.tasks[ev.Task]
+	if t == nil || t.phase != Assigned || !o.evictable(t) {
+		return
+	}
+	o.budget--
+	o.stop(t)
+	reason := "makes room for urgent task " + ev.For
+	if ev.For == "" {
+		reason = "slows a service down"
+	}
+	if u := o.table.tasks[ev.For]; u != nil {
+		u.evictingFor = true
+		o.workers[t.worker].makingRoomFor = append(o.workers[t.worker].makingRoomFor, u)
+	}
+	o.decide(Decision{What: "evict", Task: ev.Task, Attempt: t.attempt, Worker: ev.Worker, Reason: reason})
+}
+
+// stop asks the task's worker to checkpoint and stop the attempt.
+func (o *Owner) stop(t *task) {
+	t.stopping = true
+	o.worker(t.worker).dirty = true
+}
+
+func (o *Owner) noteWaiting(wt scheduler.Waiting) {
+	t := o.table.tasks[wt.Task.ID]
+	if t == nil || t.phase != Pending {
+		return
+	}
+	if o.reasons[wt.Task.ID] != wt.Reason {
+		o.reasons[wt.Task.ID] = wt.Reason
+		o.decide(Decision{What: "wait", Task: wt.Task.ID, Attempt: t.attempt, Reason: string(wt.Reason)})
+	}
+	if wt.Reason == scheduler.ReasonFitsNoVM {
+		// Told by its state and code; looked at again when the VMs change.
+		t.unfit = o.vmsKnown
+		t.code = result.FitsNoVM
+	}
+}
--- /dev/null
+++ b/cmd/leverstile/demo.go
@@ -0,0 +1,6 @@
+package main
+
+type demoCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error { return nil }
--- /dev/null
+++ b/cmd/leverstile/main.go
@@ -0,0 +1,90 @@
+// Command leverstile is the whole product: the entry process, the stand-ins of
+// the platform, and the command line of operators and callers.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+
+	"leverstile.dev/api/result"
+	"leverstile.dev/config"
+)
+
+// exitError ends the process with a code of docs/RESULT_CODES.md.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+func main() {
+	parser := flags.NewParser(&struct{}{}, flags.Default&^flags.PrintErrors)
+	parser.Name = "leverstile"
+	parser.LongDescription = "Shares VMs between latency-critical services and batch tasks."
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.impl); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(result.ExitInternal)
+		}
+	}
+	_, err := parser.Parse()
+	os.Exit(exitCode(err))
+}
+
+type command struct {
+	name, short, long string
+	impl              flags.Commander
+}
+
+func commands() []command {
+	return []command{
+		{"serve", "Run an entry process", "Runs an entry process until SIGTERM, which drains it; a second signal ends it at once.", &serveCommand{}},
+		{"standin", "Run stand-ins of the platform", "Runs stand-ins of the key-value service, workers, endpoints and VM list in one process.", &standinCommand{}},
+		{"demo", "Run the whole path in one process", "Runs three entries against embedded stand-ins through load, eviction, a leaving endpoint and a rolling replacement, and checks the promises.", &demoCommand{}},
+		{"check", "Check settings or declarations offline", "Reads files of settings (with --settings) or declarations and prints every mistake with its place.", &checkCommand{}},
+		{"apply", "Apply declarations", "Sends declarations with the revision that they are based on. A lost race is answered with a conflict and the difference.", &applyCommand{}},
+		{"diff", "Show what apply would change", "Compares files of declarations with those in force.", &diffCommand{}},
+		{"get", "Print the declarations in force", "Prints the declarations in force and their revision.", &getCommand{}},
+		{"submit", "Submit tasks", "Submits tasks from a JSON file, one task or a list. Submitting again is safe.", &submitCommand{}},
+		{"status", "Show tasks", "Shows a task by id, or all tasks that a selector matches.", &statusCommand{}},
+		{"cancel", "Cancel tasks", "Cancels a task by id, or all tasks that a selector matches.", &cancelCommand{}},
+		{"explain", "Say why a task runs or waits", "Says where a task runs and why, or why it doesn't run.", &explainCommand{}},
+		{"drain", "Send nothing new to a VM", "Marks a VM as leaving: its endpoint gets nothing new, its tasks move. --undo takes that back.", &drainCommand{}},
+		{"members", "List entries", "Lists the entries with the revision that each runs and the shards that it owns.", &membersCommand{}},
+	}
+}
+
+// exitCode prints an error and returns the process's exit code.
+func exitCode(err error) int {
+	var fe *flags.Error
+	var ee *exitError
+	var re *result.Error
+	var problems config.Problems
+	switch {
+	case err == nil:
+		return result.ExitOK
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Println(fe.Message)
+		return result.ExitOK
+	case errors.As(err, &fe):
+		fmt.Fprintln(os.Stderr, "leverstile:", fe.Message)
+		return result.ExitUsage
+	case errors.As(err, &problems):
+		fmt.Fprintln(os.Stderr, problems.Error())
+		return result.ExitInput
+	case errors.As(err, &re):
+		fmt.Fprintln(os.Stderr, "leverstile:", re.Error())
+		return result.Lookup(re.Code).ExitCode
+	case errors.As(err, &ee):
+		fmt.Fprintln(os.Stderr, "leverstile:", ee.Error())
+		return ee.code
+	default:
+		fmt.Fprintln(os.Stderr, "leverstile:", err)
+		return result.ExitInternal
+	}
+}
--- /dev/null
+++ b/entry/declared.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/apimachinery/pkg/labels"
+
+	"leverstile.dev/api/result"
+	"leverstile.dev/config"
+	"leverstile.dev/kv"
+	"leverstile.dev/shard"
+)
+
+// headKey holds the head of the accepted declarations. The document itself
+// stands in parts below documentPrefix.
+const (
+	headKey        = shard.WatchPrefix + "declarations"
+	documentPrefix = "/leverstile/declarations/"
+	// partBytes bounds a part, so that its base64 stays under the store's 1 MB.
+	partBytes = 700_000
+)
+
+// head describes the accepted declarations. ID is the hash of the document and
+// its revision, which also names its parts.
+type head struct {
+	Revision uint64 `json:"revision"`
+	ID       string `json:"id"`
+	Parts    int    `json:"parts"`
+}
+
+// revision is one accepted set of declarations, ready for use. It is immutable.
+type revision struct {
+	number   uint64
+	document []byte
+	decl     *config.Declarations
+	binder   *config.Binder
+	services map[string]*config.Service
+	cells    []cellSelector
+}
+
+type cellSelector struct {
+	name string
+	vms  labels.Selector
+}
+
+func newRevision(number uint64, document []byte) (*revision, error) {
+	r := &revision{number: number, document: document, decl: &config.Declarations{}, services: map[string]*config.Service{}}
+	if err := json.Unmarshal(document, r.decl); err != nil {
+		return nil, errors.Annotatef(err, "declarations of revision %d", number)
+	}
+	var err error
+	if r.binder, err = config.NewBinder(r.decl); err != nil {
+		return nil, err
+	}
+	for i := range r.decl.Services {
+		s := &r.decl.Services[i]
+		r.services[s.Name] = s
+	}
+	for _, c := range r.decl.Cells {
+		sel, err := labels.Parse(c.VMs)
+		if err != nil {
+			return nil, errors.Annotatef(err, "cell %s", c.Name)
+		}
+		r.cells = append(r.cells, cellSelector{c.Name, sel})
+	}
+	return r, nil
+}
+
+// declared keeps the newest declarations known here. Invariant: the revision
+// in force never gets smaller.
+type declared struct {
+	store   kv.Store
+	onForce func(*revision)
+
+	mu      sync.RWMutex
+	current *revision
+	seen    head // newest head seen in the store
+	wake    chan struct{}
+}
+
+func newDeclared(store kv.Store, onForce func(*revision)) *declared {
+	empty, _ := newRevision(0, []byte("{}")) // "{}" always parses
+	return &declared{store: store, onForce: onForce, current: empty, wake: make(chan struct{}, 1)}
+}
+
+// now returns the revision in force here.
+func (d *declared) now() *revision {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.current
+}
+
+// force puts a revision into force unless it is older than the current one.
+func (d *declared) force(r *revision) {
+	d.mu.Lock()
+	newer := r.number > d.current.number
+	if newer {
+		d.current = r
+	}
+	d.mu.Unlock()
+	if newer {
+		d.onForce(r)
+	}
+}
+
+// headSeen notes a head from the store; run fetches the document.
+func (d *declared) headSeen(p kv.Pair) {
+	var h head
+	if json.Unmarshal(p.Value, &h) != nil {
+		return
+	}
+	d.mu.Lock()
+	if h.Revision > d.seen.Revision {
+		d.seen = h
+	}
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// fetchRetry is the wait after a document could not be read.
+const fetchRetry = 300 * time.Millisecond
+
+// run fetches the documents of heads that are newer than what is in force.
+func (d *declared) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		case <-time.After(fetchRetry):
+		}
+		d.mu.RLock()
+		h, cur := d.seen, d.current.number
+		d.mu.RUnlock()
+		if h.Revision <= cur {
+			continue
+		}
+		if r, err := d.fetch(ctx, h); err == nil {
+			d.force(r)
+		}
+	}
+}
+
+func (d *declared) fetch(ctx context.Context, h head) (*revision, error) {
+	pairs, _, err := d.store.Range(ctx, documentPrefix+h.ID+"/")
+	if err != nil {
+		return nil, err
+	}
+	if len(pairs) != h.Parts {
+		return nil, errors.NotFoundf("all %d parts of revision %d", h.Parts, h.Revision)
+	}
+	var doc []byte
+	for _, p := range pairs {
+		doc = append(doc, p.Value...)
+	}
+	if documentID(h.Revision, doc) != h.ID {
+		return nil, errors.NotValidf("document of revision %d", h.Revision)
+	}
+	return newRevision(h.Revision, doc)
+}
+
+func documentID(rev uint64, doc []byte) string {
+	sum := sha256.Sum256(append(fmt.Appendf(nil, "%d\n", rev), doc...))
+	return hex.EncodeToString(sum[:16])
+}
+
+// accept makes a document the next revision, if base is still the newest. It
+// returns the accepted revision, or a result.Error: RevisionConflict, or
+// CommitUnknown where the store's answer was lost and can't be made out.
+func (d *declared) accept(ctx context.Context, base uint64, doc []byte) (*revision, error) {
+	next, err := newRevision(base+1, doc)
+	if err != nil {
+		return nil, result.New(result.BadDeclarations, "%v", err)
+	}
+	h := head{Revision: next.number, ID: documentID(next.number, doc)}
+	for at := 0; at == 0 || at < len(doc); at += partBytes {
+		part := doc[at:min(at+partBytes, len(doc))]
+		key := fmt.Sprintf("%s%s/%06d", documentPrefix, h.ID, h.Parts)
+		if _, err := d.store.Do(ctx, kv.Txn{Then: []kv.Op{kv.Put(key, part, 0)}}); err != nil {
+			// Nothing refers to the parts yet: nothing was accepted.
+			return nil, result.New(result.StoreUnavailable, "%v", err).After(time.Second)
+		}
+		h.Parts++
+	}
+	if err := d.commitHead(ctx, base, h); err != nil {
+		var re *result.Error
+		if errors.As(err, &re) && re.Code == result.RevisionConflict {
+			// Lost the race for sure: no head refers to these parts, nor can any
+			// later one, as the revision is part of their name.
+			_, _ = d.store.Do(ctx, kv.Txn{Then: []kv.Op{kv.DeletePrefix(documentPrefix + h.ID + "/")}})
+		}
+		return nil, err
+	}
+	d.force(next)
+	return next, nil
+}
+
+// commitTries is how often a commit whose answer was lost is tried again.
+const commitTries = 4
+
+func (d *declared) commitHead(ctx context.Context, base uint64, h head) error {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	sent := false
+	for range commitTries {
+		var done bool
+		done, err = d.tryHead(ctx, base, h, value, &sent)
+		if done {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(fetchRetry):
+		}
+	}
+	if !sent {
+		return result.New(result.StoreUnavailable, "%v", err).After(time.Second)
+	}
+	return result.New(result.CommitUnknown, "the store did not confirm: %v", err)
+}
+
+// tryHead reads the head and swaps it. If the head already is h, then an
+// earlier try took effect.
+func (d *declared) tryHead(ctx context.Context, base uint64, h head, value []byte, sent *bool) (bool, error) {
+	res, err := d.store.Do(ctx, kv.Txn{Then: []kv.Op{kv.Get(headKey)}})
+	if err != nil {
+		return false, err
+	}
+	var cur head
+	cond := kv.Compare{Key: headKey, Missing: true}
+	then := []kv.Op{kv.Put(headKey, value, 0)}
+	if len(res.Reads[0]) > 0 {
+		p := res.Reads[0][0]
+		if err := json.Unmarshal(p.Value, &cur); err != nil {
+			return true, errors.Annotate(err, headKey)
+		}
+		cond = kv.Compare{Key: headKey, ModRevision: p.ModRevision}
+		d.headSeen(p)
+	}
+	if cur.ID == h.ID {
+		return true, nil
+	}
+	if cur.Revision != base {
+		return true, d.conflict(cur.Revision, base, h, *sent)
+	}
+	if cur.ID != "" {
+		then = append(then, kv.DeletePrefix(documentPrefix+cur.ID+"/"))
+	}
+	*sent = true
+	got, err := d.store.Do(ctx, kv.Txn{If: []kv.Compare{cond}, Then: then})
+	if err != nil {
+		return false, err
+	}
+	return got.Succeeded, nil
+}
+
+// conflict tells a lost race. Where an earlier try of ours may have been
+// accepted and replaced since, the outcome is unknown.
+func (d *declared) conflict(current, base uint64, h head, sent bool) error {
+	if sent && current > h.Revision {
+		return result.New(result.CommitUnknown, "revision %d may have been accepted; revision %d is in force now", h.Revision, current)
+	}
+	return result.New(result.RevisionConflict, "revision %d is in force, the change is based on %d", current, base)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,206 @@
+// Package entry is the entry process: it takes requests of callers and
+// operators, routes them to endpoints, owns cells and claim shards, and
+// exchanges with its peers. The decisions are in the packages router, cell,
+// claim, scheduler, membership and config; this package is the shell.
+//
+// Lock order: a service's lock before the view's, the view's before that of
+// the declarations or of the lease. No lock is held while a peer, the store, a
+// worker or an endpoint is called. Cells and claim shards have no lock: each
+// is driven by one loop.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"leverstile.dev/config"
+	"leverstile.dev/kv"
+	"leverstile.dev/membership"
+	"leverstile.dev/platform"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	settings *config.Settings
+	log      *log.Logger
+	set      *metrics.Set
+	clock    Clock
+	store    kv.Store
+	platform *platform.Client
+	kvClient *kv.Client
+	lease    *lease
+	view     *view
+	declared *declared
+	peers    *peerClients
+	services *services
+	shards   *shards
+
+	draining  atomic.Bool
+	storeSeen atomic.Int64
+	replanCh  chan struct{}
+	callers   *http.Server
+	peerSrv   *http.Server
+	callersLn net.Listener
+	peersLn   net.Listener
+}
+
+// New prepares an entry process. The listeners are taken over.
+func New(s *config.Settings, logger *log.Logger, set *metrics.Set, callers, peers net.Listener) *Entry {
+	e := &Entry{
+		settings: s, log: logger, set: set, clock: newClock(), view: newView(),
+		replanCh: make(chan struct{}, 1), callersLn: callers, peersLn: peers,
+	}
+	urls := make([]string, 0, len(s.Store.Addresses))
+	for _, a := range s.Store.Addresses {
+		urls = append(urls, "http://"+a)
+	}
+	e.kvClient = kv.NewClient(urls, config.Ms(s.Store.TimeoutMS), set)
+	e.store = e.kvClient
+	e.platform = platform.NewClient("http://"+s.Platform.VMList, config.Ms(s.Store.TimeoutMS), set)
+	self := membership.Entry{ID: s.ID, Address: peers.Addr().String(), Place: s.Place}
+	e.lease = &lease{store: e.store, clock: e.clock, ttl: config.Ms(s.Store.LeaseMS), self: self, dirty: true}
+	e.peers = newPeerClients(config.Ms(s.Store.TimeoutMS), set)
+	e.declared = newDeclared(e.store, e.onForce)
+	e.services = newServices(e)
+	e.shards = newShards(e)
+	e.callers = &http.Server{
+		Handler:           e.callersHandler(),
+		ReadHeaderTimeout: config.Ms(s.Timing.CallerIdleMS),
+		IdleTimeout:       config.Ms(s.Timing.CallerIdleMS),
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+	}
+	e.peerSrv = &http.Server{Handler: e.peersHandler(), ReadHeaderTimeout: config.Ms(s.Timing.CallerIdleMS)}
+	set.NewGauge("leverstile_declarations_revision", func() float64 { return float64(e.declared.now().number) })
+	return e
+}
+
+// Run serves until stop is closed, and then drains: readiness off, wait for
+// the balancer, finish what is in flight, hand over what is owned. Closing
+// abort ends at once.
+func (e *Entry) Run(stop, abort <-chan struct{}) error {
+	var g run.Group
+	e.addActor(&g, e.lease.run)
+	e.addActor(&g, e.watch)
+	e.addActor(&g, e.declared.run)
+	e.addActor(&g, e.pollVMs)
+	e.addActor(&g, e.exchange)
+	e.addActor(&g, e.services.run)
+	e.addActor(&g, e.shards.run)
+	addServer(&g, e.callers, e.callersLn)
+	addServer(&g, e.peerSrv, e.peersLn)
+	done := make(chan struct{})
+	g.Add(func() error { return e.awaitStop(stop, abort, done) }, func(error) { close(done) })
+	e.log.Info().Str("place", e.settings.Place).Str("callers", e.callersLn.Addr().String()).
+		Str("peers", e.peersLn.Addr().String()).Msg("serving")
+	err := g.Run()
+	e.kvClient.Close()
+	e.platform.Close()
+	e.services.close()
+	return err
+}
+
+func (e *Entry) addActor(g *run.Group, fn func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		fn(ctx)
+		<-ctx.Done()
+		return nil
+	}, func(error) { cancel() })
+}
+
+func addServer(g *run.Group, s *http.Server, ln net.Listener) {
+	g.Add(func() error {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Trace(err)
+		}
+		return nil
+	}, func(error) { _ = s.Close() })
+}
+
+func (e *Entry) awaitStop(stop, abort, done <-chan struct{}) error {
+	select {
+	case <-done:
+		return nil
+	case <-abort:
+		return nil
+	case <-stop:
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		select {
+		case <-abort:
+		case <-done:
+		case <-ctx.Done():
+		}
+	}()
+	e.drain(ctx)
+	cancel()
+	return nil
+}
+
+// drain is a planned stop. New requests are still served while the balancer
+// finds out, for it may send some until then.
+func (e *Entry) drain(ctx context.Context) {
+	e.log.Info().Msg("draining")
+	e.draining.Store(true)
+	e.lease.setDraining()
+	// Refused keep-alives tell the balancer's connections to go elsewhere.
+	e.callers.SetKeepAlivesEnabled(false)
+	e.replan()
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(config.Ms(e.settings.Timing.DrainDelayMS)):
+	}
+	ctx, cancel := context.WithTimeout(ctx, config.Ms(e.settings.Timing.DrainTimeoutMS))
+	defer cancel()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Warn().Int("in_flight", e.services.inFlight()).Msg("drain timed out; requests are cut off")
+	}
+	e.shards.handOver(ctx)
+	e.lease.revoke(ctx)
+	e.log.Info().Msg("drained")
+}
+
+// replan has the assignment of shards looked at again.
+func (e *Entry) replan() {
+	select {
+	case e.replanCh <- struct{}{}:
+	default:
+	}
+}
+
+// onForce is called with each new revision in force.
+func (e *Entry) onForce(r *revision) {
+	e.log.Info().Uint64("revision", r.number).Msg("declarations in force")
+	e.services.setDeclared(r)
+	e.replan()
+}
+
+// pollVMs reads the platform's list of VMs.
+func (e *Entry) pollVMs(ctx context.Context) {
+	for {
+		vms, err := e.platform.VMs(ctx)
+		if err == nil {
+			e.view.setVMs(e.clock(), vms)
+			e.services.refresh()
+			e.replan()
+		} else if ctx.Err() == nil {
+			e.log.Warn().Err(err).Msg("VM list")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(config.Ms(e.settings.Platform.PollMS)):
+		}
+	}
+}
--- /dev/null
+++ b/entry/proxy.go
@@ -0,0 +1,470 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"github.com/rs/xid"
+	"k8s.io/apimachinery/pkg/labels"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/api/result"
+	"leverstile.dev/claim"
+	"leverstile.dev/config"
+	"leverstile.dev/router"
+)
+
+// Headers between callers and an entry.
+const (
+	HeaderRequestID  = "Leverstile-Request-Id"
+	HeaderCode       = "Leverstile-Code"
+	HeaderDeadlineMS = "Leverstile-Deadline-Ms"
+	HeaderLabels     = "Leverstile-Labels"
+	HeaderReplayed   = "Leverstile-Replayed"
+	HeaderKey        = "Idempotency-Key"
+)
+
+// keptBody is how much of a claimed request's answer is kept for repeats.
+const keptBody = 4 << 10
+
+// maxKey bounds an Idempotency-Key.
+const maxKey = 256
+
+// exchangeOfOne is one caller's request on its way.
+type exchangeOfOne struct {
+	svc      *service
+	w        http.ResponseWriter
+	r        *http.Request
+	id       uint64
+	reqID    string
+	group    string
+	class    config.Class
+	deadline time.Duration
+	key      string // set only for requests that need a claim
+	body     []byte
+	rest     io.Reader // what follows body, if it was too large to keep
+	size     int64
+	path     string
+	rev      uint64
+}
+
+// serveService forwards a caller's request to an endpoint of a service.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	reqID := xid.New().String()
+	w.Header().Set(HeaderRequestID, reqID)
+	x, err := e.newExchange(w, r, reqID)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	if x.key != "" && !x.claim() {
+		return
+	}
+	x.route()
+}
+
+func (e *Entry) newExchange(w http.ResponseWriter, r *http.Request, reqID string) (*exchangeOfOne, *result.Error) {
+	rev := e.declared.now()
+	name := r.PathValue("service")
+	svc := e.services.get(name)
+	if rev.number == 0 {
+		return nil, result.New(result.NoDeclarations, "").After(time.Second)
+	}
+	if svc == nil {
+		return nil, result.New(result.UnknownService, "service %q", name)
+	}
+	if r.Header.Get("Upgrade") != "" {
+		return nil, result.New(result.BadRequest, "protocol upgrades are not forwarded")
+	}
+	x := &exchangeOfOne{svc: svc, w: w, r: r, reqID: reqID, id: e.services.nextID.Add(1), rev: rev.number}
+	prefix := "/v1/services/" + name
+	x.path = strings.TrimPrefix(r.URL.EscapedPath(), prefix)
+	if x.path == "" {
+		x.path = "/"
+	}
+	if err := x.bind(rev); err != nil {
+		return nil, err
+	}
+	if err := x.readDeadline(); err != nil {
+		return nil, err
+	}
+	if err := x.readKey(rev.services[name]); err != nil {
+		return nil, err
+	}
+	return x, x.readBody()
+}
+
+// bind finds the group that the request counts for.
+func (x *exchangeOfOne) bind(rev *revision) *result.Error {
+	set, err := labels.ConvertSelectorToLabelsMap(x.r.Header.Get(HeaderLabels))
+	if err != nil {
+		return result.New(result.BadRequest, "%s: %v", HeaderLabels, err)
+	}
+	x.group = rev.services[x.svc.name].Group
+	if sel := rev.binder.Bind(set); sel != nil {
+		x.group = sel.Group
+	}
+	if x.group == "" {
+		return result.New(result.UnknownGroup, "labels %q", x.r.Header.Get(HeaderLabels))
+	}
+	x.class = rev.binder.Class(x.group)
+	return nil
+}
+
+func (x *exchangeOfOne) readDeadline() *result.Error {
+	timeout := x.svc.timeout()
+	if text := x.r.Header.Get(HeaderDeadlineMS); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			return result.New(result.BadRequest, "%s must be a positive number of milliseconds", HeaderDeadlineMS)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	x.deadline = x.svc.entry.clock() + timeout
+	return nil
+}
+
+func (x *exchangeOfOne) readKey(spec *config.Service) *result.Error {
+	key := x.r.Header.Get(HeaderKey)
+	if len(key) > maxKey {
+		return result.New(result.BadRequest, "%s is longer than %d bytes", HeaderKey, maxKey)
+	}
+	if !spec.IsRepeatable(x.r.Method, x.path) {
+		x.key = key
+	}
+	return nil
+}
+
+// readBody keeps a small body, so that the request can be sent again.
+func (x *exchangeOfOne) readBody() *result.Error {
+	limits := x.svc.entry.settings.Limits
+	x.size = x.r.ContentLength
+	if x.size > limits.BodyBytes {
+		return result.New(result.BodyTooLarge, "at most %d bytes", limits.BodyBytes)
+	}
+	limited := http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes)
+	body, err := io.ReadAll(io.LimitReader(limited, int64(limits.ReplayBytes)+1))
+	if err != nil {
+		return bodyError(err)
+	}
+	x.body = body
+	if len(body) > limits.ReplayBytes {
+		x.rest = limited
+	} else {
+		x.size = int64(len(body))
+	}
+	return nil
+}
+
+func bodyError(err error) *result.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.New(result.BodyTooLarge, "at most %d bytes", tooLarge.Limit)
+	}
+	return result.New(result.BadRequest, "body: %v", err)
+}
+
+// fingerprint tells a repeated request from another one with the same key.
+func (x *exchangeOfOne) fingerprint() uint64 {
+	h := xxhash.New()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%s\x00%d\x00", x.r.Method, x.path, x.r.URL.RawQuery, x.size)
+	_, _ = h.Write(x.body)
+	return h.Sum64()
+}
+
+// claim claims the request's key. It answers the caller itself and returns
+// false unless the request may be sent.
+func (x *exchangeOfOne) claim() bool {
+	e := x.svc.entry
+	reply := e.claimFor(x.r.Context(), x.svc.name, claim.Request{
+		Key: x.key, Holder: e.settings.ID, RequestID: x.reqID, Fingerprint: x.fingerprint(),
+		Timeout: x.deadline - e.clock(),
+	})
+	x.log("claim", reply.Code, "", 0)
+	if reply.Code == result.OK && reply.Phase == journalv1.ClaimPhase_CLAIM_PHASE_GRANTED {
+		return true
+	}
+	if reply.Outcome != nil {
+		x.replay(reply.Outcome)
+		return false
+	}
+	if reply.Code == result.OwnerUnavailable {
+		// The claim may have been granted without our learning of it. Nothing
+		// was sent and nothing will be.
+		go e.completeClaim(x.svc.name, x.key, x.reqID, journalv1.ClaimPhase_CLAIM_PHASE_RELEASED, nil)
+	}
+	e.refuse(x.w, result.New(reply.Code, "").After(reply.RetryAfter))
+	return false
+}
+
+// replay gives a repeat the first run's answer.
+func (x *exchangeOfOne) replay(out *journalv1.ClaimOutcome) {
+	h := x.w.Header()
+	h.Set(HeaderReplayed, "true")
+	if out.GetBodyDropped() {
+		x.svc.entry.refuse(x.w, result.New(result.AnswerBodyNotKept, "first answer had status %d", out.GetStatus()))
+		return
+	}
+	if out.GetContentType() != "" {
+		h.Set("Content-Type", out.GetContentType())
+	}
+	h.Set(HeaderCode, strconv.Itoa(int(out.GetCode())))
+	x.w.WriteHeader(int(out.GetStatus()))
+	_, _ = x.w.Write(out.GetBody())
+}
+
+// route follows the router's actions until the request has ended.
+func (x *exchangeOfOne) route() {
+	e := x.svc.entry
+	actions := x.svc.arrive(router.Request{
+		ID: x.id, Group: x.group, Class: routerClass(x.class), Deadline: x.deadline,
+		Repeatable: x.repeatable(), Once: x.once(),
+	})
+	defer x.svc.leave(x.id)
+	gone := x.r.Context().Done()
+	if x.key != "" {
+		gone = nil // the outcome is recorded even if the caller goes away
+	}
+	for {
+		select {
+		case <-gone:
+			x.log("gone", result.CallerWentAway, "", 0)
+			return
+		case a := <-actions:
+			switch a.Kind {
+			case router.Send:
+				if x.send(a) {
+					return
+				}
+			case router.Refuse:
+				x.log("refuse", a.Code, "", a.Attempt)
+				x.ended(journalv1.ClaimPhase_CLAIM_PHASE_RELEASED, nil)
+				e.refuse(x.w, result.New(a.Code, "").After(a.RetryAfter))
+				return
+			case router.Fail:
+				code := a.Code
+				if e.clock() >= x.deadline {
+					code = result.AttemptTimeout
+				}
+				x.log("fail", code, "", a.Attempt)
+				x.ended(journalv1.ClaimPhase_CLAIM_PHASE_UNKNOWN, nil)
+				e.refuse(x.w, result.New(code, ""))
+				return
+			}
+		}
+	}
+}
+
+func (x *exchangeOfOne) repeatable() bool {
+	spec := x.svc.entry.declared.now().services[x.svc.name]
+	return spec != nil && spec.IsRepeatable(x.r.Method, x.path) && x.rest == nil
+}
+
+// once: a request that is not repeatable and has no key gets one attempt ever;
+// so does one whose body can't be sent twice.
+func (x *exchangeOfOne) once() bool { return x.rest != nil || !x.repeatable() && x.key == "" }
+
+func routerClass(c config.Class) router.Class {
+	switch c {
+	case config.LatencyCritical:
+		return router.LatencyCritical
+	case config.Batch:
+		return router.Batch
+	default:
+		return router.Standard
+	}
+}
+
+// ended records the outcome of a claimed request.
+func (x *exchangeOfOne) ended(phase journalv1.ClaimPhase, out *journalv1.ClaimOutcome) {
+	if x.key != "" {
+		x.svc.entry.completeClaim(x.svc.name, x.key, x.reqID, phase, out)
+	}
+}
+
+// send makes one attempt. It returns true if the request has ended with it,
+// false if the router decides what comes next.
+func (x *exchangeOfOne) send(a router.Action) bool {
+	x.log("send", result.OK, a.Endpoint.ID, a.Attempt)
+	base := x.r.Context()
+	if x.key != "" {
+		base = context.WithoutCancel(base)
+	}
+	ctx, cancel := context.WithTimeout(base, x.deadline-x.svc.entry.clock())
+	defer cancel()
+	began := x.svc.entry.clock()
+	res := x.svc.transport.attempt(ctx, x.outgoing(a.Endpoint.ID))
+	latency := x.svc.entry.clock() - began
+	if res.kind == router.Leaving {
+		x.svc.entry.noteLeaving(a.Endpoint.VM)
+	}
+	if res.resp == nil || res.kind == router.Refused || res.kind == router.Leaving {
+		if res.resp != nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(res.resp.Body, keptBody))
+			_ = res.resp.Body.Close()
+		}
+		if x.r.Context().Err() != nil && x.key == "" {
+			res.kind = router.Abandoned
+		}
+		x.svc.finish(x.id, router.Outcome{Kind: res.kind, Latency: latency})
+		return res.kind == router.Abandoned
+	}
+	defer res.resp.Body.Close()
+	x.answer(res, began)
+	return true
+}
+
+// outgoing builds the request to an endpoint.
+func (x *exchangeOfOne) outgoing(address string) *http.Request {
+	u := *x.r.URL
+	u.Scheme, u.Host = "http", address
+	u.Path, u.RawPath = "", ""
+	u.Opaque = "//" + address + x.path
+	body := io.Reader(bytes.NewReader(x.body))
+	if x.rest != nil {
+		body = io.MultiReader(body, x.rest)
+	}
+	req := &http.Request{
+		Method: x.r.Method, URL: &u, Host: x.r.Host, Header: http.Header{},
+		Body: onceBody{body}, ContentLength: x.size,
+	}
+	copyHeaders(req.Header, x.r.Header)
+	req.Header.Set(HeaderRequestID, x.reqID)
+	return req
+}
+
+// answer passes an endpoint's answer on. A cut answer cuts the connection to
+// the caller, so that it is never taken for a whole one.
+func (x *exchangeOfOne) answer(res attemptResult, began time.Duration) {
+	h := x.w.Header()
+	copyHeaders(h, res.resp.Header)
+	h.Set(HeaderRequestID, x.reqID)
+	h.Set(HeaderCode, "0")
+	x.w.WriteHeader(res.resp.StatusCode)
+	kept := &keeper{limit: keptBody}
+	out := &flushing{w: x.w, c: http.NewResponseController(x.w), live: res.resp.ContentLength < 0, key: x.key != ""}
+	_, err := io.Copy(io.MultiWriter(out, kept), res.resp.Body)
+	o := router.Outcome{Kind: res.kind, Latency: x.svc.entry.clock() - began, AnswerBegan: true}
+	if err != nil && out.err == nil {
+		o.Kind = router.Lost
+	} else if err != nil {
+		o.Kind = router.Abandoned
+	}
+	x.svc.finish(x.id, o)
+	if err != nil {
+		x.log("cut", result.AnswerCut, "", 0)
+		x.ended(journalv1.ClaimPhase_CLAIM_PHASE_UNKNOWN, nil)
+		panic(http.ErrAbortHandler)
+	}
+	x.ended(journalv1.ClaimPhase_CLAIM_PHASE_DONE, &journalv1.ClaimOutcome{
+		Status: int32(res.resp.StatusCode), ContentType: res.resp.Header.Get("Content-Type"),
+		Body: kept.buf.Bytes(), BodyDropped: kept.dropped,
+	})
+	if out.err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// keeper keeps what is written to it, up to a limit.
+type keeper struct {
+	limit   int
+	buf     bytes.Buffer
+	dropped bool
+}
+
+// Write implements io.Writer.
+func (k *keeper) Write(b []byte) (int, error) {
+	if k.dropped || k.buf.Len()+len(b) > k.limit {
+		k.dropped = true
+		k.buf.Reset()
+		return len(b), nil
+	}
+	return k.buf.Write(b)
+}
+
+// flushing passes data on at once where the endpoint streams. For a claimed
+// request a caller that went away doesn't end the reading of the answer, as
+// its outcome has to be recorded.
+type flushing struct {
+	w    http.ResponseWriter
+	c    *http.ResponseController
+	live bool
+	key  bool
+	err  error
+}
+
+// Write implements io.Writer.
+func (f *flushing) Write(b []byte) (int, error) {
+	if f.err != nil {
+		return len(b), nil
+	}
+	n, err := f.w.Write(b)
+	if err == nil && f.live {
+		err = f.c.Flush()
+	}
+	if err != nil {
+		f.err = err
+		if f.key {
+			return len(b), nil
+		}
+	}
+	return n, err
+}
+
+// log writes the line of one routing decision.
+func (x *exchangeOfOne) log(decision string, code result.Code, endpoint string, attempt int) {
+	e := x.svc.entry
+	e.log.Info().Str("decision", decision).Str("service", x.svc.name).Str("request", x.reqID).
+		Str("group", x.group).Str("class", string(x.class)).Str("endpoint", endpoint).Int("attempt", attempt).
+		Uint32("code", uint32(code)).Uint64("revision", x.rev).Msg("routing")
+	if code != result.OK {
+		e.set.GetOrCreateCounter(fmt.Sprintf(`leverstile_requests_refused_total{service=%q,code="%d"}`, x.svc.name, code)).Inc()
+	}
+}
+
+// noteLeaving takes over an endpoint's own word that it is leaving.
+func (e *Entry) noteLeaving(vm string) {
+	if e.view.markLeaving(e.clock(), vm) {
+		e.log.Info().Str("vm", vm).Msg("endpoint says that it is leaving")
+		e.services.refresh()
+	}
+}
+
+// Refusal is the JSON body of an answer with a code.
+type Refusal struct {
+	Code         result.Code `json:"code"`
+	Name         string      `json:"name"`
+	Meaning      string      `json:"meaning"`
+	Detail       string      `json:"detail,omitempty"`
+	Ran          result.Ran  `json:"ran"`
+	Repeat       string      `json:"repeat"`
+	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
+	RequestID    string      `json:"request_id,omitempty"`
+}
+
+// refuse answers with a code, at once.
+func (e *Entry) refuse(w http.ResponseWriter, err *result.Error) {
+	info := result.Lookup(err.Code)
+	body := Refusal{
+		Code: err.Code, Name: info.Name, Meaning: info.Meaning, Detail: err.Detail, Ran: info.Ran,
+		Repeat: info.Repeatable, RetryAfterMS: err.RetryAfter.Milliseconds(), RequestID: w.Header().Get(HeaderRequestID),
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderCode, strconv.Itoa(int(err.Code)))
+	if err.RetryAfter > 0 {
+		seconds := (err.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(info.HTTPStatus)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/entry/tasks.go
@@ -0,0 +1,499 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"k8s.io/apimachinery/pkg/labels"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
+	"leverstile.dev/api/result"
+	"leverstile.dev/cell"
+	"leverstile.dev/config"
+	"leverstile.dev/membership"
+	"leverstile.dev/platform"
+)
+
+const (
+	// taskCallTimeout bounds a call on tasks, a takeover of the cell included.
+	taskCallTimeout = 15 * time.Second
+	// maxTasks bounds one submission.
+	maxTasks = 10_000
+	// maxTaskID bounds a task's id in bytes.
+	maxTaskID = 200
+	// watchEvery is how often a waiting status call looks at the task.
+	watchEvery = 100 * time.Millisecond
+)
+
+// Task is a task as callers submit it. RunTimeMS is what the caller expects.
+type Task struct {
+	ID            string             `json:"id"`
+	Kind          string             `json:"kind,omitempty"`
+	Labels        map[string]string  `json:"labels,omitempty"`
+	Request       platform.Resources `json:"request"`
+	RunTimeMS     int64              `json:"run_time_ms,omitempty"`
+	VMs           string             `json:"vms,omitempty"`
+	NotRepeatable bool               `json:"not_repeatable,omitempty"`
+	Payload       json.RawMessage    `json:"payload,omitempty"`
+}
+
+// TaskAnswer is the outcome of submitting or cancelling one task.
+type TaskAnswer struct {
+	ID     string      `json:"id"`
+	Code   result.Code `json:"code"`
+	Name   string      `json:"name"`
+	Detail string      `json:"detail,omitempty"`
+}
+
+// TaskStatus is the state of a task.
+type TaskStatus struct {
+	ID        string      `json:"id"`
+	Group     string      `json:"group"`
+	Phase     string      `json:"phase"`
+	Code      result.Code `json:"code"`
+	CodeName  string      `json:"code_name,omitempty"`
+	Detail    string      `json:"detail,omitempty"`
+	VM        string      `json:"vm,omitempty"`
+	Attempt   uint32      `json:"attempt"`
+	Evictions uint32      `json:"evictions"`
+	Resumes   uint32      `json:"resumes"`
+	Failures  uint32      `json:"failures"`
+}
+
+func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	tasks, refusal := readTasks(w, r)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+	defer cancel()
+	answers := e.submitAll(ctx, tasks)
+	if len(answers) == 1 && answers[0].Code != result.OK {
+		e.refuse(w, result.New(answers[0].Code, "%s", answers[0].Detail).After(time.Second))
+		return
+	}
+	e.reply(w, answers)
+}
+
+// readTasks reads one task or a list of them.
+func readTasks(w http.ResponseWriter, r *http.Request) ([]Task, *result.Error) {
+	body, refusal := readAll(w, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	body = bytes.TrimSpace(body)
+	var tasks []Task
+	var err error
+	if len(body) > 0 && body[0] == '{' {
+		tasks = make([]Task, 1)
+		err = strictJSON(body, &tasks[0])
+	} else {
+		err = strictJSON(body, &tasks)
+	}
+	if err != nil {
+		return nil, result.New(result.BadRequest, "%v", err)
+	}
+	if len(tasks) == 0 || len(tasks) > maxTasks {
+		return nil, result.New(result.BadRequest, "between 1 and %d tasks", maxTasks)
+	}
+	return tasks, nil
+}
+
+func strictJSON(body []byte, out any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	return dec.Decode(out)
+}
+
+// submitAll submits tasks to their home cells, cell by cell.
+func (e *Entry) submitAll(ctx context.Context, tasks []Task) []TaskAnswer {
+	rev := e.declared.now()
+	answers := make([]TaskAnswer, len(tasks))
+	byCell := map[string][]*journalv1.TaskSpec{}
+	index := map[string][]int{}
+	for i, t := range tasks {
+		spec, home, refusal := e.prepare(rev, t)
+		if refusal != nil {
+			answers[i] = answer(t.ID, refusal.Code, refusal.Detail)
+			continue
+		}
+		byCell[home] = append(byCell[home], spec)
+		index[home] = append(index[home], i)
+	}
+	for home, specs := range byCell {
+		for n, a := range e.submitTo(ctx, home, specs) {
+			answers[index[home][n]] = a
+		}
+	}
+	return answers
+}
+
+func answer(id string, code result.Code, detail string) TaskAnswer {
+	return TaskAnswer{ID: id, Code: code, Name: result.Lookup(code).Name, Detail: detail}
+}
+
+// prepare checks a task, binds it to its group and finds its home cell.
+func (e *Entry) prepare(rev *revision, t Task) (*journalv1.TaskSpec, string, *result.Error) {
+	if t.ID == "" || len(t.ID) > maxTaskID {
+		return nil, "", result.New(result.BadRequest, "a task's id has 1 to %d bytes", maxTaskID)
+	}
+	r := t.Request
+	if r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0 || r.IsZero() {
+		return nil, "", result.New(result.BadRequest, "task %s: request must be positive", t.ID)
+	}
+	bound := rev.binder.Bind(t.Labels)
+	if bound == nil {
+		return nil, "", result.New(result.UnknownGroup, "task %s: no selector matches its labels", t.ID)
+	}
+	vms := joinSelectors(t.VMs, bound.VMs)
+	sel, err := labels.Parse(vms)
+	if err != nil {
+		return nil, "", result.New(result.BadSelector, "task %s: %v", t.ID, err)
+	}
+	home := homeCell(rev, t.ID, sel)
+	if home == "" {
+		return nil, "", result.New(result.FitsNoVM, "task %s: no cell has VMs that match %q", t.ID, vms)
+	}
+	return &journalv1.TaskSpec{
+		Id: t.ID, Kind: t.Kind, Group: bound.Group, Labels: t.Labels, RunTimeMs: t.RunTimeMS,
+		Request:    &journalv1.Resources{CpuMilli: r.CPUMilli, MemoryMib: r.MemoryMiB, Accelerators: r.Accelerators},
+		VmSelector: vms, NotRepeatable: t.NotRepeatable, Payload: t.Payload,
+		Urgent: rev.binder.Class(bound.Group) == config.LatencyCritical,
+	}, home, nil
+}
+
+func joinSelectors(a, b string) string {
+	if a == "" || b == "" {
+		return a + b
+	}
+	return a + "," + b
+}
+
+// homeCell picks among the cells whose declared selector can overlap with the
+// task's. Only declarations decide, so that all entries with the same revision
+// agree, whatever VMs they see.
+func homeCell(rev *revision, id string, sel labels.Selector) string {
+	var names []string
+	for _, c := range rev.cells {
+		if !config.Disjoint(c.vms, sel) {
+			names = append(names, c.name)
+		}
+	}
+	return membership.HomeCell(id, names)
+}
+
+// atOwner tries a call at a cell's owner until it answers or ctx ends. local
+// is used where this entry owns the cell. try returns false to go on.
+func (e *Entry) atOwner(ctx context.Context, name string, local func(*cellRunner) bool, remote func(addr string) bool) {
+	for ctx.Err() == nil {
+		c := e.shards.cell(name)
+		if c != nil && c.status.ownedTerm() > 0 {
+			if local(c) {
+				return
+			}
+		} else if addr := e.ownerAddress(cellShard + name); addr != "" && remote(addr) {
+			return
+		}
+		sleep(ctx, ownerRetry+rand.N(ownerRetry))
+	}
+}
+
+func (e *Entry) submitTo(ctx context.Context, home string, specs []*journalv1.TaskSpec) []TaskAnswer {
+	out := make([]TaskAnswer, len(specs))
+	for i, s := range specs {
+		out[i] = answer(s.GetId(), result.OwnerUnavailable, "cell "+home)
+	}
+	sent := false
+	e.atOwner(ctx, home, func(c *cellRunner) bool {
+		sent = true
+		reply := c.submit(ctx, specs)
+		return fill(out, specs, reply)
+	}, func(addr string) bool {
+		sent = true
+		resp, err := e.peers.at(addr).SubmitTasks(ctx, connect.NewRequest(&peerv1.SubmitTasksRequest{Cell: home, Tasks: specs}))
+		if err != nil {
+			return false
+		}
+		return fill(out, specs, replyFromProto(resp.Msg))
+	})
+	if sent && ctx.Err() != nil {
+		for i := range out {
+			if out[i].Code == result.OwnerUnavailable {
+				out[i] = answer(out[i].ID, result.CommitUnknown, "no answer in time; repeat with the same id")
+			}
+		}
+	}
+	return out
+}
+
+func replyFromProto(m *peerv1.SubmitTasksResponse) cell.Reply {
+	var r cell.Reply
+	for _, t := range m.GetResults() {
+		r.Results = append(r.Results, cell.TaskResult{ID: t.GetId(), Code: result.Code(t.GetCode()), Detail: t.GetDetail()})
+	}
+	return r
+}
+
+// fill takes over a reply's results. It returns false where the call has to be
+// tried again: submitting is idempotent.
+func fill(out []TaskAnswer, specs []*journalv1.TaskSpec, r cell.Reply) bool {
+	if r.Err != nil {
+		return !again(r.Err.Code) && setAll(out, specs, r.Err)
+	}
+	if len(r.Results) != len(specs) {
+		return false
+	}
+	for i, t := range r.Results {
+		if again(t.Code) {
+			return false
+		}
+		out[i] = answer(t.ID, t.Code, t.Detail)
+	}
+	return true
+}
+
+func again(c result.Code) bool {
+	return c == result.OwnerUnavailable || c == result.CommitUnknown
+}
+
+func setAll(out []TaskAnswer, specs []*journalv1.TaskSpec, err *result.Error) bool {
+	for i, s := range specs {
+		out[i] = answer(s.GetId(), err.Code, err.Detail)
+	}
+	return true
+}
+
+// query reads tasks from one cell.
+func (e *Entry) query(ctx context.Context, name, id string, sel labels.Selector) ([]*journalv1.TaskState, *result.Error) {
+	var tasks []*journalv1.TaskState
+	refusal := result.New(result.OwnerUnavailable, "cell %s", name).After(time.Second)
+	e.atOwner(ctx, name, func(c *cellRunner) bool {
+		reply := c.get(ctx, id, sel)
+		if reply.Err != nil && again(reply.Err.Code) {
+			return false
+		}
+		tasks, refusal = reply.Tasks, reply.Err
+		return true
+	}, func(addr string) bool {
+		resp, err := e.peers.at(addr).GetTasks(ctx, connect.NewRequest(&peerv1.GetTasksRequest{Cell: name, Id: id, Selector: selectorText(sel)}))
+		if err != nil || again(result.Code(resp.Msg.GetCode())) {
+			return false
+		}
+		tasks, refusal = resp.Msg.GetTasks(), nil
+		if code := result.Code(resp.Msg.GetCode()); code != result.OK {
+			refusal = result.New(code, "")
+		}
+		return true
+	})
+	return tasks, refusal
+}
+
+func selectorText(sel labels.Selector) string {
+	if sel == nil {
+		return ""
+	}
+	return sel.String()
+}
+
+// findTask looks for a task in all cells, its likely home first.
+func (e *Entry) findTask(ctx context.Context, id string) (*journalv1.TaskState, string, *result.Error) {
+	refusal := result.New(result.UnknownTask, "task %s", id)
+	for _, name := range cellsByHome(e.declared.now(), id) {
+		tasks, err := e.query(ctx, name, id, nil)
+		if err == nil && len(tasks) == 1 {
+			return tasks[0], name, nil
+		}
+		if err != nil && err.Code != result.UnknownTask {
+			refusal = err
+		}
+	}
+	return nil, "", refusal
+}
+
+func cellsByHome(rev *revision, id string) []string {
+	home := homeCell(rev, id, labels.Everything())
+	names := []string{}
+	if home != "" {
+		names = append(names, home)
+	}
+	for _, c := range rev.cells {
+		if c.name != home {
+			names = append(names, c.name)
+		}
+	}
+	return names
+}
+
+func statusOf(t *journalv1.TaskState) TaskStatus {
+	s := TaskStatus{
+		ID: t.GetSpec().GetId(), Group: t.GetSpec().GetGroup(), Phase: cell.Phase(t.GetPhase()).String(),
+		Code: result.Code(t.GetCode()), Detail: t.GetDetail(), Attempt: t.GetAttempt(),
+		Evictions: t.GetEvictions(), Resumes: t.GetResumes(), Failures: t.GetFailures(),
+	}
+	if cell.Phase(t.GetPhase()) == cell.Assigned {
+		s.VM = t.GetWorker()
+	}
+	if s.Code != result.OK || cell.Phase(t.GetPhase()) == cell.Done {
+		s.CodeName = result.Lookup(s.Code).Name
+	}
+	return s
+}
+
+// serveTask answers with a task's state; with wait_ms it waits for its end.
+func (e *Entry) serveTask(w http.ResponseWriter, r *http.Request) {
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	until := e.clock() + config.Ms(min(max(wait, 0), 60_000))
+	for {
+		ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+		t, _, refusal := e.findTask(ctx, r.PathValue("id"))
+		cancel()
+		if refusal != nil {
+			e.refuse(w, refusal)
+			return
+		}
+		if cell.Phase(t.GetPhase()) == cell.Done || e.clock() >= until || r.Context().Err() != nil {
+			e.reply(w, statusOf(t))
+			return
+		}
+		sleep(r.Context(), watchEvery)
+	}
+}
+
+func (e *Entry) serveExplain(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+	defer cancel()
+	id := r.PathValue("id")
+	_, name, refusal := e.findTask(ctx, id)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	var text string
+	e.atOwner(ctx, name, func(c *cellRunner) bool {
+		text = c.explain(ctx, id)
+		return true
+	}, func(addr string) bool {
+		resp, err := e.peers.at(addr).GetTasks(ctx, connect.NewRequest(&peerv1.GetTasksRequest{Cell: name, Id: id, Explain: true}))
+		if err == nil {
+			text = resp.Msg.GetExplanation()
+		}
+		return err == nil
+	})
+	e.reply(w, struct {
+		ID          string `json:"id"`
+		Cell        string `json:"cell"`
+		Explanation string `json:"explanation"`
+	}{id, name, text})
+}
+
+// parseSelector reads the selector parameter; empty selects everything.
+func parseSelector(r *http.Request) (labels.Selector, *result.Error) {
+	sel, err := labels.Parse(r.URL.Query().Get("selector"))
+	if err != nil {
+		return nil, result.New(result.BadSelector, "%v", err)
+	}
+	return sel, nil
+}
+
+func (e *Entry) serveList(w http.ResponseWriter, r *http.Request) {
+	sel, refusal := parseSelector(r)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+	defer cancel()
+	out := []TaskStatus{}
+	for _, c := range e.declared.now().cells {
+		tasks, err := e.query(ctx, c.name, "", sel)
+		if err != nil {
+			e.refuse(w, err)
+			return
+		}
+		for _, t := range tasks {
+			out = append(out, statusOf(t))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	e.reply(w, out)
+}
+
+func (e *Entry) serveCancel(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+	defer cancel()
+	id := r.PathValue("id")
+	_, name, refusal := e.findTask(ctx, id)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	answers, refusal := e.cancelIn(ctx, name, id, nil)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	e.reply(w, answers)
+}
+
+func (e *Entry) serveCancelSelected(w http.ResponseWriter, r *http.Request) {
+	sel, refusal := parseSelector(r)
+	if refusal == nil && sel.Empty() {
+		refusal = result.New(result.BadSelector, "a selector is needed; it must not be empty")
+	}
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+	defer cancel()
+	out := []TaskAnswer{}
+	for _, c := range e.declared.now().cells {
+		answers, err := e.cancelIn(ctx, c.name, "", sel)
+		if err != nil {
+			e.refuse(w, err)
+			return
+		}
+		out = append(out, answers...)
+	}
+	e.reply(w, out)
+}
+
+// cancelIn cancels tasks of one cell. Cancelling is idempotent.
+func (e *Entry) cancelIn(ctx context.Context, name, id string, sel labels.Selector) ([]TaskAnswer, *result.Error) {
+	var out []TaskAnswer
+	refusal := result.New(result.CommitUnknown, "cell %s; cancel again", name)
+	e.atOwner(ctx, name, func(c *cellRunner) bool {
+		reply := c.cancel(ctx, id, sel)
+		if reply.Err != nil && again(reply.Err.Code) {
+			return false
+		}
+		refusal = reply.Err
+		for _, t := range reply.Results {
+			out = append(out, answer(t.ID, t.Code, t.Detail))
+		}
+		return true
+	}, func(addr string) bool {
+		resp, err := e.peers.at(addr).CancelTasks(ctx, connect.NewRequest(&peerv1.CancelTasksRequest{Cell: name, Id: id, Selector: selectorText(sel)}))
+		if err != nil || again(result.Code(resp.Msg.GetCode())) {
+			return false
+		}
+		refusal = nil
+		if code := result.Code(resp.Msg.GetCode()); code != result.OK {
+			refusal = result.New(code, "")
+		}
+		for _, tid := range resp.Msg.GetIds() {
+			out = append(out, answer(tid, result.OK, ""))
+		}
+		return true
+	})
+	return out, refusal
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
+	"leverstile.dev/membership"
+	"leverstile.dev/platform"
+)
+
+// peerStale is the age at which a peer's last exchange shows nothing any more.
+const peerStale = 5 * time.Second
+
+// leavingHold is how long a VM counts as leaving after the last word of it.
+const leavingHold = 10 * time.Minute
+
+// view is what this entry knows of the fleet. It holds one lock, which is
+// never held while anything is called.
+type view struct {
+	mu sync.RWMutex
+	// registered are the entries with a key in the store.
+	registered map[string]membership.Entry
+	// peers are entries that have exchanged views with this one.
+	peers map[string]peerState
+	// owners are the owner keys of shards as the store's watch tells.
+	owners map[string]string
+	// drained VMs are those that operators drain.
+	drained map[string]bool
+	vms     []platform.VM
+	vmsAt   time.Duration
+	// leaving VMs with the time of the last sign of it.
+	leaving map[string]time.Duration
+}
+
+type peerState struct {
+	view *peerv1.View
+	at   time.Duration
+}
+
+func newView() *view {
+	return &view{
+		registered: map[string]membership.Entry{},
+		peers:      map[string]peerState{},
+		owners:     map[string]string{},
+		drained:    map[string]bool{},
+		leaving:    map[string]time.Duration{},
+	}
+}
+
+// entries returns the entries that are thought to be alive: registered ones,
+// and while the store is out, peers heard of lately.
+func (v *view) entries(now time.Duration, storeOut bool) []membership.Entry {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	byID := map[string]membership.Entry{}
+	for id, e := range v.registered {
+		byID[id] = e
+	}
+	for id, p := range v.peers {
+		if now-p.at > peerStale {
+			continue
+		}
+		e, known := byID[id]
+		if !known && !storeOut {
+			continue // its store lease has ended
+		}
+		if !known {
+			e = membership.Entry{ID: id, Address: p.view.GetAddress(), Place: p.view.GetPlace()}
+		}
+		e.Draining = e.Draining || p.view.GetDraining()
+		byID[id] = e
+	}
+	out := make([]membership.Entry, 0, len(byID))
+	for _, e := range byID {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// address returns where an entry takes calls of peers.
+func (v *view) address(id string) string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if e, ok := v.registered[id]; ok {
+		return e.Address
+	}
+	if p, ok := v.peers[id]; ok {
+		return p.view.GetAddress()
+	}
+	return ""
+}
+
+// owner returns the entry that owns a shard as far as is known: the one with
+// the highest term among peers that say so, else the store's owner key.
+func (v *view) owner(shard string, now time.Duration) string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if id := v.owners[shard]; id != "" {
+		return id
+	}
+	best, term := "", uint64(0)
+	for id, p := range v.peers {
+		if now-p.at > peerStale {
+			continue
+		}
+		for _, s := range p.view.GetShards() {
+			if s.GetName() == shard && s.GetTerm() > term {
+				best, term = id, s.GetTerm()
+			}
+		}
+	}
+	return best
+}
+
+func (v *view) heard(now time.Duration, pv *peerv1.View) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.peers[pv.GetEntry()] = peerState{pv, now}
+	for _, vm := range pv.GetLeavingVms() {
+		v.leaving[vm] = now
+	}
+}
+
+func (v *view) forgetPeers(now time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, p := range v.peers {
+		if now-p.at > 10*peerStale {
+			delete(v.peers, id)
+		}
+	}
+}
+
+// markLeaving notes a sign that a VM is leaving. It returns whether that is news.
+func (v *view) markLeaving(now time.Duration, vm string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, known := v.leaving[vm]
+	v.leaving[vm] = now
+	return !known
+}
+
+// leavingVMs returns the VMs whose endpoints get nothing new: leaving in the
+// platform's list, drained by operators, or reported by an endpoint's own
+// refusal here or at a peer.
+func (v *view) leavingVMs(now time.Duration) map[string]bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := map[string]bool{}
+	for vm, at := range v.leaving {
+		if now-at > leavingHold {
+			delete(v.leaving, vm)
+			continue
+		}
+		out[vm] = true
+	}
+	for vm := range v.drained {
+		out[vm] = true
+	}
+	for _, vm := range v.vms {
+		if vm.State == platform.VMLeaving {
+			out[vm.ID] = true
+		}
+	}
+	return out
+}
+
+// ownLeaving returns the VMs found to be leaving, for peers. Only those that
+// this entry has seen itself of late are told on, so that word of a VM ends.
+func (v *view) toldLeaving(now time.Duration) []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var out []string
+	for vm, at := range v.leaving {
+		if now-at < leavingTold {
+			out = append(out, vm)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// leavingTold is how long a sign of a leaving VM is told to peers.
+const leavingTold = 5 * time.Second
+
+func (v *view) setVMs(now time.Duration, vms []platform.VM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.vms, v.vmsAt = vms, now
+}
+
+func (v *view) listVMs() []platform.VM {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.vms
+}
+
+// peerViews returns the fresh views of peers.
+func (v *view) peerViews(now time.Duration) []*peerv1.View {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var out []*peerv1.View
+	for _, p := range v.peers {
+		if now-p.at <= peerStale {
+			out = append(out, p.view)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"leverstile.dev/kv"
+	"leverstile.dev/membership"
+	"leverstile.dev/shard"
+)
+
+// drainPrefix is the prefix of the keys of VMs that operators drain.
+const drainPrefix = shard.WatchPrefix + "drain/"
+
+// watchRetry is the wait after a watch broke off, with jitter.
+const watchRetry = 500 * time.Millisecond
+
+// watch follows the store's keys below shard.WatchPrefix: entries, owners,
+// drained VMs and the head of the declarations. It is the one waiting watch
+// of this entry.
+func (e *Entry) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		pairs, rev, err := e.store.Range(ctx, shard.WatchPrefix)
+		if err == nil {
+			e.takeAll(pairs)
+			e.storeSeen.Store(int64(e.clock()))
+			err = e.store.Watch(ctx, shard.WatchPrefix, rev, func(_ int64, events []kv.Event) {
+				for _, ev := range events {
+					e.take(ev)
+				}
+				e.replan()
+			})
+		}
+		if ctx.Err() == nil {
+			e.log.Warn().Err(err).Msg("watch of the store broke off")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry + rand.N(watchRetry)):
+		}
+	}
+}
+
+// takeAll replaces what is known from the store by a full read.
+func (e *Entry) takeAll(pairs []kv.Pair) {
+	e.view.mu.Lock()
+	e.view.registered = map[string]membership.Entry{}
+	e.view.owners = map[string]string{}
+	e.view.drained = map[string]bool{}
+	e.view.mu.Unlock()
+	for _, p := range pairs {
+		e.take(kv.Event{Pair: p})
+	}
+	e.replan()
+}
+
+// take takes over one change.
+func (e *Entry) take(ev kv.Event) {
+	key := ev.Pair.Key
+	if key == headKey {
+		e.declared.headSeen(ev.Pair)
+		return
+	}
+	e.view.mu.Lock()
+	defer e.view.mu.Unlock()
+	if id, ok := strings.CutPrefix(key, entryPrefix); ok {
+		takeEntry(e.view.registered, id, ev)
+	}
+	if name, ok := strings.CutPrefix(key, shard.OwnerPrefix); ok {
+		if delete(e.view.owners, name); !ev.Deleted {
+			e.view.owners[name] = string(ev.Pair.Value)
+		}
+	}
+	if vm, ok := strings.CutPrefix(key, drainPrefix); ok {
+		if delete(e.view.drained, vm); !ev.Deleted {
+			e.view.drained[vm] = true
+		}
+	}
+}
+
+func takeEntry(entries map[string]membership.Entry, id string, ev kv.Event) {
+	delete(entries, id)
+	var m membership.Entry
+	if !ev.Deleted && json.Unmarshal(ev.Pair.Value, &m) == nil {
+		entries[id] = m
+	}
+}
--- /dev/null
+++ b/router/policy.go
@@ -0,0 +1,186 @@
+package router
+
+import "time"
+
+// Policy chooses an endpoint with room for one more request, other than those
+// tried before. It returns nil if there is none, and how many it looked at.
+// Implementations must not change the table.
+type Policy interface {
+	Name() string
+	Pick(t *Table, now time.Duration, tried []*endpoint) (*endpoint, int)
+}
+
+// DefaultPolicy returns the policy in use; docs/design/endpoint-choice.md has
+// the measurements that chose it.
+func DefaultPolicy() Policy { return &LeastLoaded{} }
+
+func wasTried(e *endpoint, tried []*endpoint) bool {
+	for _, o := range tried {
+		if o == e {
+			return true
+		}
+	}
+	return false
+}
+
+// Random takes any endpoint with room.
+type Random struct{}
+
+// Name implements Policy.
+func (Random) Name() string { return "random" }
+
+// Pick implements Policy.
+func (Random) Pick(t *Table, now time.Duration, tried []*endpoint) (*endpoint, int) {
+	n := len(t.endpoints)
+	if n == 0 {
+		return nil, 0
+	}
+	start := t.rng.IntN(n)
+	for i := range n {
+		e := t.endpoints[(start+i)%n]
+		if t.room(now, e) && !wasTried(e, tried) {
+			return e, n
+		}
+	}
+	return nil, 0
+}
+
+// RoundRobin takes the endpoints in turn.
+type RoundRobin struct{ next int }
+
+// Name implements Policy.
+func (*RoundRobin) Name() string { return "round-robin" }
+
+// Pick implements Policy.
+func (p *RoundRobin) Pick(t *Table, now time.Duration, tried []*endpoint) (*endpoint, int) {
+	n := len(t.endpoints)
+	for range n {
+		e := t.endpoints[p.next%n]
+		p.next++
+		if t.room(now, e) && !wasTried(e, tried) {
+			return e, n
+		}
+	}
+	return nil, 0
+}
+
+// TwoChoices takes the less loaded of two random endpoints (Mitzenmacher 2001).
+// With OwnOnly peers' reports are left out.
+type TwoChoices struct{ OwnOnly bool }
+
+// Name implements Policy.
+func (p TwoChoices) Name() string {
+	if p.OwnOnly {
+		return "two-choices-own"
+	}
+	return "two-choices-peers"
+}
+
+// choiceTries bounds the draws for an endpoint with room before all are
+// looked at.
+const choiceTries = 4
+
+// Pick implements Policy.
+func (p TwoChoices) Pick(t *Table, now time.Duration, tried []*endpoint) (*endpoint, int) {
+	a := p.draw(t, now, tried)
+	if a == nil {
+		return nil, 0
+	}
+	b := p.draw(t, now, tried)
+	if b != nil && p.load(b) < p.load(a) {
+		return b, 2
+	}
+	return a, 2
+}
+
+func (p TwoChoices) load(e *endpoint) int {
+	if p.OwnOnly {
+		return e.own
+	}
+	return e.own + e.others
+}
+
+func (p TwoChoices) draw(t *Table, now time.Duration, tried []*endpoint) *endpoint {
+	n := len(t.endpoints)
+	if n == 0 {
+		return nil
+	}
+	for range choiceTries {
+		e := t.endpoints[t.rng.IntN(n)]
+		if t.room(now, e) && !wasTried(e, tried) {
+			return e
+		}
+	}
+	e, _ := Random{}.Pick(t, now, tried)
+	return e
+}
+
+// LeastLoaded looks at all endpoints and takes the one where a request is
+// expected to end first: by load of this entry and its peers, and by the
+// endpoint's mean latency. Endpoints of the own place win while they have room
+// to spare.
+type LeastLoaded struct {
+	// OwnOnly leaves out peers' reports, Blind the latency.
+	OwnOnly bool
+	Blind   bool
+}
+
+// Name implements Policy.
+func (p *LeastLoaded) Name() string {
+	switch {
+	case p.OwnOnly:
+		return "least-loaded-own"
+	case p.Blind:
+		return "least-loaded-peers"
+	default:
+		return "least-loaded"
+	}
+}
+
+// awayPenalty is the extra cost of an endpoint in another place, as a part of
+// the slots: the own place is preferred until it is that much busier.
+const awayPenalty = 0.5
+
+// Pick implements Policy.
+func (p *LeastLoaded) Pick(t *Table, now time.Duration, tried []*endpoint) (*endpoint, int) {
+	var best *endpoint
+	bestCost, ties, seen := 0.0, 0, 0
+	for _, e := range t.endpoints {
+		if !t.room(now, e) || wasTried(e, tried) {
+			continue
+		}
+		seen++
+		cost := p.cost(t, e)
+		switch {
+		case best == nil || cost < bestCost:
+			best, bestCost, ties = e, cost, 1
+		case cost == bestCost:
+			// Each of the equal ones is taken with the same probability, so that
+			// entries with the same view don't all choose the same endpoint.
+			ties++
+			if t.rng.IntN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	return best, seen
+}
+
+func (p *LeastLoaded) cost(t *Table, e *endpoint) float64 {
+	load := e.own
+	if !p.OwnOnly {
+		load += e.others
+	}
+	cost := float64(load + 1)
+	if !p.Blind {
+		cost *= float64(max(e.latency, slowFloor(t))) / float64(max(t.latency, 1))
+	}
+	if e.Place != t.params.Place {
+		cost += awayPenalty * float64(t.params.Slots)
+	}
+	return cost
+}
+
+// slowFloor: endpoints are only told apart by latency where one is clearly
+// slower than the mean; noise must not steer.
+func slowFloor(t *Table) time.Duration { return t.latency * 3 / 2 }
--- /dev/null
+++ b/router/queue.go
@@ -0,0 +1,162 @@
+package router
+
+import "time"
+
+// queue holds waiting requests: classes in strict order, groups of a class in
+// turn, requests of a group first come first served.
+type queue struct {
+	classes [numClasses]classQueue
+	size    int
+}
+
+type classQueue struct {
+	groups map[string]*groupQueue
+	turn   []*groupQueue // groups with waiting requests, next first
+	size   int
+}
+
+type groupQueue struct {
+	name    string
+	waiting []*flight
+}
+
+func (q *queue) len() int { return q.size }
+
+// ahead counts the requests that would go before a new one of class c.
+func (q *queue) ahead(c Class) int {
+	n := 0
+	for i := LatencyCritical; i <= c; i++ {
+		n += q.classes[i].size
+	}
+	return n
+}
+
+func (q *queue) group(f *flight) *groupQueue {
+	c := &q.classes[f.Class]
+	if c.groups == nil {
+		c.groups = map[string]*groupQueue{}
+	}
+	g := c.groups[f.Group]
+	if g == nil {
+		g = &groupQueue{name: f.Group}
+		c.groups[f.Group] = g
+		c.turn = append(c.turn, g)
+	}
+	return g
+}
+
+func (q *queue) push(f *flight) {
+	g := q.group(f)
+	g.waiting = append(g.waiting, f)
+	q.added(f)
+}
+
+// pushFront puts a request that is tried again before the others of its group.
+func (q *queue) pushFront(f *flight) {
+	g := q.group(f)
+	g.waiting = append(g.waiting, nil)
+	copy(g.waiting[1:], g.waiting)
+	g.waiting[0] = f
+	q.added(f)
+}
+
+func (q *queue) added(f *flight) {
+	f.queued = true
+	q.classes[f.Class].size++
+	q.size++
+}
+
+// next returns the request to send next at now, without taking it.
+func (q *queue) next(now time.Duration) *flight {
+	for i := range q.classes {
+		for _, g := range q.classes[i].turn {
+			for _, f := range g.waiting {
+				if now >= f.notBefore {
+					return f
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// remove takes a request out. Its group goes to the end of the turn.
+func (q *queue) remove(f *flight) {
+	if !f.queued {
+		return
+	}
+	f.queued = false
+	c := &q.classes[f.Class]
+	g := c.groups[f.Group]
+	for i, w := range g.waiting {
+		if w == f {
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			break
+		}
+	}
+	c.size--
+	q.size--
+	c.rotate(g)
+}
+
+func (c *classQueue) rotate(g *groupQueue) {
+	for i, o := range c.turn {
+		if o == g {
+			c.turn = append(c.turn[:i], c.turn[i+1:]...)
+			break
+		}
+	}
+	if len(g.waiting) == 0 {
+		delete(c.groups, g.name)
+		return
+	}
+	c.turn = append(c.turn, g)
+}
+
+// shed returns the request to give up for a new one: the newest of the longest
+// group of the lowest class below its own, or of its own class where another
+// group has more waiting than the new one's. It returns nil if there is none.
+func (q *queue) shed(f *flight) *flight {
+	for i := numClasses - 1; i > f.Class; i-- {
+		if g := q.classes[i].longest(); g != nil {
+			return g.newest()
+		}
+	}
+	c := &q.classes[f.Class]
+	own := 0
+	if g := c.groups[f.Group]; g != nil {
+		own = len(g.waiting)
+	}
+	if g := c.longest(); g != nil && len(g.waiting) > own+1 {
+		return g.newest()
+	}
+	return nil
+}
+
+func (c *classQueue) longest() *groupQueue {
+	var longest *groupQueue
+	for _, g := range c.turn {
+		if longest == nil || len(g.waiting) > len(longest.waiting) {
+			longest = g
+		}
+	}
+	return longest
+}
+
+func (g *groupQueue) newest() *flight { return g.waiting[len(g.waiting)-1] }
+
+// each calls fn for all waiting requests; fn may remove the one it is given.
+func (q *queue) each(fn func(*flight)) {
+	if q.size == 0 {
+		return
+	}
+	var all []*flight
+	for i := range q.classes {
+		for _, g := range q.classes[i].turn {
+			all = append(all, g.waiting...)
+		}
+	}
+	for _, f := range all {
+		fn(f)
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,544 @@
+// Package router chooses endpoints for requests, limits what is sent to them,
+// queues and retries. It is pure: Table is given clock readings and events and
+// returns actions; the caller sends the requests.
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"leverstile.dev/api/result"
+)
+
+// Class orders requests under overload; lower is more important.
+type Class int
+
+// Classes.
+const (
+	LatencyCritical Class = iota
+	Standard
+	Batch
+	numClasses
+)
+
+// Request is a request as the router sees it. Times are clock readings.
+type Request struct {
+	ID         uint64
+	Group      string
+	Class      Class
+	Repeatable bool
+	// Once: a single attempt, whatever its outcome.
+	Once     bool
+	Deadline time.Duration
+}
+
+// Endpoint is one endpoint of the service, as the platform's list gives it.
+type Endpoint struct {
+	ID    string // address
+	VM    string
+	Place string
+}
+
+// Kind of an Outcome.
+type Kind int
+
+// Outcomes of an attempt.
+const (
+	// Answered: a whole answer that isn't a server fault.
+	Answered Kind = iota
+	// Refused: the endpoint said that it did not begin.
+	Refused
+	// Unsent: nothing reached the endpoint.
+	Unsent
+	// Fault: a whole answer with a server fault.
+	Fault
+	// Lost: sent, and no whole answer came.
+	Lost
+	// Abandoned: the caller went away; says nothing of the endpoint.
+	Abandoned
+	// Leaving: refused because the endpoint is stopping.
+	Leaving
+)
+
+// Outcome is the end of an attempt. AnswerBegan says that part of an answer
+// has gone to the caller, so that nothing can be tried again.
+type Outcome struct {
+	Kind        Kind
+	Latency     time.Duration
+	AnswerBegan bool
+}
+
+// ActionKind is the kind of an Action.
+type ActionKind int
+
+// Kinds of actions.
+const (
+	// Send sends the request to an endpoint.
+	Send ActionKind = iota
+	// Refuse ends the request with a code; it was not run.
+	Refuse
+	// Fail ends the request with a code of another family.
+	Fail
+)
+
+// Action is what to do with a request.
+type Action struct {
+	Kind       ActionKind
+	Request    uint64
+	Endpoint   Endpoint
+	Attempt    int
+	Code       result.Code
+	RetryAfter time.Duration
+	// Candidates is the number of endpoints that could have been chosen.
+	Candidates int
+}
+
+// Params are the parameters of a service's table.
+type Params struct {
+	Slots int
+	// Place of this entry; its endpoints are preferred while they have room.
+	Place string
+	// Queue bounds the waiting requests of all classes.
+	Queue int
+	// Attempts bounds the attempts of a request.
+	Attempts int
+	// RetryRatio is how many retries each request adds to the budget.
+	RetryRatio float64
+	// Policy chooses among the endpoints.
+	Policy Policy
+}
+
+const (
+	// retryBurst is the most retries saved up, and those available at first.
+	retryBurst = 10.0
+	// backoffBase and backoffCap bound the full jitter between two attempts.
+	backoffBase = 10 * time.Millisecond
+	backoffCap  = time.Second
+	// fullFor is how long an endpoint that refused is passed over.
+	fullFor = 20 * time.Millisecond
+	// ejectAfter faults in a row an endpoint is left out, for ejectBase at
+	// first, doubling up to ejectMax. At most maxEjected of all are out.
+	ejectAfter = 3
+	ejectBase  = time.Second
+	ejectMax   = 30 * time.Second
+	maxEjected = 1.0 / 3
+	// latencyWeight is the part of a new sample in the mean latency.
+	latencyWeight = 0.1
+	// initialLatency is assumed before the first answer.
+	initialLatency = 20 * time.Millisecond
+	// loadStale is the age at which a peer's reported load counts no more.
+	loadStale = 2 * time.Second
+)
+
+// endpoint is a row of the table.
+type endpoint struct {
+	Endpoint
+	// own is this entry's requests in flight. Invariant: own <= limit.
+	own int
+	// others is what peers report to have in flight, refreshed by SetPeerLoad.
+	others  int
+	leaving bool
+	// fullUntil: passed over after a refusal.
+	fullUntil    time.Duration
+	ejectedUntil time.Duration
+	ejectFor     time.Duration
+	faults       int
+	latency      time.Duration
+	gone         bool
+}
+
+type flight struct {
+	Request
+	endpoint *endpoint
+	attempt  int
+	// tried endpoints are not tried again while there are others.
+	tried []*endpoint
+	// notBefore is when a retry may be sent.
+	notBefore time.Duration
+	queued    bool
+}
+
+// Table holds one service's endpoints and requests at one entry. It isn't safe
+// for concurrent use.
+type Table struct {
+	params    Params
+	rng       *rand.Rand
+	endpoints []*endpoint
+	byID      map[string]*endpoint
+	requests  map[uint64]*flight
+	queue     queue
+	peers     map[string]peerLoad
+	budget    float64
+	latency   time.Duration
+	inFlight  int
+	out       []Action
+	leaving   map[string]bool // VMs
+
+	// Stats counts since the table was made.
+	Stats Stats
+}
+
+// Stats are counters.
+type Stats struct {
+	Arrived, Sent, Retried, Refused, Ejected uint64
+}
+
+type peerLoad struct {
+	at     time.Duration
+	counts map[string]int
+}
+
+// New returns an empty table. seed makes its choices repeatable.
+func New(params Params, seed uint64) *Table {
+	if params.Policy == nil {
+		params.Policy = DefaultPolicy()
+	}
+	return &Table{
+		params:   params,
+		rng:      rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		byID:     map[string]*endpoint{},
+		requests: map[uint64]*flight{},
+		peers:    map[string]peerLoad{},
+		leaving:  map[string]bool{},
+		budget:   retryBurst,
+		latency:  initialLatency,
+	}
+}
+
+// SetParams changes limits; requests under way are not affected.
+func (t *Table) SetParams(p Params) {
+	if p.Policy == nil {
+		p.Policy = t.params.Policy
+	}
+	t.params = p
+}
+
+// SetEndpoints replaces the list of endpoints.
+func (t *Table) SetEndpoints(now time.Duration, list []Endpoint) []Action {
+	keep := make(map[string]bool, len(list))
+	for _, e := range list {
+		keep[e.ID] = true
+		row := t.byID[e.ID]
+		if row == nil {
+			row = &endpoint{Endpoint: e, latency: t.latency}
+			t.byID[e.ID] = row
+			t.endpoints = append(t.endpoints, row)
+		}
+		row.Endpoint, row.gone = e, false
+		row.leaving = row.leaving || t.leaving[e.VM]
+	}
+	rest := t.endpoints[:0]
+	for _, row := range t.endpoints {
+		if keep[row.ID] {
+			rest = append(rest, row)
+			continue
+		}
+		row.gone = true
+		delete(t.byID, row.ID)
+	}
+	t.endpoints = rest
+	t.dispatch(now)
+	return t.take()
+}
+
+// SetLeaving sets the VMs that are leaving. Their endpoints get nothing new.
+func (t *Table) SetLeaving(vms map[string]bool) {
+	t.leaving = vms
+	for _, e := range t.endpoints {
+		e.leaving = vms[e.VM]
+	}
+}
+
+// MarkLeaving notes that one VM is leaving, from an endpoint's own refusal.
+func (t *Table) MarkLeaving(vm string) {
+	for _, e := range t.endpoints {
+		if e.VM == vm {
+			e.leaving = true
+		}
+	}
+}
+
+// SetPeerLoad takes over what a peer has in flight, by endpoint id.
+func (t *Table) SetPeerLoad(now time.Duration, peer string, counts map[string]int) {
+	t.peers[peer] = peerLoad{now, counts}
+	for _, e := range t.endpoints {
+		e.others = 0
+	}
+	for name, p := range t.peers {
+		if now-p.at > loadStale {
+			delete(t.peers, name)
+			continue
+		}
+		for id, n := range p.counts {
+			if e := t.byID[id]; e != nil {
+				e.others += n
+			}
+		}
+	}
+}
+
+// Load returns this entry's requests in flight by endpoint id, without zeros.
+func (t *Table) Load() map[string]int {
+	out := map[string]int{}
+	for _, e := range t.endpoints {
+		if e.own > 0 {
+			out[e.ID] = e.own
+		}
+	}
+	return out
+}
+
+// InFlight is the number of requests sent and not ended; Queued of those that
+// wait.
+func (t *Table) InFlight() int { return t.inFlight }
+
+// Queued is the number of waiting requests.
+func (t *Table) Queued() int { return t.queue.len() }
+
+func (t *Table) take() []Action {
+	out := t.out
+	t.out = nil
+	return out
+}
+
+// Arrive takes a new request.
+func (t *Table) Arrive(now time.Duration, r Request) []Action {
+	t.Stats.Arrived++
+	t.budget = min(t.budget+t.params.RetryRatio, retryBurst)
+	f := &flight{Request: r}
+	t.requests[r.ID] = f
+	if code, after := t.admit(now, f); code != result.OK {
+		t.refuse(f, code, after)
+		return t.take()
+	}
+	t.queue.push(f)
+	t.dispatch(now)
+	return t.take()
+}
+
+// admit refuses a request that would wait in vain.
+func (t *Table) admit(now time.Duration, f *flight) (result.Code, time.Duration) {
+	usable := t.usable(now)
+	if usable == 0 {
+		return result.NoEndpoint, time.Second
+	}
+	wait := t.expectedWait(usable, f.Class)
+	if now+wait+t.latency/2 > f.Deadline {
+		return result.DeadlineTooShort, wait
+	}
+	if t.queue.len() < t.params.Queue {
+		return result.OK, 0
+	}
+	if victim := t.queue.shed(f); victim != nil {
+		t.refuse(victim, result.QueueFull, wait)
+		return result.OK, 0
+	}
+	return result.QueueFull, wait
+}
+
+func (t *Table) usable(now time.Duration) int {
+	n := 0
+	for _, e := range t.endpoints {
+		if !e.leaving && now >= e.ejectedUntil {
+			n++
+		}
+	}
+	return n
+}
+
+// expectedWait is how long a new request of a class would wait in the queue:
+// those ahead of it, at the rate at which requests in flight end.
+func (t *Table) expectedWait(usable int, c Class) time.Duration {
+	ahead := t.queue.ahead(c)
+	if ahead == 0 {
+		return 0
+	}
+	lanes := max(t.inFlight, 1)
+	return time.Duration(int64(t.latency) * int64(ahead) / int64(lanes))
+}
+
+func (t *Table) refuse(f *flight, code result.Code, after time.Duration) {
+	delete(t.requests, f.ID)
+	t.queue.remove(f)
+	t.Stats.Refused++
+	t.out = append(t.out, Action{Kind: Refuse, Request: f.ID, Attempt: f.attempt, Code: code, RetryAfter: t.jitter(after)})
+}
+
+// minRetryAfter keeps refused callers from coming back all at once.
+const minRetryAfter = 50 * time.Millisecond
+
+func (t *Table) jitter(d time.Duration) time.Duration {
+	d = max(d, minRetryAfter)
+	return d + time.Duration(t.rng.Int64N(int64(d)))
+}
+
+// Finish takes the end of a request's attempt.
+func (t *Table) Finish(now time.Duration, id uint64, o Outcome) []Action {
+	f := t.requests[id]
+	if f == nil || f.endpoint == nil {
+		return nil
+	}
+	e := f.endpoint
+	f.endpoint = nil
+	e.own--
+	t.inFlight--
+	t.judge(now, e, o)
+	t.conclude(now, f, e, o)
+	t.dispatch(now)
+	return t.take()
+}
+
+// judge updates what is known of the endpoint.
+func (t *Table) judge(now time.Duration, e *endpoint, o Outcome) {
+	switch o.Kind {
+	case Answered:
+		e.faults, e.ejectFor = 0, 0
+		e.latency = mix(e.latency, o.Latency)
+		t.latency = mix(t.latency, o.Latency)
+	case Refused:
+		// Refusing shows that it lives; it is only full for a moment.
+		e.fullUntil = now + fullFor
+	case Leaving:
+		e.leaving = true
+	case Unsent, Fault, Lost:
+		e.faults++
+		if e.faults >= ejectAfter {
+			t.eject(now, e)
+		}
+	case Abandoned:
+	}
+}
+
+func mix(mean, sample time.Duration) time.Duration {
+	return mean + time.Duration(latencyWeight*float64(sample-mean))
+}
+
+// eject leaves an endpoint out for a while, unless too many are out already:
+// then the fault is likely not theirs.
+func (t *Table) eject(now time.Duration, e *endpoint) {
+	out := 0
+	for _, o := range t.endpoints {
+		if now < o.ejectedUntil {
+			out++
+		}
+	}
+	if float64(out+1) > maxEjected*float64(len(t.endpoints)) {
+		return
+	}
+	e.ejectFor = min(max(2*e.ejectFor, ejectBase), ejectMax)
+	e.ejectedUntil = now + e.ejectFor
+	e.faults = 0
+	t.Stats.Ejected++
+}
+
+// conclude ends the request or tries it again.
+func (t *Table) conclude(now time.Duration, f *flight, e *endpoint, o Outcome) {
+	notRun := o.Kind == Refused || o.Kind == Unsent || o.Kind == Leaving
+	switch {
+	case o.Kind == Answered || o.Kind == Fault || o.Kind == Abandoned || o.AnswerBegan:
+		delete(t.requests, f.ID)
+	case !notRun && !f.Repeatable:
+		t.fail(f, result.AnswerLost)
+	case !t.mayRetry(now, f):
+		t.giveUp(f, o.Kind, notRun)
+	default:
+		t.retry(now, f, e)
+	}
+}
+
+func (t *Table) mayRetry(now time.Duration, f *flight) bool {
+	return !f.Once && f.attempt < t.params.Attempts && t.budget >= 1 && now < f.Deadline
+}
+
+func (t *Table) giveUp(f *flight, k Kind, notRun bool) {
+	if !notRun {
+		t.fail(f, result.AnswerLost)
+		return
+	}
+	code := result.EndpointRefused
+	if k == Unsent {
+		code = result.EndpointDown
+	}
+	if f.attempt > 1 {
+		code = result.RetriesExhausted
+	}
+	t.refuse(f, code, t.latency)
+}
+
+func (t *Table) fail(f *flight, code result.Code) {
+	delete(t.requests, f.ID)
+	t.out = append(t.out, Action{Kind: Fail, Request: f.ID, Attempt: f.attempt, Code: code})
+}
+
+func (t *Table) retry(now time.Duration, f *flight, e *endpoint) {
+	t.budget--
+	t.Stats.Retried++
+	f.tried = append(f.tried, e)
+	ceiling := min(backoffBase<<min(f.attempt-1, 8), backoffCap)
+	f.notBefore = now + time.Duration(t.rng.Int64N(int64(ceiling)))
+	t.queue.pushFront(f)
+}
+
+// Cancel forgets a waiting request whose caller went away. A request in flight
+// ends with Finish.
+func (t *Table) Cancel(id uint64) {
+	f := t.requests[id]
+	if f == nil || f.endpoint != nil {
+		return
+	}
+	delete(t.requests, id)
+	t.queue.remove(f)
+}
+
+// Tick refuses waiting requests whose deadline can't be met any more, and sends
+// retries that are due.
+func (t *Table) Tick(now time.Duration) []Action {
+	t.queue.each(func(f *flight) {
+		if now+t.latency/2 > f.Deadline {
+			t.refuse(f, result.DeadlineTooShort, t.latency)
+		}
+	})
+	if t.queue.len() > 0 && t.usable(now) == 0 {
+		t.queue.each(func(f *flight) { t.refuse(f, result.NoEndpoint, time.Second) })
+	}
+	t.dispatch(now)
+	return t.take()
+}
+
+// dispatch sends waiting requests while an endpoint has room.
+func (t *Table) dispatch(now time.Duration) {
+	for {
+		f := t.queue.next(now)
+		if f == nil {
+			return
+		}
+		e, candidates := t.params.Policy.Pick(t, now, f.tried)
+		if e == nil && len(f.tried) > 0 {
+			e, candidates = t.params.Policy.Pick(t, now, nil)
+		}
+		if e == nil {
+			return
+		}
+		t.queue.remove(f)
+		t.send(f, e, candidates)
+	}
+}
+
+func (t *Table) send(f *flight, e *endpoint, candidates int) {
+	f.endpoint = e
+	f.attempt++
+	e.own++
+	t.inFlight++
+	t.Stats.Sent++
+	t.out = append(t.out, Action{
+		Kind: Send, Request: f.ID, Endpoint: e.Endpoint, Attempt: f.attempt, Candidates: candidates,
+	})
+}
+
+// room reports whether a request may be sent to e: its slots are not in use as
+// far as this entry and its peers' reports tell. Reports lag, so the sum may
+// overshoot; the endpoint's own refusal is the last guard.
+func (t *Table) room(now time.Duration, e *endpoint) bool {
+	return !e.leaving && now >= e.ejectedUntil && now >= e.fullUntil &&
+		e.own < t.params.Slots && e.own+e.others < t.params.Slots
+}
--- /dev/null
+++ b/scheduler/estimate.go
@@ -0,0 +1,89 @@
+package scheduler
+
+import (
+	"github.com/DataDog/sketches-go/ddsketch"
+
+	"leverstile.dev/platform"
+)
+
+// Estimator corrects declared sizes by what tasks of the same kind used.
+type Estimator struct {
+	kinds map[string]*kindUsage
+}
+
+type kindUsage struct {
+	cpu, memory *ddsketch.DDSketch
+	samples     int
+	// cached is the size that the sketches give; it is refreshed with each
+	// refreshEvery samples.
+	cached platform.Resources
+}
+
+const (
+	// minSamples is how many samples of a kind are needed to correct its size.
+	minSamples = 30
+	// refreshEvery samples the quantiles are read again.
+	refreshEvery = 16
+	// cpuQuantile and memoryQuantile are of the measured use. Too little
+	// processor slows a task down, too little memory ends it.
+	cpuQuantile    = 0.90
+	memoryQuantile = 0.99
+	// headroom is the part added to the measured quantile.
+	headroom = 1.15
+	// sketchAccuracy is the relative error of the quantiles.
+	sketchAccuracy = 0.02
+)
+
+// NewEstimator returns an estimator without samples.
+func NewEstimator() *Estimator { return &Estimator{kinds: map[string]*kindUsage{}} }
+
+// Observe adds a measured use of one task of a kind.
+func (e *Estimator) Observe(kind string, used platform.Resources) {
+	k := e.kinds[kind]
+	if k == nil {
+		k = newKindUsage()
+		e.kinds[kind] = k
+	}
+	// The sketch only refuses negative numbers and those out of its range,
+	// which say nothing of a size.
+	_ = k.cpu.Add(float64(used.CPUMilli))
+	_ = k.memory.Add(float64(used.MemoryMiB))
+	k.samples++
+	if k.samples >= minSamples && k.samples%refreshEvery == 0 || k.samples == minSamples {
+		k.refresh()
+	}
+}
+
+func newKindUsage() *kindUsage {
+	k := &kindUsage{}
+	// NewDefaultDDSketch fails only for an accuracy outside (0, 1).
+	k.cpu, _ = ddsketch.NewDefaultDDSketch(sketchAccuracy)
+	k.memory, _ = ddsketch.NewDefaultDDSketch(sketchAccuracy)
+	return k
+}
+
+func (k *kindUsage) refresh() {
+	cpu, err := k.cpu.GetValueAtQuantile(cpuQuantile)
+	if err != nil {
+		return
+	}
+	memory, err := k.memory.GetValueAtQuantile(memoryQuantile)
+	if err != nil {
+		return
+	}
+	k.cached = platform.Resources{CPUMilli: int64(cpu * headroom), MemoryMiB: int64(memory * headroom)}
+}
+
+// Ask returns the size to plan a task of a kind with. Accelerators are as
+// declared. A kind with few samples gets what was declared.
+func (e *Estimator) Ask(kind string, declared platform.Resources) platform.Resources {
+	k := e.kinds[kind]
+	if k == nil || k.samples < minSamples {
+		return declared
+	}
+	ask := k.cached
+	ask.Accelerators = declared.Accelerators
+	ask.CPUMilli = max(ask.CPUMilli, 1)
+	ask.MemoryMiB = max(ask.MemoryMiB, 1)
+	return ask
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,195 @@
+// Package scheduler decides where tasks run and which ones give way. It is
+// pure: Plan reads a snapshot and returns a plan; the owner of the cell checks
+// the plan against its table and commits it.
+package scheduler
+
+import (
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"leverstile.dev/platform"
+)
+
+// Worker is a VM as the planner sees it. Plan changes Free, Kinds and Running
+// as it places; see Plan.
+type Worker struct {
+	ID     string
+	Place  string
+	Rack   string
+	Labels labels.Set
+	// Capacity is what tasks may be given in all: the VM less what its services
+	// need at their peak. Free is what is left of it.
+	Capacity platform.Resources
+	Free     platform.Resources
+	// Usable is false while no task may be started there.
+	Usable bool
+	// Services run on the same VM under Load (0 to 1 of their peak).
+	Services []string
+	Load     float64
+	// Kinds counts the running tasks by kind.
+	Kinds map[string]int
+	// Running are the tasks that an urgent task could replace.
+	Running []*Running
+	// reservedFor is a large waiting task that the VM is kept free for.
+	reservedFor string
+}
+
+// Running is a running task that may be evicted.
+type Running struct {
+	ID    string
+	Kind  string
+	Given platform.Resources
+	// Loss is the run time that an eviction would throw away.
+	Loss time.Duration
+}
+
+// Task is a task that waits for a worker.
+type Task struct {
+	ID       string
+	Kind     string
+	Group    string
+	Ask      platform.Resources
+	Selector labels.Selector
+	Urgent   bool
+	// Waited is the time since the task became runnable.
+	Waited time.Duration
+	// Avoid is the worker on which the last attempt failed.
+	Avoid string
+}
+
+// Queue is the waiting work of one group, first come first served; urgent
+// tasks stand first.
+type Queue struct {
+	Group string
+	Tasks []*Task
+}
+
+// Snapshot is what a plan is made from.
+type Snapshot struct {
+	Workers []*Worker
+	Queues  []*Queue
+	Shares  *Shares
+	// EvictionsLeft is how many evictions the budget allows now.
+	EvictionsLeft int
+}
+
+// Placement starts a task on a worker.
+type Placement struct {
+	Task   *Task
+	Worker *Worker
+	Score  float64
+	// Fitting is the number of workers that passed all filters.
+	Fitting int
+}
+
+// Eviction stops a task so that another can start.
+type Eviction struct {
+	Task   string
+	Worker string
+	For    string
+	Loss   time.Duration
+}
+
+// Waiting says why a task was looked at and not placed.
+type Waiting struct {
+	Task   *Task
+	Reason Reason
+}
+
+// Reason is why a task waits.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNoRoom    Reason = "no worker has room now"
+	ReasonFitsNoVM  Reason = "no VM of the cell is large enough or matches the selector"
+	ReasonQuota     Reason = "the group's quota is in use"
+	ReasonEvicting  Reason = "room is being made by an eviction"
+	ReasonReserved  Reason = "a VM is kept free for it"
+	ReasonBehind    Reason = "other work of the group is ahead"
+	ReasonPlanLimit Reason = "the planner's limit per round was reached"
+)
+
+// Plan is what to do.
+type Plan struct {
+	Placements []Placement
+	Evictions  []Eviction
+	Waiting    []Waiting
+}
+
+// Filter is one condition on a worker. Implementations keep no state and must
+// not change their arguments.
+type Filter interface {
+	Name() string
+	// Passes reports whether t may run on w.
+	Passes(t *Task, w *Worker) bool
+}
+
+// Scorer rates a worker that passed all filters.
+type Scorer interface {
+	Name() string
+	// Score is between 0 (worst) and 1 (best).
+	Score(t *Task, w *Worker) float64
+}
+
+// Weights of the score steps. Interference outweighs packing: a service's tail
+// is worth more than a well-filled VM (docs/design/interference.md).
+const (
+	weightInterference = 4.0
+	weightPacking      = 1.0
+	weightAccelerator  = 2.0
+	weightAvoid        = 1.0
+)
+
+type weighted struct {
+	scorer Scorer
+	weight float64
+}
+
+// Planner makes plans. It holds only its policy steps.
+type Planner struct {
+	filters []Filter
+	scorers []weighted
+	limits  Limits
+}
+
+// Limits bound one plan.
+type Limits struct {
+	// Placements per plan.
+	Placements int
+	// BlockedPerGroup is how many tasks that don't fit are passed over per
+	// group before the group's turn ends.
+	BlockedPerGroup int
+	// ReserveAfter is the wait after which a VM is kept free for a task.
+	ReserveAfter time.Duration
+	// Reservations bounds the VMs kept free at a time.
+	Reservations int
+}
+
+// DefaultLimits are the limits used unless a test sets others.
+var DefaultLimits = Limits{
+	Placements:      256,
+	BlockedPerGroup: 8,
+	ReserveAfter:    20 * time.Second,
+	Reservations:    2,
+}
+
+// NewPlanner returns the planner in use. interference may be nil, which plans
+// blindly.
+func NewPlanner(limits Limits, interference *Interference) *Planner {
+	p := &Planner{
+		limits:  limits,
+		filters: []Filter{usableFilter{}, roomFilter{}, reservedFilter{}, selectorFilter{}},
+		scorers: []weighted{
+			{packingScore{}, weightPacking},
+			{acceleratorScore{}, weightAccelerator},
+			{avoidScore{}, weightAvoid},
+		},
+	}
+	if interference != nil {
+		p.filters = append(p.filters, interferenceFilter{interference})
+		p.scorers = append(p.scorers, weighted{interferenceScore{interference}, weightInterference})
+	}
+	return p
+}
--- /dev/null
+++ b/scheduler/shares.go
@@ -0,0 +1,271 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"leverstile.dev/platform"
+)
+
+// GroupSpec is a group as declared. A group's share counts among the children
+// of its parent; the root's name is empty.
+type GroupSpec struct {
+	Name   string
+	Parent string
+	Share  float64
+	// Quota bounds what the group's tasks hold at a time; zero fields don't.
+	Quota platform.Resources
+}
+
+// Shares keeps each group's use of the fleet and orders groups by weighted
+// dominant resource share (Ghodsi et al., NSDI 2011), nested, with past use
+// that decays (docs/design/fair-share.md).
+type Shares struct {
+	groups map[string]*groupShare
+	root   *groupShare
+	total  platform.Resources
+	// halfLife is the time after which past use counts half.
+	halfLife time.Duration
+	updated  time.Duration
+}
+
+type groupShare struct {
+	spec     GroupSpec
+	parent   *groupShare
+	children []*groupShare
+	// inUse is held by this group's own tasks in this cell, elsewhere in the
+	// others. Both exclude children.
+	inUse     platform.Resources
+	elsewhere platform.Resources
+	// past is the decayed mean of the dominant share, children included.
+	past float64
+	// subtree is the current use with children, refreshed on each change.
+	subtree platform.Resources
+}
+
+// DefaultHalfLife is the half-life of past use.
+const DefaultHalfLife = 10 * time.Minute
+
+// NewShares returns the shares of declared groups. total is the fleet's
+// capacity.
+func NewShares(specs []GroupSpec, total platform.Resources, halfLife time.Duration) *Shares {
+	s := &Shares{groups: map[string]*groupShare{}, root: &groupShare{}, total: total, halfLife: halfLife}
+	s.SetGroups(specs)
+	return s
+}
+
+// SetGroups replaces the declared groups; use is kept by name.
+func (s *Shares) SetGroups(specs []GroupSpec) {
+	old := s.groups
+	s.groups = make(map[string]*groupShare, len(specs))
+	s.root = &groupShare{}
+	for _, spec := range specs {
+		g := &groupShare{spec: spec}
+		if o := old[spec.Name]; o != nil {
+			g.inUse, g.elsewhere, g.past = o.inUse, o.elsewhere, o.past
+		}
+		s.groups[spec.Name] = g
+	}
+	for name, o := range old {
+		if s.groups[name] == nil && !o.inUse.IsZero() {
+			// A group that is no longer declared keeps its entry while its
+			// tasks run.
+			s.groups[name] = &groupShare{spec: GroupSpec{Name: name, Share: o.spec.Share}, inUse: o.inUse}
+		}
+	}
+	for _, g := range s.groups {
+		s.link(g)
+	}
+	for _, g := range s.groups {
+		g.addSubtree(g.inUse.Add(g.elsewhere))
+	}
+}
+
+func (s *Shares) link(g *groupShare) {
+	g.parent = s.root
+	if p := s.groups[g.spec.Parent]; p != nil && g.spec.Parent != "" {
+		g.parent = p
+	}
+	g.parent.children = append(g.parent.children, g)
+}
+
+func (g *groupShare) addSubtree(r platform.Resources) {
+	for p := g; p != nil; p = p.parent {
+		p.subtree = p.subtree.Add(r)
+	}
+}
+
+// SetTotal sets the fleet's capacity.
+func (s *Shares) SetTotal(total platform.Resources) { s.total = total }
+
+// Hold adds to (or with negative amounts takes from) what a group holds here.
+func (s *Shares) Hold(group string, r platform.Resources) {
+	g := s.groups[group]
+	if g == nil {
+		g = &groupShare{spec: GroupSpec{Name: group, Share: 1}}
+		s.groups[group] = g
+		s.link(g)
+	}
+	g.inUse = g.inUse.Add(r)
+	g.addSubtree(r)
+}
+
+// SetElsewhere sets what a group holds in all other cells.
+func (s *Shares) SetElsewhere(group string, r platform.Resources) {
+	if g := s.groups[group]; g != nil {
+		g.addSubtree(r.Sub(g.elsewhere))
+		g.elsewhere = r
+	}
+}
+
+// InUse returns what each group holds in this cell.
+func (s *Shares) InUse() map[string]platform.Resources {
+	out := make(map[string]platform.Resources, len(s.groups))
+	for name, g := range s.groups {
+		if !g.inUse.IsZero() {
+			out[name] = g.inUse
+		}
+	}
+	return out
+}
+
+// Advance lets past use decay up to now.
+func (s *Shares) Advance(now time.Duration) {
+	passed := now - s.updated
+	if passed <= 0 {
+		return
+	}
+	s.updated = now
+	keep := math.Exp2(-float64(passed) / float64(s.halfLife))
+	for _, g := range s.groups {
+		g.past = keep*g.past + (1-keep)*s.dominant(g.subtree)
+	}
+}
+
+// dominant is the largest part of any kind of resource.
+func (s *Shares) dominant(r platform.Resources) float64 {
+	d := fraction(r.CPUMilli, s.total.CPUMilli)
+	d = max(d, fraction(r.MemoryMiB, s.total.MemoryMiB))
+	return max(d, fraction(r.Accelerators, s.total.Accelerators))
+}
+
+// DominantShare returns a group's current dominant share, children included.
+func (s *Shares) DominantShare(group string) float64 {
+	if g := s.groups[group]; g != nil {
+		return s.dominant(g.subtree)
+	}
+	return 0
+}
+
+// order is what siblings are compared by: current and past use by weight, the
+// smaller first.
+func (s *Shares) order(g *groupShare) float64 {
+	weight := g.spec.Share
+	if weight <= 0 {
+		weight = 1
+	}
+	return (s.dominant(g.subtree) + g.past) / weight
+}
+
+// WithinQuota reports whether a group and all its parents may hold r more.
+func (s *Shares) WithinQuota(group string, r platform.Resources) bool {
+	for g := s.groups[group]; g != nil && g != s.root; g = g.parent {
+		if !withinQuota(g.subtree.Add(r), g.spec.Quota) {
+			return false
+		}
+	}
+	return true
+}
+
+// Exceeds reports whether r alone is more than the quota of the group or of
+// one of its parents.
+func (s *Shares) Exceeds(group string, r platform.Resources) bool {
+	for g := s.groups[group]; g != nil && g != s.root; g = g.parent {
+		if !withinQuota(r, g.spec.Quota) {
+			return true
+		}
+	}
+	return false
+}
+
+func withinQuota(r, quota platform.Resources) bool {
+	if quota.CPUMilli > 0 && r.CPUMilli > quota.CPUMilli {
+		return false
+	}
+	if quota.MemoryMiB > 0 && r.MemoryMiB > quota.MemoryMiB {
+		return false
+	}
+	return quota.Accelerators == 0 || r.Accelerators <= quota.Accelerators
+}
+
+// picker chooses the next group among those that still have work to look at.
+type picker struct {
+	shares *Shares
+	active map[*groupShare]int // groups with work in their subtree
+}
+
+func newPicker(s *Shares, queues []*Queue) *picker {
+	p := &picker{shares: s, active: map[*groupShare]int{}}
+	for _, q := range queues {
+		if len(q.Tasks) > 0 {
+			p.mark(q.Group, 1)
+		}
+	}
+	return p
+}
+
+func (p *picker) mark(group string, n int) {
+	for g := p.shares.groups[group]; g != nil; g = g.parent {
+		p.active[g] += n
+	}
+}
+
+// next returns the group whose turn it is: from the root down, the child
+// furthest below its share. A group's own work competes with its children's as
+// if it were one of them with the group's own name.
+func (p *picker) next(own map[string]bool) (string, bool) {
+	g := p.shares.root
+	for {
+		best := p.bestChild(g)
+		if best == nil {
+			return g.spec.Name, g != p.shares.root
+		}
+		if g != p.shares.root && own[g.spec.Name] && p.ownFirst(g, best) {
+			return g.spec.Name, true
+		}
+		g = best
+	}
+}
+
+func (p *picker) ownFirst(g, child *groupShare) bool {
+	return p.shares.dominant(g.inUse.Add(g.elsewhere)) <= p.shares.order(child)
+}
+
+func (p *picker) bestChild(g *groupShare) *groupShare {
+	var best *groupShare
+	for _, c := range g.children {
+		if p.active[c] > 0 && (best == nil || p.less(c, best)) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (p *picker) less(a, b *groupShare) bool {
+	oa, ob := p.shares.order(a), p.shares.order(b)
+	if oa != ob {
+		return oa < ob
+	}
+	return a.spec.Name < b.spec.Name
+}
+
+// Names returns the groups in order of name.
+func (s *Shares) Names() []string {
+	names := make([]string, 0, len(s.groups))
+	for n := range s.groups {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/shard/core.go
@@ -0,0 +1,620 @@
+// Package shard keeps a piece of state that one entry owns at a time.
+//
+// Ownership is a key under the owner's store lease together with a term that
+// only grows. Changes are records in a journal in the store, committed in
+// groups; each commit is conditional on the term, so that a former owner can
+// write nothing after a takeover. See docs/design/ownership.md.
+//
+// Core decides without I/O: it is given clock readings and answers of the
+// store, and returns the store operations to do next.
+package shard
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/kv"
+)
+
+// Machine is the state that a shard's records change. All methods are called
+// from the goroutine that drives the Core.
+type Machine interface {
+	// Reset empties the state.
+	Reset()
+	// Restore adds one part of a snapshot.
+	Restore(part []byte) error
+	// Apply applies one journal record during recovery.
+	Apply(record []byte) error
+	// Snapshot returns the whole state in parts of at most maxBytes.
+	Snapshot(maxBytes int) ([][]byte, error)
+}
+
+// Phase is how far an entry is on the way to owning a shard.
+type Phase int
+
+// Phases.
+const (
+	// Idle: not the owner.
+	Idle Phase = iota
+	// Acquiring: trying to become the owner.
+	Acquiring
+	// Loading: the owner, reading snapshot and journal.
+	Loading
+	// Owning: the owner; records may be proposed.
+	Owning
+	// Releasing: the owner, committing what is left before giving up ownership.
+	Releasing
+)
+
+// Params are the fixed parameters of a Core.
+type Params struct {
+	// Name identifies the shard in the store's keys.
+	Name string
+	// Self is the id of this entry process.
+	Self string
+	// CommitEvery is the least time between two commits.
+	CommitEvery time.Duration
+	// RetryEvery is the wait after a store call without an answer.
+	RetryEvery time.Duration
+	// MaxValueBytes bounds a journal value or snapshot part.
+	MaxValueBytes int
+	// SnapshotBytes of journal lead to a snapshot.
+	SnapshotBytes int
+}
+
+// Defaults of Params.
+const (
+	DefaultCommitEvery   = 100 * time.Millisecond
+	DefaultRetryEvery    = 500 * time.Millisecond
+	DefaultMaxValueBytes = 700_000 // base64 in JSON stays under the store's 1 MB
+	DefaultSnapshotBytes = 2_000_000
+)
+
+// Op is a store call that the caller of Core must make. Its answer goes to
+// Core.Answer with the same ID. Txn is nil for a range read of Prefix.
+type Op struct {
+	ID     uint64
+	Prefix string
+	Txn    *kv.Txn
+}
+
+// Answer is the outcome of an Op.
+type Answer struct {
+	ID    uint64
+	Err   error
+	Pairs []kv.Pair
+	Txn   kv.TxnResult
+}
+
+type opKind int
+
+const (
+	opReadMeta opKind = iota
+	opAcquire
+	opLoad
+	opCommit
+	opSnapshotPart
+	opSnapshotHead
+	opRelease
+)
+
+// Core is the ownership and journal of one shard at one entry. It isn't safe
+// for concurrent use.
+type Core struct {
+	params  Params
+	machine Machine
+
+	phase  Phase
+	wanted bool
+	// lease is the entry's store lease; decisions end at leaseUntil, which is
+	// never later than the lease's end in the store.
+	lease      int64
+	leaseUntil time.Duration
+
+	term    uint64
+	termMod int64
+	// acquire is the acquisition to try next, made from the keys just read.
+	acquire *kv.Txn
+
+	// gen numbers snapshots; seq numbers journal values within a generation.
+	gen          uint64
+	seq          uint64
+	headMod      int64
+	journalBytes int
+
+	// proposed counts records ever proposed in this term, committed those that
+	// are durable. Invariant: committed <= proposed.
+	proposed  uint64
+	committed uint64
+	queue     [][]byte
+
+	chunk    *chunk
+	snapshot *snapshot
+
+	pendingOp   uint64
+	pendingKind opKind
+	nextOp      uint64
+	notBefore   time.Duration
+	lastCommit  time.Duration
+	lastAnswer  time.Duration
+}
+
+type chunk struct {
+	txn      kv.Txn
+	upTo     uint64
+	byteSize int
+}
+
+type snapshot struct {
+	parts [][]byte
+	next  int
+	upTo  uint64
+	gen   uint64
+}
+
+// New returns a Core that owns nothing.
+func New(params Params, machine Machine) *Core {
+	return &Core{params: params, machine: machine}
+}
+
+// WatchPrefix is the prefix of the keys that each entry watches.
+const WatchPrefix = "/leverstile/watch/"
+
+// OwnerPrefix is the prefix of the owner keys, below WatchPrefix.
+const OwnerPrefix = WatchPrefix + "owner/"
+
+const dataPrefix = "/leverstile/shard/"
+
+// OwnerKey is the key that exists while a shard has an owner.
+func OwnerKey(name string) string { return OwnerPrefix + name }
+
+func (c *Core) prefix() string  { return dataPrefix + c.params.Name + "/" }
+func (c *Core) termKey() string { return c.prefix() + "term" }
+func (c *Core) headKey() string { return c.prefix() + "head" }
+
+func (c *Core) logPrefix(gen uint64) string {
+	return fmt.Sprintf("%slog/%016x/", c.prefix(), gen)
+}
+
+func (c *Core) snapPrefix(gen uint64) string {
+	return fmt.Sprintf("%ssnap/%016x/", c.prefix(), gen)
+}
+
+func (c *Core) logKey() string { return fmt.Sprintf("%s%016x", c.logPrefix(c.gen), c.seq) }
+
+// Phase returns the phase.
+func (c *Core) Phase() Phase { return c.phase }
+
+// Term returns the term owned, or the last one owned.
+func (c *Core) Term() uint64 { return c.term }
+
+// Proposed returns the position of the last proposed record.
+func (c *Core) Proposed() uint64 { return c.proposed }
+
+// Committed returns the position up to which records are durable.
+func (c *Core) Committed() uint64 { return c.committed }
+
+// LeaseUntil returns the clock reading at which decisions must end.
+func (c *Core) LeaseUntil() time.Duration { return c.leaseUntil }
+
+// MayDecide reports whether this entry surely is the owner at now.
+func (c *Core) MayDecide(now time.Duration) bool {
+	return c.phase == Owning && now < c.leaseUntil
+}
+
+// StoreSilent returns how long a commit has been waiting for the store; zero
+// if none waits.
+func (c *Core) StoreSilent(now time.Duration) time.Duration {
+	if c.chunk == nil && c.snapshot == nil {
+		return 0
+	}
+	return now - c.lastAnswer
+}
+
+// SetWanted says whether this entry is the preferred owner.
+func (c *Core) SetWanted(wanted bool) { c.wanted = wanted }
+
+// SetLease gives the entry's store lease and the clock reading up to which it
+// surely holds. Another lease id means that the former lease has lapsed, and
+// with it the ownership.
+func (c *Core) SetLease(id int64, until time.Duration) {
+	if id != c.lease && c.phase != Idle {
+		c.lose()
+	}
+	c.lease, c.leaseUntil = id, until
+}
+
+// Propose adds a record to the next commit and returns its position. The
+// caller has applied it to the machine already; effects outside wait until
+// Committed reaches the position.
+func (c *Core) Propose(record []byte) uint64 {
+	c.queue = append(c.queue, record)
+	c.proposed++
+	return c.proposed
+}
+
+func (c *Core) lose() {
+	c.phase = Idle
+	c.queue, c.chunk, c.snapshot = nil, nil, nil
+	c.pendingOp = 0
+}
+
+// Tick returns the store operation to do now, if any.
+func (c *Core) Tick(now time.Duration) []Op {
+	if c.pendingOp != 0 || now < c.notBefore {
+		return nil
+	}
+	switch c.phase {
+	case Idle:
+		return c.tickIdle(now)
+	case Acquiring:
+		return c.tickAcquiring()
+	case Loading:
+		return c.op(opLoad, Op{Prefix: c.prefix()})
+	default:
+		return c.tickOwning(now)
+	}
+}
+
+func (c *Core) tickIdle(now time.Duration) []Op {
+	if !c.wanted || c.lease == 0 || now >= c.leaseUntil {
+		return nil
+	}
+	c.phase = Acquiring
+	c.acquire = nil
+	return c.tickAcquiring()
+}
+
+func (c *Core) tickAcquiring() []Op {
+	if txn := c.acquire; txn != nil {
+		c.acquire = nil
+		return c.op(opAcquire, Op{Txn: txn})
+	}
+	return c.op(opReadMeta, Op{Txn: c.readMeta()})
+}
+
+func (c *Core) readMeta() *kv.Txn {
+	return &kv.Txn{Then: []kv.Op{kv.Get(OwnerKey(c.params.Name)), kv.Get(c.termKey())}}
+}
+
+func (c *Core) tickOwning(now time.Duration) []Op {
+	if c.chunk != nil {
+		return c.op(opCommit, Op{Txn: &c.chunk.txn})
+	}
+	if c.snapshot != nil {
+		return c.snapshotOp()
+	}
+	if c.phase == Owning && !c.wanted {
+		c.phase = Releasing
+	}
+	if len(c.queue) == 0 && c.phase == Releasing {
+		return c.op(opRelease, Op{Txn: c.releaseTxn()})
+	}
+	if c.journalBytes >= c.params.SnapshotBytes {
+		return c.beginSnapshot()
+	}
+	if len(c.queue) == 0 || now-c.lastCommit < c.params.CommitEvery {
+		return nil
+	}
+	return c.beginCommit(now)
+}
+
+func (c *Core) op(kind opKind, op Op) []Op {
+	c.nextOp++
+	op.ID = c.nextOp
+	c.pendingOp, c.pendingKind = op.ID, kind
+	return []Op{op}
+}
+
+func (c *Core) beginCommit(now time.Duration) []Op {
+	c.lastCommit, c.lastAnswer = now, now
+	msg := &journalv1.Chunk{}
+	size := 0
+	for len(c.queue) > 0 && (size == 0 || size+len(c.queue[0]) <= c.params.MaxValueBytes) {
+		size += len(c.queue[0])
+		msg.Records = append(msg.Records, c.queue[0])
+		c.queue = c.queue[1:]
+	}
+	value := mustMarshal(msg)
+	key := c.logKey()
+	c.chunk = &chunk{
+		upTo:     c.proposed - uint64(len(c.queue)),
+		byteSize: len(value),
+		txn: kv.Txn{
+			If:   []kv.Compare{c.termIsOurs(), {Key: key, Missing: true}},
+			Then: []kv.Op{kv.Put(key, value, 0)},
+			Else: []kv.Op{kv.Get(c.termKey()), kv.Get(key)},
+		},
+	}
+	return c.op(opCommit, Op{Txn: &c.chunk.txn})
+}
+
+func (c *Core) termIsOurs() kv.Compare {
+	return kv.Compare{Key: c.termKey(), ModRevision: c.termMod}
+}
+
+// beginSnapshot writes the whole state, records that wait in the queue
+// included; they become durable with the snapshot.
+func (c *Core) beginSnapshot() []Op {
+	parts, err := c.machine.Snapshot(c.params.MaxValueBytes)
+	if err != nil {
+		c.lose()
+		return nil
+	}
+	c.snapshot = &snapshot{parts: parts, upTo: c.proposed, gen: c.gen + 1}
+	c.queue = nil
+	return c.snapshotOp()
+}
+
+func (c *Core) snapshotOp() []Op {
+	s := c.snapshot
+	if s.next < len(s.parts) {
+		key := fmt.Sprintf("%s%08x", c.snapPrefix(s.gen), s.next)
+		return c.op(opSnapshotPart, Op{Txn: &kv.Txn{
+			If:   []kv.Compare{c.termIsOurs()},
+			Then: []kv.Op{kv.Put(key, s.parts[s.next], 0)},
+			Else: []kv.Op{kv.Get(c.termKey())},
+		}})
+	}
+	head := &journalv1.SnapshotHead{Generation: s.gen, Parts: uint32(len(s.parts))}
+	return c.op(opSnapshotHead, Op{Txn: &kv.Txn{
+		// The head's revision keeps a late duplicate of this write from undoing
+		// a newer snapshot.
+		If: []kv.Compare{c.termIsOurs(), c.headIsKnown()},
+		Then: []kv.Op{
+			kv.Put(c.headKey(), mustMarshal(head), 0),
+			kv.DeletePrefix(c.logPrefix(s.gen - 1)),
+			kv.DeletePrefix(c.snapPrefix(s.gen - 1)),
+		},
+		Else: []kv.Op{kv.Get(c.termKey()), kv.Get(c.headKey())},
+	}})
+}
+
+func (c *Core) headIsKnown() kv.Compare {
+	if c.headMod == 0 {
+		return kv.Compare{Key: c.headKey(), Missing: true}
+	}
+	return kv.Compare{Key: c.headKey(), ModRevision: c.headMod}
+}
+
+func (c *Core) releaseTxn() *kv.Txn {
+	return &kv.Txn{
+		If:   []kv.Compare{c.termIsOurs()},
+		Then: []kv.Op{kv.Delete(OwnerKey(c.params.Name))},
+	}
+}
+
+// Answer takes the outcome of an operation. Answers to operations that are no
+// longer awaited are ignored. It returns an error only where stored state can't
+// be read; ownership is then given up.
+func (c *Core) Answer(now time.Duration, a Answer) error {
+	if a.ID != c.pendingOp || c.pendingOp == 0 {
+		return nil
+	}
+	c.pendingOp = 0
+	if a.Err != nil {
+		c.notBefore = now + c.params.RetryEvery
+		if c.phase == Acquiring {
+			// An acquisition whose answer was lost is found again by its lease.
+			c.phase = Idle
+		}
+		return nil
+	}
+	c.lastAnswer = now
+	switch c.pendingKind {
+	case opReadMeta:
+		c.answerMeta(now, a.Txn)
+	case opAcquire:
+		c.answerAcquire(a.Txn)
+	case opLoad:
+		return c.load(a.Pairs)
+	case opCommit:
+		c.answerCommit(a.Txn)
+	case opSnapshotPart:
+		c.answerSnapshotPart(a.Txn)
+	case opSnapshotHead:
+		c.answerSnapshotHead(a.Txn)
+	case opRelease:
+		c.lose()
+	}
+	return nil
+}
+
+func (c *Core) answerMeta(now time.Duration, res kv.TxnResult) {
+	owner, term := first(res.Reads[0]), first(res.Reads[1])
+	if owner != nil {
+		c.answerOwned(now, owner, term)
+		return
+	}
+	rec := decodeTerm(term)
+	next := &journalv1.TermRecord{Term: rec.GetTerm() + 1, Owner: c.params.Self}
+	unchanged := kv.Compare{Key: c.termKey(), Missing: true}
+	if term != nil {
+		unchanged = kv.Compare{Key: c.termKey(), ModRevision: term.ModRevision}
+	}
+	c.acquire = &kv.Txn{
+		If: []kv.Compare{{Key: OwnerKey(c.params.Name), Missing: true}, unchanged},
+		Then: []kv.Op{
+			kv.Put(OwnerKey(c.params.Name), []byte(c.params.Self), c.lease),
+			kv.Put(c.termKey(), mustMarshal(next), 0),
+			kv.Get(c.termKey()),
+		},
+	}
+}
+
+// answerOwned handles a shard that has an owner. An owner key under this
+// process's own lease can only be from an acquisition whose answer was lost.
+func (c *Core) answerOwned(now time.Duration, owner, term *kv.Pair) {
+	if owner.Lease == c.lease && term != nil {
+		c.acquired(term)
+		return
+	}
+	c.phase = Idle
+	c.notBefore = now + c.params.RetryEvery
+}
+
+func (c *Core) answerAcquire(res kv.TxnResult) {
+	if !res.Succeeded {
+		c.phase = Idle
+		return
+	}
+	c.acquired(first(res.Reads[0]))
+}
+
+func (c *Core) acquired(term *kv.Pair) {
+	c.phase = Loading
+	c.term = decodeTerm(term).GetTerm()
+	c.termMod = term.ModRevision
+	c.machine.Reset()
+}
+
+func (c *Core) load(pairs []kv.Pair) error {
+	byKey := make(map[string]kv.Pair, len(pairs))
+	for _, p := range pairs {
+		byKey[p.Key] = p
+	}
+	if byKey[c.termKey()].ModRevision != c.termMod {
+		c.lose()
+		return nil
+	}
+	c.machine.Reset()
+	err := c.restore(byKey)
+	if err == nil {
+		err = c.replay(pairs)
+	}
+	if err != nil {
+		c.lose()
+		return errors.Annotatef(err, "shard %s", c.params.Name)
+	}
+	c.phase = Owning
+	c.queue, c.chunk, c.snapshot = nil, nil, nil
+	c.proposed, c.committed = 0, 0
+	return nil
+}
+
+func (c *Core) restore(byKey map[string]kv.Pair) error {
+	head := &journalv1.SnapshotHead{}
+	c.gen, c.headMod = 0, 0
+	if p, ok := byKey[c.headKey()]; ok {
+		if err := proto.Unmarshal(p.Value, head); err != nil {
+			return errors.Annotate(err, p.Key)
+		}
+		c.gen, c.headMod = head.GetGeneration(), p.ModRevision
+	}
+	for i := range head.GetParts() {
+		key := fmt.Sprintf("%s%08x", c.snapPrefix(c.gen), i)
+		p, ok := byKey[key]
+		if !ok {
+			return errors.NotFoundf("snapshot part %s", key)
+		}
+		if err := c.machine.Restore(p.Value); err != nil {
+			return errors.Annotate(err, key)
+		}
+	}
+	return nil
+}
+
+func (c *Core) replay(pairs []kv.Pair) error {
+	c.seq, c.journalBytes = 0, 0
+	prefix := c.logPrefix(c.gen)
+	for _, p := range pairs {
+		if !strings.HasPrefix(p.Key, prefix) {
+			continue
+		}
+		if p.Key != c.logKey() {
+			return errors.NotFoundf("journal value %s", c.logKey())
+		}
+		if err := c.replayChunk(p.Value); err != nil {
+			return errors.Annotate(err, p.Key)
+		}
+		c.seq++
+		c.journalBytes += len(p.Value)
+	}
+	return nil
+}
+
+func (c *Core) replayChunk(value []byte) error {
+	msg := &journalv1.Chunk{}
+	if err := proto.Unmarshal(value, msg); err != nil {
+		return errors.Trace(err)
+	}
+	for _, rec := range msg.GetRecords() {
+		if err := c.machine.Apply(rec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// answerCommit handles a journal write. If the key exists already and the term
+// is still ours, then an earlier try of the same write took effect: only the
+// term's owner writes, and it uses each key for one chunk.
+func (c *Core) answerCommit(res kv.TxnResult) {
+	if !res.Succeeded && !c.stillOurs(res) {
+		c.lose()
+		return
+	}
+	c.committed = c.chunk.upTo
+	c.journalBytes += c.chunk.byteSize
+	c.seq++
+	c.chunk = nil
+}
+
+func (c *Core) stillOurs(res kv.TxnResult) bool {
+	term := first(res.Reads[0])
+	return term != nil && term.ModRevision == c.termMod
+}
+
+func (c *Core) answerSnapshotPart(res kv.TxnResult) {
+	if !res.Succeeded {
+		c.lose()
+		return
+	}
+	c.snapshot.next++
+}
+
+func (c *Core) answerSnapshotHead(res kv.TxnResult) {
+	headMod := res.Revision
+	if !res.Succeeded {
+		if !c.stillOurs(res) {
+			c.lose()
+			return
+		}
+		headMod = first(res.Reads[1]).ModRevision
+	}
+	c.headMod = headMod
+	c.gen = c.snapshot.gen
+	c.seq, c.journalBytes = 0, 0
+	c.committed = c.snapshot.upTo
+	c.snapshot = nil
+}
+
+func first(pairs []kv.Pair) *kv.Pair {
+	if len(pairs) == 0 {
+		return nil
+	}
+	return &pairs[0]
+}
+
+func decodeTerm(p *kv.Pair) *journalv1.TermRecord {
+	rec := &journalv1.TermRecord{}
+	if p != nil {
+		// A value that can't be read counts as term 0; the compare on its
+		// revision still orders owners.
+		_ = proto.Unmarshal(p.Value, rec)
+	}
+	return rec
+}
+
+func mustMarshal(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err) // only possible for messages that this package built wrongly
+	}
+	return b
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,413 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"leverstile.dev/platform"
+)
+
+// Poll waits until the worker has something new to tell about req, or a newer
+// request arrives, or req's wait has passed, and reports anew.
+func (w *Worker) Poll(ctx context.Context, clock func() time.Duration, req *platform.SyncRequest) *platform.SyncReply {
+	reply := w.Sync(clock(), req)
+	if req.WaitMS == 0 || reply.Refused != "" {
+		return reply
+	}
+	timeout := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer timeout.Stop()
+	tick := time.NewTicker(workerTick)
+	defer tick.Stop()
+	for len(reply.Ended) == 0 && len(reply.Usage) == 0 && len(reply.Slowdowns) == 0 && reply.Refused == "" {
+		select {
+		case <-ctx.Done():
+			return reply
+		case <-timeout.C:
+			return w.again(clock(), req)
+		case <-tick.C:
+			reply = w.again(clock(), req)
+		}
+	}
+	return reply
+}
+
+// workerTick is how often a waiting call looks for news.
+const workerTick = 20 * time.Millisecond
+
+// again reports for a request that was taken already, unless a newer one has
+// been taken since.
+func (w *Worker) again(now time.Duration, req *platform.SyncRequest) *platform.SyncReply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	reply := &platform.SyncReply{Boot: w.boot, ClockMS: w.clock(now).Milliseconds()}
+	s := w.cells[req.Cell]
+	if s == nil || s.term != req.Term || s.seq != req.Seq {
+		reply.Refused = platform.RefusedStale
+		return reply
+	}
+	w.report(now, s, req, reply)
+	return reply
+}
+
+// EndpointFaults are the faults that an Endpoint shows.
+type EndpointFaults struct {
+	// Leaving refuses every request as not begun.
+	Leaving bool `json:"leaving"`
+	// DelayMS is added to the service time.
+	DelayMS int `json:"delay_ms"`
+	// FailPart of the requests are answered with status 500.
+	Fail bool `json:"fail"`
+	// Cut ends answers in the middle.
+	Cut bool `json:"cut"`
+	// Drop closes the connection after the request ran, without an answer.
+	Drop bool `json:"drop"`
+}
+
+// Endpoint is a service's runner with a number of slots. It answers with the
+// request's id and body, and keeps a book of what it ran.
+type Endpoint struct {
+	Slots     int
+	ServiceMS int
+
+	mu     sync.Mutex
+	inUse  int
+	peak   int
+	full   int
+	runs   map[string]int // by Idempotency-Key
+	total  int
+	faults EndpointFaults
+}
+
+// NewEndpoint returns an idle endpoint.
+func NewEndpoint(slots, serviceMS int) *Endpoint {
+	return &Endpoint{Slots: slots, ServiceMS: serviceMS, runs: map[string]int{}}
+}
+
+// SetFaults replaces the faults in force.
+func (e *Endpoint) SetFaults(f EndpointFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// EndpointBook is what an endpoint has seen.
+type EndpointBook struct {
+	Total int            `json:"total"`
+	Peak  int            `json:"peak"`
+	Full  int            `json:"full"`
+	Runs  map[string]int `json:"runs"`
+}
+
+// Book returns a copy of the endpoint's book.
+func (e *Endpoint) Book() EndpointBook {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := EndpointBook{Total: e.total, Peak: e.peak, Full: e.full, Runs: map[string]int{}}
+	for k, n := range e.runs {
+		b.Runs[k] = n
+	}
+	return b
+}
+
+// begin takes a slot. It returns why not, or "".
+func (e *Endpoint) begin(key string) (string, EndpointFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Leaving {
+		return "leaving", e.faults
+	}
+	if e.inUse >= e.Slots {
+		e.full++
+		return "full", e.faults
+	}
+	e.inUse++
+	e.peak = max(e.peak, e.inUse)
+	e.total++
+	if key != "" {
+		e.runs[key]++
+	}
+	return "", e.faults
+}
+
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inUse--
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	why, faults := e.begin(r.Header.Get("Idempotency-Key"))
+	if why != "" {
+		w.Header().Set("Leverstile-Not-Run", why)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	time.Sleep(time.Duration(e.ServiceMS+faults.DelayMS) * time.Millisecond)
+	answer := fmt.Appendf(nil, "%s %s\n", r.Header.Get("Leverstile-Request-Id"), body)
+	switch {
+	case faults.Drop:
+		panic(http.ErrAbortHandler)
+	case faults.Fail:
+		http.Error(w, "fault on demand", http.StatusInternalServerError)
+	case faults.Cut:
+		w.Header().Set("Content-Length", fmt.Sprint(2*len(answer)))
+		_, _ = w.Write(answer)
+		panic(http.ErrAbortHandler)
+	default:
+		_, _ = w.Write(answer)
+	}
+}
+
+// Fleet is a set of VMs, each with a worker and perhaps an endpoint, served on
+// loopback addresses.
+type Fleet struct {
+	KV        *KVStore
+	KVAddress string
+	Address   string // VM list and control
+	Workers   map[string]*Worker
+	Endpoints map[string]*Endpoint
+
+	mu      sync.Mutex
+	vms     []platform.VM
+	lagging []laggingList
+	lag     time.Duration
+	start   time.Time
+	servers map[string]*http.Server
+}
+
+type laggingList struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// FleetSpec describes a Fleet. Each VM has the same size.
+type FleetSpec struct {
+	Places      []string
+	VMs         int // in all, spread over the places
+	RackSize    int
+	Capacity    platform.Resources
+	Reserved    platform.Resources
+	Service     string
+	Slots       int
+	ServiceMS   int
+	ListLag     time.Duration
+	KVListen    string // "127.0.0.1:0" for any port
+	ListListen  string
+	LabelOfOdd  map[string]string
+	SampleEvery time.Duration
+}
+
+// NewFleet starts a fleet on loopback addresses.
+func NewFleet(spec FleetSpec) (*Fleet, error) {
+	f := &Fleet{
+		KV: NewKVStore(time.Now), Workers: map[string]*Worker{}, Endpoints: map[string]*Endpoint{},
+		lag: spec.ListLag, start: time.Now(), servers: map[string]*http.Server{},
+	}
+	var err error
+	if f.KVAddress, err = f.serve("kv", spec.KVListen, KVHandler(f.KV)); err != nil {
+		return nil, err
+	}
+	for i := range spec.VMs {
+		if err := f.addVM(spec, i); err != nil {
+			return nil, err
+		}
+	}
+	f.publish()
+	f.Address, err = f.serve("list", spec.ListListen, f.handler())
+	return f, err
+}
+
+func (f *Fleet) clock() time.Duration { return time.Since(f.start) }
+
+func (f *Fleet) serve(name, listen string, h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.mu.Lock()
+	f.servers[name] = srv
+	f.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }()
+	return ln.Addr().String(), nil
+}
+
+func (f *Fleet) addVM(spec FleetSpec, i int) error {
+	place := spec.Places[i%len(spec.Places)]
+	id := fmt.Sprintf("%s-%03d", place, i)
+	vm := platform.VM{
+		ID: id, Place: place, Rack: fmt.Sprintf("%s-r%02d", place, i/len(spec.Places)/max(spec.RackSize, 1)),
+		State: platform.VMLive, Capacity: spec.Capacity, Reserved: spec.Reserved,
+		Labels: map[string]string{"parity": [2]string{"even", "odd"}[i%2]},
+	}
+	w := NewWorker(id, spec.Capacity.Sub(spec.Reserved))
+	addr, err := f.serve("worker "+id, "127.0.0.1:0", f.workerHandler(w))
+	if err != nil {
+		return err
+	}
+	vm.Worker = addr
+	f.Workers[id] = w
+	if spec.Service != "" {
+		ep := NewEndpoint(spec.Slots, spec.ServiceMS)
+		addr, err := f.serve("endpoint "+id, "127.0.0.1:0", ep)
+		if err != nil {
+			return err
+		}
+		vm.Endpoints = []platform.EndpointAddr{{Service: spec.Service, Address: addr}}
+		f.Endpoints[id] = ep
+	}
+	f.vms = append(f.vms, vm)
+	return nil
+}
+
+func (f *Fleet) workerHandler(w *Worker) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.Faults().Unreachable {
+			panic(http.ErrAbortHandler)
+		}
+		var req platform.SyncRequest
+		if !readJSON(rw, r, &req) {
+			return
+		}
+		writeJSON(rw, w.Poll(r.Context(), f.clock, &req))
+	})
+}
+
+// publish makes the present list known after the lag.
+func (f *Fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lagging = append(f.lagging, laggingList{time.Now(), append([]platform.VM(nil), f.vms...)})
+}
+
+// VMs returns the list as the platform tells it, late by the lag.
+func (f *Fleet) VMs() []platform.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.lagging[0].vms
+	for _, l := range f.lagging {
+		if time.Since(l.at) >= f.lag {
+			list = l.vms
+		}
+	}
+	return list
+}
+
+// SetState changes a VM's state in the list.
+func (f *Fleet) SetState(id string, state platform.VMState) {
+	f.mu.Lock()
+	for i := range f.vms {
+		if f.vms[i].ID == id {
+			f.vms[i].State = state
+		}
+	}
+	f.mu.Unlock()
+	f.publish()
+}
+
+// StopVM ends a VM at once: its worker and endpoint go, and it leaves the list.
+func (f *Fleet) StopVM(id string) {
+	f.mu.Lock()
+	rest := make([]platform.VM, 0, len(f.vms))
+	for _, vm := range f.vms {
+		if vm.ID != id {
+			rest = append(rest, vm)
+		}
+	}
+	f.vms = rest
+	servers := []*http.Server{f.servers["worker "+id], f.servers["endpoint "+id]}
+	f.mu.Unlock()
+	f.publish()
+	for _, s := range servers {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+	if w := f.Workers[id]; w != nil {
+		w.Reboot(f.clock())
+	}
+}
+
+// Close ends all servers.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
+
+// Books is what all stand-ins have seen, for checks of promises.
+type Books struct {
+	Endpoints map[string]EndpointBook `json:"endpoints"`
+	Runs      map[string][]Run        `json:"runs"`
+	KV        KVCalls                 `json:"kv"`
+}
+
+// Books returns the books of all stand-ins.
+func (f *Fleet) Books() Books {
+	b := Books{Endpoints: map[string]EndpointBook{}, Runs: map[string][]Run{}, KV: f.KV.Calls()}
+	for id, e := range f.Endpoints {
+		b.Endpoints[id] = e.Book()
+	}
+	for id, w := range f.Workers {
+		w.Running(f.clock())
+		b.Runs[id] = w.Runs()
+	}
+	return b
+}
+
+// handler serves the VM list and the control of faults.
+func (f *Fleet) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.VMs()) })
+	mux.HandleFunc("GET /control/books", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Books()) })
+	mux.HandleFunc("PUT /control/kv", func(w http.ResponseWriter, r *http.Request) {
+		var in KVFaults
+		if readJSON(w, r, &in) {
+			f.KV.SetFaults(in)
+		}
+	})
+	mux.HandleFunc("PUT /control/workers/{vm}", func(w http.ResponseWriter, r *http.Request) {
+		var in WorkerFaults
+		if wk := f.Workers[r.PathValue("vm")]; wk != nil && readJSON(w, r, &in) {
+			wk.SetFaults(in)
+		}
+	})
+	mux.HandleFunc("POST /control/workers/{vm}/reboot", func(_ http.ResponseWriter, r *http.Request) {
+		if wk := f.Workers[r.PathValue("vm")]; wk != nil {
+			wk.Reboot(f.clock())
+		}
+	})
+	mux.HandleFunc("PUT /control/endpoints/{vm}", func(w http.ResponseWriter, r *http.Request) {
+		var in EndpointFaults
+		if ep := f.Endpoints[r.PathValue("vm")]; ep != nil && readJSON(w, r, &in) {
+			ep.SetFaults(in)
+		}
+	})
+	mux.HandleFunc("PUT /control/vms/{vm}", func(w http.ResponseWriter, r *http.Request) {
+		var in struct {
+			State platform.VMState `json:"state"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		f.SetState(r.PathValue("vm"), in.State)
+	})
+	mux.HandleFunc("DELETE /control/vms/{vm}", func(_ http.ResponseWriter, r *http.Request) { f.StopVM(r.PathValue("vm")) })
+	return mux
+}
