Prove the cell's promises by fuzzing; mend two faults that it found

The sim drives two owners, three workers and the store by hand, message by message (lost, late, doubled, paused, killed, cut off), with the workers' own books as oracle. Change: marks are made anew in each round; resumptions are counted against evictions.

--- a/cell/owner.go
+++ b/cell/owner.go
@@ -46,9 +46,11 @@
 	// WorkerCalls bounds the calls to workers under way, so that a takeover or
 	// the end of an outage is no storm.
 	WorkerCalls int
-	// NoSelfFence makes an owner go on after its lease; tests use it to show
-	// that the oracle notices.
-	NoSelfFence bool
+	// NoSelfFence makes an owner go on after its lease, NoStartCommit tells
+	// workers of starts before they are durable, NoAckCommit lets them forget
+	// ends before those are, NoTakeoverWait gives up workers out of reach at
+	// once. Tests use them to show that the oracle notices.
+	NoSelfFence, NoStartCommit, NoAckCommit, NoTakeoverWait bool
 }
 
 // DefaultParams returns the parameters in use for a cell.
@@ -309,6 +311,9 @@
 	// A former owner may have renewed until its grace was over, just before
 	// which it may have had a fresh reading of the worker's clock.
 	o.leaseEndFloor = now + o.params.OutageGrace + o.params.TaskLease + o.params.ClockMargin
+	if o.params.NoTakeoverWait {
+		o.leaseEndFloor = now + o.params.ClockMargin
+	}
 	o.resetVolatile()
 	o.table.listener = o.onChange
 	for _, t := range o.table.ordered() {
--- /dev/null
+++ b/cell/owner_fuzz_test.go
@@ -0,0 +1,98 @@
+package cell
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"leverstile.dev/standin"
+)
+
+var longRuns = flag.Int("cell.runs", 0, "more runs of the owner's fuzzing, with other seeds")
+
+const simSteps = 120
+
+// TestOwnerPromises: whatever is lost, late, doubled, paused or killed, no VM
+// is over-committed, no task runs in two places, none is lost.
+func TestOwnerPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+		s := newSim(pick, mutation{faults: standin.WorkerFaults{NoRoomCheck: true}})
+		for range simSteps {
+			if err := s.step(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := s.finish(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// seeded runs one sim from a seed until a promise breaks.
+func seeded(seed uint64, m mutation) (*sim, error) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	m.faults.NoRoomCheck = true
+	s := newSim(func(_ string, n int) int { return rng.IntN(n) }, m)
+	for range simSteps {
+		if err := s.step(); err != nil {
+			return s, err
+		}
+	}
+	return s, s.finish()
+}
+
+// TestOwnerSeeds runs many more histories than rapid does, by fixed seeds, and
+// shows that they reach the situations they are meant for.
+func TestOwnerSeeds(t *testing.T) {
+	runs := 300 + *longRuns
+	if testing.Short() {
+		runs = 40
+	}
+	takeovers, evicted, acked := 0, 0, 0
+	for seed := range uint64(runs) {
+		s, err := seeded(seed, mutation{})
+		if err != nil {
+			t.Fatalf("seed %d, step %d: %v", seed, s.steps, err)
+		}
+		takeovers += s.takeovers
+		evicted += s.evicted
+		acked += len(s.acked)
+	}
+	t.Logf("%d runs: %d takeovers, %d evictions, %d acknowledged tasks", runs, takeovers, evicted, acked)
+	if takeovers < runs || evicted == 0 || acked < runs {
+		t.Errorf("the histories don't reach what they are meant to test")
+	}
+}
+
+// TestMutationsAreFound removes one safeguard at a time; the oracle must notice.
+func TestMutationsAreFound(t *testing.T) {
+	mutations := map[string]mutation{
+		"worker ignores the term":           {faults: standin.WorkerFaults{NoTermCheck: true}},
+		"worker ignores sequence numbers":   {faults: standin.WorkerFaults{NoSeqCheck: true}},
+		"worker ignores the expiry":         {faults: standin.WorkerFaults{NoExpiryCheck: true}},
+		"worker ignores its incarnation":    {faults: standin.WorkerFaults{NoBootCheck: true}},
+		"owner goes on after its lease":     {noSelfFence: true},
+		"start is sent before its commit":   {startEarly: true},
+		"takeover does not wait":            {noWait: true},
+		"end is acknowledged before commit": {ackEarly: true},
+	}
+	const most = 400
+	for name, m := range mutations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			steps := 0
+			for seed := range uint64(most) {
+				s, err := seeded(seed, m)
+				steps += s.steps
+				if err != nil {
+					t.Logf("found by seed %d after %d steps in all: %v", seed, steps, err)
+					return
+				}
+			}
+			t.Errorf("not found in %d runs", most)
+		})
+	}
+}
--- /dev/null
+++ b/cell/sim_test.go
@@ -0,0 +1,661 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/api/result"
+	"leverstile.dev/kv"
+	"leverstile.dev/platform"
+	"leverstile.dev/scheduler"
+	"leverstile.dev/shard"
+	"leverstile.dev/standin"
+)
+
+// The sim drives several Owners of one cell against the stand-ins by hand:
+// each message is delivered, lost, or kept to arrive late, one at a time. It
+// holds the oracle: what the workers' own books say.
+
+// draw picks a number in [0, n).
+type draw func(label string, n int) int
+
+const (
+	simTaskLease = 4 * time.Second
+	simGrace     = 3 * time.Second
+	simStoreTTL  = 3 * time.Second
+	simMargin    = 200 * time.Millisecond
+)
+
+var errLost = errors.ConstError("no answer")
+
+// mutation removes one safeguard.
+type mutation struct {
+	noSelfFence bool
+	faults      standin.WorkerFaults
+	ackEarly    bool
+	startEarly  bool
+	noWait      bool
+}
+
+type node struct {
+	id    string
+	owner *Owner
+	dead  bool
+	// life counts restarts: answers to a former life are dropped.
+	life  int
+	skew  time.Duration
+	lease int64
+	// storeCut: the node can't reach the store.
+	storeCut bool
+	store    []shard.Op
+	syncs    []Sync
+}
+
+type sim struct {
+	pick    draw
+	mutated mutation
+	now     time.Duration
+	kv      *standin.KVStore
+	nodes   []*node
+	workers []*standin.Worker
+	cut     map[string]bool // worker unreachable, by node id + worker id
+	gone    map[string]bool
+	late    []func()
+	// acked are tasks whose submission was acknowledged; cancelled those whose
+	// cancellation was.
+	acked     map[string]bool
+	cancelled map[string]bool
+	specs     map[string]*journalv1.TaskSpec
+	tickets   map[uint64]ticketOf
+	ticket    uint64
+	steps     int
+	takeovers int
+	evicted   int
+}
+
+type ticketOf struct {
+	id     string
+	cancel bool
+}
+
+const simCell = "c"
+
+var simCapacity = platform.Resources{CPUMilli: 3000, MemoryMiB: 3000}
+
+func newSim(pick draw, m mutation) *sim {
+	s := &sim{
+		pick: pick, mutated: m, now: time.Hour, cut: map[string]bool{}, gone: map[string]bool{},
+		acked: map[string]bool{}, cancelled: map[string]bool{}, specs: map[string]*journalv1.TaskSpec{},
+		tickets: map[uint64]ticketOf{},
+	}
+	base := time.Unix(0, 0)
+	s.kv = standin.NewKVStore(func() time.Time { return base.Add(s.now) })
+	for i := range 3 {
+		w := standin.NewWorker(fmt.Sprintf("w%d", i), simCapacity)
+		w.SetFaults(m.faults)
+		s.workers = append(s.workers, w)
+	}
+	for i := range 2 {
+		n := &node{id: fmt.Sprintf("n%d", i), skew: time.Duration(i+1) * 1000 * time.Hour}
+		s.nodes = append(s.nodes, n)
+		s.boot(n)
+	}
+	return s
+}
+
+func (s *sim) boot(n *node) {
+	n.life++
+	n.dead, n.lease, n.store, n.syncs = false, 0, nil, nil
+	p := DefaultParams(simCell, n.id)
+	p.TaskLease, p.OutageGrace, p.ClockMargin = simTaskLease, simGrace, simMargin
+	p.HeartbeatEvery, p.RetryEvery, p.PlanEvery = time.Second, 100*time.Millisecond, 0
+	p.EvictionsPerMinute, p.Retain = 600, time.Hour
+	p.NoSelfFence, p.NoStartCommit, p.NoAckCommit = s.mutated.noSelfFence, s.mutated.startEarly, s.mutated.ackEarly
+	p.NoTakeoverWait = s.mutated.noWait
+	sp := shard.Params{
+		Name: "cell-" + simCell, Self: n.id, CommitEvery: 10 * time.Millisecond, RetryEvery: 50 * time.Millisecond,
+		MaxValueBytes: 600, SnapshotBytes: 2500, // small, so that snapshots and splits happen
+	}
+	n.owner = NewOwner(p, sp, scheduler.NewPlanner(scheduler.DefaultLimits, nil), nil)
+	n.owner.SetGroups([]scheduler.GroupSpec{{Name: "g", Share: 1}, {Name: "h", Share: 2}})
+	n.owner.SetVMs(s.clock(n), s.vms())
+	n.owner.Core().SetWanted(true)
+}
+
+func (s *sim) clock(n *node) time.Duration { return s.now + n.skew }
+
+func (s *sim) vms() []platform.VM {
+	var out []platform.VM
+	for _, w := range s.workers {
+		if !s.gone[w.ID] {
+			out = append(out, platform.VM{ID: w.ID, State: platform.VMLive, Capacity: simCapacity, Worker: w.ID})
+		}
+	}
+	return out
+}
+
+// collect takes a node's commands into its queues and notes replies.
+func (s *sim) collect(n *node) error {
+	cmds := n.owner.Take()
+	n.store = append(n.store, cmds.Store...)
+	n.syncs = append(n.syncs, cmds.Syncs...)
+	for _, r := range cmds.Replies {
+		t := s.tickets[r.Ticket]
+		for _, res := range r.Results {
+			if r.Err == nil && res.Code == result.OK && t.cancel {
+				s.cancelled[t.id] = true
+			} else if r.Err == nil && res.Code == result.OK {
+				s.acked[t.id] = true
+			}
+		}
+	}
+	for _, d := range cmds.Decisions {
+		if d.What == "takeover" {
+			s.takeovers++
+		}
+		if d.What == "evict" {
+			s.evicted++
+		}
+	}
+	for _, err := range cmds.Errs {
+		return errors.Annotate(err, "owner reports a fault of stored state")
+	}
+	return nil
+}
+
+// fate of a message.
+type fate int
+
+const (
+	arrives fate = iota
+	answerLost
+	dropped
+	comesLate
+	twice
+	numFates
+)
+
+func (s *sim) fate() fate {
+	// Most messages arrive, so that runs get somewhere.
+	if s.pick("ok", 4) > 0 {
+		return arrives
+	}
+	return fate(s.pick("fate", int(numFates)))
+}
+
+// deliver runs a message with a fate. do executes it at the receiver and
+// returns the answer's delivery; fail tells the sender that none came.
+func (s *sim) deliver(f fate, do func() func(), fail func()) {
+	switch f {
+	case arrives:
+		do()()
+	case answerLost:
+		do()
+		fail()
+	case dropped:
+		fail()
+	case comesLate:
+		s.late = append(s.late, func() { do() })
+		fail()
+	case twice:
+		s.late = append(s.late, func() { do() })
+		do()()
+	}
+}
+
+func (s *sim) deliverStore(n *node, f fate) {
+	if len(n.store) == 0 {
+		return
+	}
+	op := n.store[0]
+	n.store = n.store[1:]
+	life := n.life
+	if n.storeCut {
+		f = dropped
+	}
+	answer := func(a shard.Answer) {
+		if n.life == life && !n.dead {
+			n.owner.StoreAnswer(s.clock(n), a)
+		}
+	}
+	s.deliver(f, func() func() {
+		a := shard.Answer{ID: op.ID}
+		if op.Txn != nil {
+			a.Txn, a.Err = s.kv.Do(nil, *op.Txn)
+		} else {
+			a.Pairs, _, a.Err = s.kv.Range(nil, op.Prefix)
+		}
+		return func() { answer(a) }
+	}, func() { answer(shard.Answer{ID: op.ID, Err: errors.Trace(kv.ErrUnavailable)}) })
+}
+
+func (s *sim) deliverSync(n *node, i int, f fate) {
+	if len(n.syncs) == 0 {
+		return
+	}
+	i %= len(n.syncs)
+	c := n.syncs[i]
+	n.syncs = append(n.syncs[:i:i], n.syncs[i+1:]...)
+	life := n.life
+	answer := func(r *platform.SyncReply, err error) {
+		if n.life == life && !n.dead {
+			n.owner.WorkerAnswer(s.clock(n), c.Worker, c.Request.Term, c.Request.Seq, r, err)
+		}
+	}
+	if f == arrives && (s.cut[n.id+c.Worker] || s.gone[c.Worker]) {
+		f = dropped
+	}
+	s.deliver(f, func() func() {
+		if s.gone[c.Worker] {
+			return func() {}
+		}
+		r := s.worker(c.Worker).Sync(s.now, c.Request)
+		return func() { answer(r, nil) }
+	}, func() { answer(nil, errLost) })
+}
+
+func (s *sim) worker(id string) *standin.Worker {
+	for _, w := range s.workers {
+		if w.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// keepAlive is what the entry's lease actor does.
+func (s *sim) keepAlive(n *node, f fate) {
+	if n.storeCut {
+		return
+	}
+	sent := s.clock(n)
+	if n.lease != 0 {
+		err := s.kv.KeepAlive(nil, n.lease)
+		if errors.Is(err, kv.ErrLeaseNotFound) {
+			n.lease = 0
+		} else if err == nil && f == arrives {
+			n.owner.Core().SetLease(n.lease, sent+simStoreTTL-simMargin)
+		}
+	}
+	if n.lease == 0 {
+		id, err := s.kv.Grant(nil, simStoreTTL)
+		if err == nil && f == arrives {
+			n.lease = id
+			n.owner.Core().SetLease(id, sent+simStoreTTL-simMargin)
+		}
+	}
+}
+
+func (s *sim) submit(n *node, k int) {
+	id := fmt.Sprintf("t%d", k)
+	spec := s.specs[id]
+	if spec == nil {
+		spec = s.newSpec(id)
+		s.specs[id] = spec
+	}
+	s.ticket++
+	s.tickets[s.ticket] = ticketOf{id: id}
+	n.owner.Submit(s.clock(n), s.ticket, []*journalv1.TaskSpec{spec})
+}
+
+func (s *sim) newSpec(id string) *journalv1.TaskSpec {
+	size := int64(500 + 500*s.pick("size", 6))
+	job, _ := json.Marshal(standin.Job{WorkMS: int64(100 << s.pick("work", 9)), Fails: s.pick("fails", 8) == 0})
+	spec := &journalv1.TaskSpec{
+		Id: id, Kind: "k", Group: [2]string{"g", "h"}[s.pick("group", 2)], Payload: job,
+		Request:       &journalv1.Resources{CpuMilli: size, MemoryMib: size},
+		NotRepeatable: s.pick("notRepeatable", 4) == 0,
+	}
+	spec.Urgent = !spec.NotRepeatable && s.pick("urgent", 4) == 0
+	return spec
+}
+
+func (s *sim) cancel(n *node, k int) {
+	id := fmt.Sprintf("t%d", k)
+	s.ticket++
+	s.tickets[s.ticket] = ticketOf{id: id, cancel: true}
+	n.owner.Cancel(s.clock(n), s.ticket, id, nil)
+}
+
+const simTasks = 14
+
+// step does one drawn action and checks the books.
+func (s *sim) step() error {
+	s.steps++
+	n := s.nodes[s.pick("node", len(s.nodes))]
+	w := s.workers[s.pick("worker", len(s.workers))]
+	switch a := s.pick("action", 64); {
+	case a < 12:
+		// An orderly while, in which most processes make progress; a node may
+		// be paused meanwhile.
+		d := time.Duration(100<<s.pick("while", 7)) * time.Millisecond
+		return s.run(d, s.pick("paused", 2*len(s.nodes)))
+	case a < 16:
+		s.now += time.Duration(10+s.pick("ms", 300)) * time.Millisecond
+	case a < 22:
+		for range 3 {
+			s.submit(s.ownerOr(n), s.pick("task", simTasks))
+		}
+	case a < 24:
+		return s.episode(s.ownerOr(n), w)
+	case a < 25 && !n.dead:
+		s.cancel(n, s.pick("task", simTasks))
+	case a < 32 && !n.dead:
+		s.deliverStore(n, s.fate())
+	case a < 42 && !n.dead:
+		s.deliverSync(n, s.pick("sync", 8), s.fate())
+	case a < 46:
+		s.runLate()
+	case a < 48 && !n.dead:
+		s.keepAlive(n, s.fate())
+	case a < 50:
+		return s.handOver(n)
+	case a < 51:
+		s.kill(n)
+	case a < 55:
+		s.cut[n.id+w.ID] = !s.cut[n.id+w.ID]
+	case a < 57:
+		n.storeCut = !n.storeCut
+	case a < 58:
+		s.kv.SetFaults(standin.KVFaults{Down: s.pick("down", 3) == 0})
+	case a < 59 && s.pick("reboot", 2) == 0:
+		w.Reboot(s.now)
+	case a < 60 && len(s.gone) == 0 && s.pick("stop", 8) == 0:
+		s.stopVM(w)
+	case a < 63:
+		s.hold(n)
+	default:
+		s.heal()
+	}
+	return s.settleStep(n)
+}
+
+// ownerOr returns the node that may decide now, or n.
+func (s *sim) ownerOr(n *node) *node {
+	for _, o := range s.nodes {
+		if !o.dead && o.owner.mayDecide(s.clock(o)) {
+			return o
+		}
+	}
+	return n
+}
+
+// episode has what n sends to w arrive late, after something has befallen one
+// of them: the classic ways to run a task in two places.
+func (s *sim) episode(n *node, w *standin.Worker) error {
+	if n.dead {
+		return nil
+	}
+	for range 3 {
+		s.submit(n, s.pick("task", simTasks))
+	}
+	for range 6 {
+		n.owner.Tick(s.clock(n))
+		if err := s.collect(n); err != nil {
+			return err
+		}
+		s.deliverStore(n, arrives)
+		s.now += 15 * time.Millisecond
+	}
+	for i := len(n.syncs) - 1; i >= 0; i-- {
+		f := arrives
+		if n.syncs[i].Worker == w.ID {
+			f = comesLate
+		}
+		s.deliverSync(n, i, f)
+	}
+	paused := s.befall(n, w)
+	err := s.run(time.Duration(400<<s.pick("while", 7))*time.Millisecond, paused)
+	for len(s.late) > 0 && err == nil {
+		s.runLate()
+		err = s.check()
+	}
+	return err
+}
+
+// befall lets something happen and returns the number of the paused node.
+func (s *sim) befall(n *node, w *standin.Worker) int {
+	switch s.pick("event", 6) {
+	case 0: // the owner is paused
+		for i, o := range s.nodes {
+			if o == n {
+				return i
+			}
+		}
+	case 1: // the worker is cut off from all
+		for _, o := range s.nodes {
+			s.cut[o.id+w.ID] = true
+		}
+	case 2: // the owner loses the store, others can't reach the worker
+		n.storeCut = true
+		for _, o := range s.nodes {
+			s.cut[o.id+w.ID] = o != n
+		}
+	case 3: // the worker restarts and is cut off
+		w.Reboot(s.now)
+		for _, o := range s.nodes {
+			s.cut[o.id+w.ID] = true
+		}
+	case 4:
+		s.kill(n)
+	default: // only the message is late
+	}
+	return -1
+}
+
+func (s *sim) runLate() {
+	if len(s.late) == 0 {
+		return
+	}
+	i := s.pick("late", len(s.late))
+	fn := s.late[i]
+	s.late = append(s.late[:i:i], s.late[i+1:]...)
+	fn()
+}
+
+// handOver makes n the only wanted owner, as a new view of the members does.
+func (s *sim) handOver(n *node) error {
+	if n.dead {
+		return nil
+	}
+	for _, o := range s.nodes {
+		o.owner.Core().SetWanted(o == n)
+	}
+	return s.settleStep(n)
+}
+
+// hold has the network keep all that a node has sent, to arrive late.
+func (s *sim) hold(n *node) {
+	for range len(n.syncs) {
+		s.deliverSync(n, 0, comesLate)
+	}
+}
+
+func (s *sim) heal() {
+	s.cut = map[string]bool{}
+	for _, n := range s.nodes {
+		n.storeCut = false
+		n.owner.Core().SetWanted(true)
+		if n.dead {
+			s.boot(n)
+		}
+	}
+	s.kv.SetFaults(standin.KVFaults{})
+}
+
+func (s *sim) kill(n *node) {
+	if n.dead {
+		s.boot(n)
+		return
+	}
+	n.dead = true
+	// What it sent before may still arrive.
+	for _, c := range n.syncs {
+		s.late = append(s.late, func() {
+			if !s.gone[c.Worker] {
+				s.worker(c.Worker).Sync(s.now, c.Request)
+			}
+		})
+	}
+	for _, op := range n.store {
+		if op.Txn != nil {
+			s.late = append(s.late, func() { _, _ = s.kv.Do(nil, *op.Txn) })
+		}
+	}
+	n.store, n.syncs = nil, nil
+}
+
+func (s *sim) stopVM(w *standin.Worker) {
+	w.Reboot(s.now)
+	s.gone[w.ID] = true
+	for _, n := range s.nodes {
+		n.owner.SetVMs(s.clock(n), s.vms())
+	}
+}
+
+func (s *sim) settleStep(n *node) error {
+	if !n.dead {
+		n.owner.Tick(s.clock(n))
+		if err := s.collect(n); err != nil {
+			return err
+		}
+	}
+	return s.check()
+}
+
+// run lets all nodes but the paused one work in good order for a while.
+func (s *sim) run(d time.Duration, paused int) error {
+	const tick = 100 * time.Millisecond
+	for end := s.now + d; s.now < end; s.now += tick {
+		for i, n := range s.nodes {
+			if n.dead || i == paused {
+				continue
+			}
+			s.keepAlive(n, arrives)
+			n.owner.Tick(s.clock(n))
+			for range 4 {
+				if err := s.collect(n); err != nil {
+					return err
+				}
+				for range len(n.store) {
+					s.deliverStore(n, arrives)
+				}
+				for range len(n.syncs) {
+					s.deliverSync(n, 0, arrives)
+				}
+			}
+		}
+	}
+	return s.check()
+}
+
+// check holds the workers' books against the promises.
+func (s *sim) check() error {
+	byTask := map[string][]standin.Run{}
+	seen := map[platform.AttemptRef]string{}
+	for _, w := range s.workers {
+		_, held := w.Running(s.now)
+		if !held.Fits(simCapacity) {
+			return errors.Errorf("VM %s is over-committed: %+v of %+v", w.ID, held, simCapacity)
+		}
+		for _, r := range w.Runs() {
+			if other, ok := seen[r.AttemptRef]; ok {
+				return errors.Errorf("attempt %+v ran on %s and again on %s", r.AttemptRef, other, w.ID)
+			}
+			seen[r.AttemptRef] = w.ID
+			byTask[r.Task] = append(byTask[r.Task], r)
+		}
+	}
+	for id, runs := range byTask {
+		if err := s.checkRuns(id, runs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *sim) checkRuns(id string, runs []standin.Run) error {
+	sort.Slice(runs, func(i, j int) bool { return runs[i].Attempt < runs[j].Attempt })
+	for i, r := range runs[1:] {
+		prev := runs[i]
+		if prev.Ended == 0 || r.Began < prev.Ended {
+			return errors.Errorf("task %s runs in two places: %+v and %+v", id, prev, r)
+		}
+		if s.specs[id].GetNotRepeatable() && prev.State != platform.AttemptStopped {
+			return errors.Errorf("task %s is not repeatable and ran again: %+v and %+v", id, prev, r)
+		}
+		if s.specs[id].GetNotRepeatable() && r.Resumed == 0 && prev.Ended > prev.Began {
+			return errors.Errorf("task %s is not repeatable and began anew: %+v and %+v", id, prev, r)
+		}
+	}
+	return nil
+}
+
+// finish heals everything and checks that each acknowledged task has ended
+// exactly once.
+func (s *sim) finish() error {
+	s.heal()
+	if err := s.run(goneAfter+simGrace+4*simTaskLease+60*time.Second, -1); err != nil {
+		return err
+	}
+	var owner *node
+	for _, n := range s.nodes {
+		if n.owner.mayDecide(s.clock(n)) {
+			owner = n
+		}
+	}
+	if owner == nil {
+		return errors.New("no owner after everything has healed")
+	}
+	for id := range s.acked {
+		if err := s.checkEnd(id, owner.owner.table.tasks[id]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *sim) checkEnd(id string, t *task) error {
+	if t == nil {
+		return errors.Errorf("acknowledged task %s is missing", id)
+	}
+	if t.phase != Done {
+		return errors.Errorf("acknowledged task %s has not ended: %+v", id, t)
+	}
+	finished, failed := 0, 0
+	for _, w := range s.workers {
+		for _, r := range w.Runs() {
+			if r.Task == id && r.State == platform.AttemptFinished {
+				finished++
+			}
+			if r.Task == id && r.State == platform.AttemptFailed {
+				failed++
+			}
+		}
+	}
+	switch {
+	case t.code == result.OK && finished == 0:
+		return errors.Errorf("task %s is reported done and never finished", id)
+	case t.code == result.TaskCancelled && !s.everCancelled(id):
+		return errors.Errorf("task %s was cancelled by nobody", id)
+	case t.code == result.AttemptsExhausted && failed == 0:
+		return errors.Errorf("task %s is reported failed and never failed", id)
+	case t.resumes > t.evictions, t.evictions > t.resumes && t.code != result.TaskCancelled:
+		return errors.Errorf("task %s was resumed %d times after %d evictions", id, t.resumes, t.evictions)
+	}
+	return nil
+}
+
+func (s *sim) everCancelled(id string) bool {
+	for _, t := range s.tickets {
+		if t.id == id && t.cancel {
+			return true
+		}
+	}
+	return false
+}
--- a/cell/table.go
+++ b/cell/table.go
@@ -163,7 +163,9 @@
 
 func (tb *table) start(t *task, s *journalv1.Started) {
 	from := t.phase
-	if len(t.checkpoint) > 0 {
+	// Each eviction is followed by exactly one resumption; a start after a lost
+	// worker uses the checkpoint too but resumes no eviction.
+	if t.evictions > t.resumes {
 		t.resumes++
 	}
 	t.phase = Assigned
--- a/cell/workers.go
+++ b/cell/workers.go
@@ -391,7 +391,7 @@
 	req.Stops = append(req.Stops, w.stops...)
 	req.Stops = append(req.Stops, w.strays...)
 	for ref, pos := range w.acks {
-		if pos <= o.core.Committed() {
+		if pos <= o.core.Committed() || o.params.NoAckCommit {
 			req.Acks = append(req.Acks, ref)
 		}
 	}
@@ -402,8 +402,8 @@
 // each attempt until its end is acknowledged, one that it doesn't list has not
 // begun there, and telling it again is safe.
 func (o *Owner) mayStart(now time.Duration, w *worker, t *task) bool {
-	return !t.running && !w.needFull && t.boot == w.boot &&
-		t.startPos <= o.core.Committed() && o.mayDecide(now)
+	committed := t.startPos <= o.core.Committed() || o.params.NoStartCommit
+	return !t.running && !w.needFull && t.boot == w.boot && committed && o.mayDecide(now)
 }
 
 func startOf(t *task) platform.Start {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -15,6 +15,9 @@
 	for _, q := range snap.Queues {
 		r.queues[q.Group] = q
 	}
+	for _, w := range snap.Workers {
+		w.reservedFor = "" // reservations are made anew in each round
+	}
 	r.urgent()
 	r.reserve()
 	r.fair()
--- /dev/null
+++ b/scheduler/plan_test.go
@@ -0,0 +1,186 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leverstile.dev/platform"
+)
+
+func cores(n int64) platform.Resources {
+	return platform.Resources{CPUMilli: 1000 * n, MemoryMiB: 1024 * n}
+}
+
+func newWorker(id string, capacity platform.Resources) *Worker {
+	return &Worker{ID: id, Capacity: capacity, Free: capacity, Usable: true, Kinds: map[string]int{}}
+}
+
+func snapshot(shares *Shares, workers []*Worker, tasks ...*Task) *Snapshot {
+	byGroup := map[string]*Queue{}
+	snap := &Snapshot{Workers: workers, Shares: shares, EvictionsLeft: 100}
+	for _, t := range tasks {
+		if byGroup[t.Group] == nil {
+			byGroup[t.Group] = &Queue{Group: t.Group}
+			snap.Queues = append(snap.Queues, byGroup[t.Group])
+		}
+		byGroup[t.Group].Tasks = append(byGroup[t.Group].Tasks, t)
+	}
+	return snap
+}
+
+func oneGroup() *Shares {
+	return NewShares([]GroupSpec{{Name: "g", Share: 1}}, cores(32), time.Minute)
+}
+
+// TestReservationsEnd: a VM that was kept free for a large task is open again
+// in the next round if the task has gone.
+func TestReservationsEnd(t *testing.T) {
+	p := NewPlanner(DefaultLimits, nil)
+	w := newWorker("w", cores(4))
+	w.Free = cores(2)
+	shares := oneGroup()
+	large := &Task{ID: "large", Group: "g", Ask: cores(4), Waited: time.Minute}
+	small := &Task{ID: "small", Group: "g", Ask: cores(1)}
+	first := p.Plan(snapshot(shares, []*Worker{w}, large, small))
+	if len(first.Placements) != 0 {
+		t.Fatalf("the VM should be kept free for the large task: %+v", first.Placements)
+	}
+	second := p.Plan(snapshot(shares, []*Worker{w}, small))
+	if len(second.Placements) != 1 {
+		t.Fatalf("the small task should run once the large one has gone: %+v", second.Waiting)
+	}
+}
+
+func TestUnfitBlocksNobody(t *testing.T) {
+	p := NewPlanner(DefaultLimits, nil)
+	shares := oneGroup()
+	huge := &Task{ID: "huge", Group: "g", Ask: cores(100)}
+	small := &Task{ID: "small", Group: "g", Ask: cores(1)}
+	plan := p.Plan(snapshot(shares, []*Worker{newWorker("w", cores(4))}, huge, small))
+	if len(plan.Placements) != 1 || plan.Placements[0].Task != small {
+		t.Fatalf("placements %+v", plan.Placements)
+	}
+	if len(plan.Waiting) != 1 || plan.Waiting[0].Reason != ReasonFitsNoVM {
+		t.Fatalf("waiting %+v", plan.Waiting)
+	}
+}
+
+// TestSharesByWeight: two groups with endless work get room by their weights;
+// within a group its children by theirs.
+func TestSharesByWeight(t *testing.T) {
+	specs := []GroupSpec{
+		{Name: "a", Share: 3}, {Name: "b", Share: 1},
+		{Name: "a1", Parent: "a", Share: 1}, {Name: "a2", Parent: "a", Share: 2},
+	}
+	var workers []*Worker
+	for i := range 12 {
+		workers = append(workers, newWorker(fmt.Sprint("w", i), cores(4)))
+	}
+	shares := NewShares(specs, cores(48), time.Minute)
+	var tasks []*Task
+	for _, g := range []string{"a1", "a2", "b"} {
+		for i := range 60 {
+			tasks = append(tasks, &Task{ID: fmt.Sprint(g, i), Group: g, Ask: cores(1)})
+		}
+	}
+	NewPlanner(DefaultLimits, nil).Plan(snapshot(shares, workers, tasks...))
+	for group, want := range map[string]int64{"a1": 12, "a2": 24, "b": 12} {
+		got := shares.InUse()[group].CPUMilli / 1000
+		if got < want-1 || got > want+1 {
+			t.Errorf("group %s holds %d cores, its share is %d", group, got, want)
+		}
+	}
+}
+
+func TestQuotaOfParentHolds(t *testing.T) {
+	specs := []GroupSpec{{Name: "a", Share: 1, Quota: cores(3)}, {Name: "a1", Parent: "a", Share: 1}}
+	shares := NewShares(specs, cores(8), time.Minute)
+	var tasks []*Task
+	for i := range 8 {
+		tasks = append(tasks, &Task{ID: fmt.Sprint(i), Group: "a1", Ask: cores(1)})
+	}
+	plan := NewPlanner(DefaultLimits, nil).Plan(snapshot(shares, []*Worker{newWorker("w", cores(8))}, tasks...))
+	if len(plan.Placements) != 3 {
+		t.Fatalf("%d placements, the quota is 3 cores", len(plan.Placements))
+	}
+}
+
+// TestUrgentEvictsLeastLoss: an urgent task replaces what loses least.
+func TestUrgentEvictsLeastLoss(t *testing.T) {
+	shares := oneGroup()
+	var workers []*Worker
+	for i, loss := range []time.Duration{time.Hour, time.Second, time.Minute} {
+		w := newWorker(fmt.Sprint("w", i), cores(2))
+		w.Free = platform.Resources{}
+		w.Running = []*Running{{ID: fmt.Sprint("r", i), Given: cores(2), Loss: loss}}
+		workers = append(workers, w)
+	}
+	urgent := &Task{ID: "u", Group: "g", Ask: cores(1), Urgent: true}
+	plan := NewPlanner(DefaultLimits, nil).Plan(snapshot(shares, workers, urgent))
+	if len(plan.Evictions) != 1 || plan.Evictions[0].Task != "r1" {
+		t.Fatalf("evictions %+v", plan.Evictions)
+	}
+	snap := snapshot(shares, workers, urgent)
+	snap.EvictionsLeft = 0
+	if plan := NewPlanner(DefaultLimits, nil).Plan(snap); len(plan.Evictions) != 0 {
+		t.Fatal("evicted beyond the budget")
+	}
+}
+
+// TestInterferenceIsLearntFromLateSamples: the kind that ran when a sample was
+// taken is blamed, not the one that runs when it arrives.
+func TestInterferenceIsLearntFromLateSamples(t *testing.T) {
+	m := NewInterference(DefaultInterferenceParams)
+	var h History
+	h.Record(time.Second, map[string]int{"noisy": 1})
+	h.Record(10*time.Second, map[string]int{"quiet": 1})
+	for range 40 {
+		m.Observe("svc", 0.9, 1.8, h.At(5*time.Second))
+		m.Observe("svc", 0.9, 1.0, h.At(11*time.Second))
+	}
+	noisy, quiet := m.Coefficient("svc", "noisy", 0.9), m.Coefficient("svc", "quiet", 0.9)
+	if noisy < 0.7 || noisy > 0.9 || quiet > 0.05 {
+		t.Errorf("noisy %.2f, quiet %.2f; they are 0.8 and 0", noisy, quiet)
+	}
+	w := newWorker("w", cores(8))
+	w.Services, w.Load = []string{"svc"}, 0.9
+	plan := NewPlanner(DefaultLimits, m).Plan(snapshot(oneGroup(), []*Worker{w},
+		&Task{ID: "n", Kind: "noisy", Group: "g", Ask: cores(1)},
+		&Task{ID: "q", Kind: "quiet", Group: "g", Ask: cores(1)}))
+	if len(plan.Placements) != 1 || plan.Placements[0].Task.ID != "q" {
+		t.Errorf("placements %+v", plan.Placements)
+	}
+}
+
+func TestLadderHasHysteresis(t *testing.T) {
+	var l Ladder
+	p := DefaultLadderParams
+	steps := []struct {
+		factor float64
+		want   Step
+	}{
+		{1.6, StepNone}, {1.6, StepThrottle}, {1.4, StepNone}, {1.3, StepNone},
+		{1.9, StepNone}, {1.9, StepEvict}, {1.1, StepNone}, {1.1, StepRelease}, {1.1, StepNone},
+	}
+	for i, s := range steps {
+		if got := l.Next(p, s.factor); got != s.want {
+			t.Errorf("sample %d (%.1f): step %d, want %d", i, s.factor, got, s.want)
+		}
+	}
+}
+
+func TestEstimatesCorrectDeclarations(t *testing.T) {
+	e := NewEstimator()
+	declared := cores(4)
+	if got := e.Ask("k", declared); got != declared {
+		t.Fatalf("without samples %+v", got)
+	}
+	for range 64 {
+		e.Observe("k", cores(1))
+	}
+	got := e.Ask("k", declared)
+	if got.CPUMilli < 1000 || got.CPUMilli > 1300 || got.MemoryMiB < 1024 || got.MemoryMiB > 1300 {
+		t.Errorf("declared 4 cores, uses 1: planned with %+v", got)
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -16,11 +16,14 @@
 	Unreachable bool `json:"unreachable"`
 	// FailEverything makes each attempt fail at once.
 	FailEverything bool `json:"fail_everything"`
-	// NoTermCheck, NoExpiryCheck and NoSeqCheck remove a fence; tests use them
-	// to show that an oracle notices.
+	// NoTermCheck, NoExpiryCheck, NoSeqCheck and NoBootCheck remove a fence, and
+	// NoRoomCheck the guard on the VM's capacity; tests use them to show that an
+	// oracle notices.
 	NoTermCheck   bool `json:"-"`
 	NoExpiryCheck bool `json:"-"`
 	NoSeqCheck    bool `json:"-"`
+	NoBootCheck   bool `json:"-"`
+	NoRoomCheck   bool `json:"-"`
 }
 
 // Job is what the payload of a stand-in task says. Work is in milliseconds of
@@ -281,7 +284,7 @@
 		a.throttled = throttled[ref]
 	}
 	until := time.Duration(req.LeaseUntilMS) * time.Millisecond
-	current := req.Boot == w.boot && (w.clock(now) <= until || w.faults.NoExpiryCheck)
+	current := (req.Boot == w.boot || w.faults.NoBootCheck) && (w.clock(now) <= until || w.faults.NoExpiryCheck)
 	if current && until > 0 {
 		s.leaseUntil = max(s.leaseUntil, until)
 	}
@@ -303,7 +306,7 @@
 	if _, ended := s.ended[st.AttemptRef]; ended {
 		return true
 	}
-	if !current || !st.Given.Add(w.held()).Fits(w.Capacity) {
+	if !current || !w.faults.NoRoomCheck && !st.Given.Add(w.held()).Fits(w.Capacity) {
 		return false
 	}
 	a := &attempt{Start: st, updated: now, began: now}
