Prove the request promises on sockets; keep idle connections open while draining

Cause: a planned stop cut off 1 to 2 of some hundred requests. http.Server.SetKeepAlivesEnabled(false) closes idle connections at once, on which the balancer may be sending at that moment. Ruled out: a drain delay that is too short (1 s instead of 50 ms failed the same way); the endpoint side. Change: while draining each answer carries 'Connection: close'; idle connections stay until the drain delay is over. Entry processes now have tests on real sockets: racing operators, start during an outage of the store, keys under dropped connections and killed entries, cut answers, rolling replacement under load, a killed owner, eviction and resumption, leaving endpoints, bad input.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,7 +72,7 @@
 	e.services = newServices(e)
 	e.shards = newShards(e)
 	e.callers = &http.Server{
-		Handler:           e.callersHandler(),
+		Handler:           e.closeWhileDraining(e.callersHandler()),
 		ReadHeaderTimeout: config.Ms(s.Timing.CallerIdleMS),
 		IdleTimeout:       config.Ms(s.Timing.CallerIdleMS),
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
@@ -153,8 +153,6 @@
 	e.log.Info().Msg("draining")
 	e.draining.Store(true)
 	e.lease.setDraining()
-	// Refused keep-alives tell the balancer's connections to go elsewhere.
-	e.callers.SetKeepAlivesEnabled(false)
 	e.replan()
 	select {
 	case <-ctx.Done():
@@ -171,6 +169,19 @@
 	e.log.Info().Msg("drained")
 }
 
+// closeWhileDraining has each connection closed after its next answer, so that
+// the balancer opens new ones elsewhere. Idle connections stay open until the
+// drain delay is over: a request may be under way on them at any moment, which
+// is why http.Server.SetKeepAlivesEnabled, which closes them at once, won't do.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // replan has the assignment of shards looked at again.
 func (e *Entry) replan() {
 	select {
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,475 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"leverstile.dev/api/result"
+	"leverstile.dev/standin"
+)
+
+// TestRacingOperators: of two changes based on the same revision one is
+// accepted; the other is told of the conflict, and every entry gets the first.
+func TestRacingOperators(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	c.ready()
+	answers := make([]answerOf, 2)
+	var wg sync.WaitGroup
+	for i := range answers {
+		doc := strings.Replace(testDeclarations, `"share": 3`, fmt.Sprintf(`"share": %d`, 10+i), 1)
+		wg.Go(func() { answers[i] = c.procs[i].apply(1, doc) })
+	}
+	wg.Wait()
+	codes := map[result.Code]int{}
+	for _, a := range answers {
+		codes[a.code]++
+	}
+	if codes[result.OK] != 1 || codes[result.RevisionConflict] != 1 {
+		t.Fatalf("codes %v", codes)
+	}
+	eventually(t, "revision 2 everywhere", func() bool {
+		for _, p := range c.procs {
+			if p.entry.declared.now().number != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestStartDuringOutage: an entry started while the store is down takes the
+// declarations from its peers and routes.
+func TestStartDuringOutage(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	c.ready()
+	c.fleet.KV.SetFaults(standin.KVFaults{Down: true})
+	p := c.start("late")
+	eventually(t, "the late entry routes", func() bool {
+		a := p.call(http.MethodGet, "/v1/services/svc/", nil, nil)
+		return a.err == nil && a.status == http.StatusOK
+	})
+	key := map[string]string{HeaderKey: "k"}
+	if a := p.call(http.MethodPost, "/v1/services/svc/", key, nil); a.code != result.OwnerUnavailable && a.code != result.StoreUnavailable {
+		t.Errorf("without the store a claim can't be had; got %+v", a)
+	}
+	if n := c.runsOf("k"); n != 0 {
+		t.Errorf("told 'not run', and ran %d times", n)
+	}
+}
+
+// runsOf counts the runs of a key by the endpoints' books.
+func (c *cluster) runsOf(key string) int {
+	n := 0
+	for _, b := range c.fleet.Books().Endpoints {
+		n += b.Runs[key]
+	}
+	return n
+}
+
+// TestKeyRunsOnce: a request with a key, repeated through all entries while
+// endpoints drop connections after the run, runs at most once; and net/http
+// doesn't repeat it by itself.
+func TestKeyRunsOnce(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	c.ready()
+	// Answered requests first, so that kept-alive connections are reused: on
+	// those net/http repeats requests with an Idempotency-Key if it can.
+	for _, p := range c.procs {
+		for range 8 {
+			p.call(http.MethodGet, "/v1/services/svc/", nil, nil)
+		}
+	}
+	for _, ep := range c.fleet.Endpoints {
+		ep.SetFaults(standin.EndpointFaults{Drop: true})
+	}
+	for i := range 10 {
+		key := fmt.Sprint("drop-", i)
+		for _, p := range c.procs {
+			a := p.call(http.MethodPost, "/v1/services/svc/sale", map[string]string{HeaderKey: key}, []byte("x"))
+			if a.code.Family() == result.FamilyNotRun && c.runsOf(key) > 0 && a.code != result.ClaimInProgress && a.code != result.NoEndpoint {
+				t.Errorf("key %s: told %v and has run", key, a.code)
+			}
+			if a.code == result.OK {
+				t.Errorf("key %s: no answer came, and the caller got one: %+v", key, a)
+			}
+		}
+		if n := c.runsOf(key); n > 1 {
+			t.Errorf("key %s ran %d times", key, n)
+		}
+	}
+	// Without a key: one attempt, ever; an empty body too.
+	before := c.totalRuns()
+	c.procs[0].call(http.MethodPost, "/v1/services/svc/once", nil, nil)
+	if n := c.totalRuns() - before; n > 1 {
+		t.Errorf("a request without a key ran %d times", n)
+	}
+}
+
+func (c *cluster) totalRuns() int {
+	n := 0
+	for _, b := range c.fleet.Books().Endpoints {
+		n += b.Total
+	}
+	return n
+}
+
+// TestRepeatGetsFirstAnswer: repeats of a key at other entries, also after the
+// entry that ran it was killed, get the first answer.
+func TestRepeatGetsFirstAnswer(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	c.ready()
+	var first []answerOf
+	for i := range 12 {
+		key := map[string]string{HeaderKey: fmt.Sprint("k", i)}
+		a := c.procs[0].call(http.MethodPost, "/v1/services/svc/sale", key, []byte("sale"))
+		if a.code != result.OK || a.status != http.StatusOK {
+			t.Fatalf("first: %+v", a)
+		}
+		first = append(first, a)
+	}
+	c.procs[0].kill()
+	c.procs = c.procs[1:]
+	c.owned()
+	for i, want := range first {
+		key := map[string]string{HeaderKey: fmt.Sprint("k", i)}
+		got := c.procs[i%2].call(http.MethodPost, "/v1/services/svc/sale", key, []byte("sale"))
+		if !bytes.Equal(got.body, want.body) || got.header.Get(HeaderReplayed) != "true" {
+			t.Errorf("repeat of k%d: %+v %s, first was %s", i, got, got.body, want.body)
+		}
+		if n := c.runsOf(fmt.Sprint("k", i)); n != 1 {
+			t.Errorf("k%d ran %d times", i, n)
+		}
+		other := c.procs[i%2].call(http.MethodPost, "/v1/services/svc/sale", key, []byte("another"))
+		if other.code != result.KeyReused {
+			t.Errorf("k%d for another request: %v", i, other.code)
+		}
+	}
+}
+
+// TestCutAnswerIsVisible: an answer that the endpoint cuts never ends cleanly.
+func TestCutAnswerIsVisible(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.ready()
+	for _, ep := range c.fleet.Endpoints {
+		ep.SetFaults(standin.EndpointFaults{Cut: true})
+	}
+	a := c.procs[0].call(http.MethodGet, "/v1/services/svc/", nil, nil)
+	if a.err == nil {
+		t.Errorf("the cut answer looks whole: %+v %q", a, a.body)
+	}
+}
+
+// TestAnswersMatchRequests: each caller gets the whole answer to its own
+// request under concurrency.
+func TestAnswersMatchRequests(t *testing.T) {
+	c := newCluster(t, 4, 2)
+	c.ready()
+	var wg sync.WaitGroup
+	for i := range 24 {
+		wg.Go(func() {
+			for j := range 10 {
+				body := fmt.Sprintf("caller %d request %d %s", i, j, strings.Repeat("x", 3000*i))
+				a := c.procs[i%2].call(http.MethodPost, "/v1/services/svc/", nil, []byte(body))
+				if a.err != nil || a.status == http.StatusOK && !strings.HasSuffix(string(a.body), body+"\n") {
+					t.Errorf("caller %d request %d: %v, %d bytes", i, j, a.err, len(a.body))
+				}
+				if a.status != http.StatusOK && a.code.Family() != result.FamilyNotRun {
+					t.Errorf("caller %d request %d: %v", i, j, a.code)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestPlannedStopCutsNothing: while entries are replaced one by one under load,
+// each request gets its whole answer or is told that it was not run.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.ready()
+	var target atomic.Pointer[proc]
+	target.Store(c.procs[0])
+	stopLoad := make(chan struct{})
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	for i := range 8 {
+		wg.Go(func() {
+			for j := 0; ; j++ {
+				select {
+				case <-stopLoad:
+					return
+				default:
+				}
+				// The balancer sends new requests to entries that are ready.
+				a := target.Load().call(http.MethodPost, "/v1/services/svc/", nil, fmt.Appendf(nil, "%d-%d", i, j))
+				if a.err != nil || a.status != http.StatusOK && a.code.Family() != result.FamilyNotRun {
+					t.Errorf("request %d-%d was cut off: %+v", i, j, a)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for i, old := range c.procs[:3] {
+		next := c.start(fmt.Sprint("new", i))
+		eventually(t, "the new entry routes", func() bool {
+			return next.call(http.MethodGet, "/v1/services/svc/", nil, nil).status == http.StatusOK
+		})
+		before := answered.Load()
+		go func() {
+			eventually(t, "readiness is off", func() bool {
+				return old.call(http.MethodGet, "/readyz", nil, nil).status != http.StatusOK
+			})
+			target.Store(next)
+		}()
+		old.drain()
+		eventually(t, "load goes on", func() bool { return answered.Load() > before+20 })
+	}
+	close(stopLoad)
+	wg.Wait()
+}
+
+// TestKilledEntryLosesNoTask: tasks that were acknowledged end once, though
+// the owner of their cell is killed.
+func TestKilledEntryLosesNoTask(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.ready()
+	var tasks []Task
+	for i := range 40 {
+		tasks = append(tasks, taskJSON(fmt.Sprint("t", i), "reconcile", 300))
+	}
+	body, _ := json.Marshal(tasks)
+	a := c.procs[1].call(http.MethodPost, "/v1/tasks", nil, body)
+	var answers []TaskAnswer
+	if err := json.Unmarshal(a.body, &answers); err != nil || len(answers) != len(tasks) {
+		t.Fatalf("submit: %v %+v %s", err, a, a.body)
+	}
+	for _, p := range c.procs {
+		if len(p.ownedCells()) > 0 {
+			p.kill()
+			break
+		}
+	}
+	var alive *proc
+	for _, p := range c.procs {
+		select {
+		case <-p.abort:
+		default:
+			alive = p
+		}
+	}
+	for _, ans := range answers {
+		if ans.Code != result.OK {
+			t.Errorf("task %s: %v", ans.ID, ans.Code)
+			continue
+		}
+		if st := c.waitTask(alive, ans.ID); st.Code != result.OK {
+			t.Errorf("task %s ended with %v %s", ans.ID, st.Code, st.Detail)
+		}
+	}
+	c.checkRuns()
+}
+
+func (p *proc) ownedCells() []string {
+	var out []string
+	shards, _ := p.entry.shards.summary()
+	for _, s := range shards {
+		if strings.HasPrefix(s.GetName(), cellShard) {
+			out = append(out, s.GetName())
+		}
+	}
+	return out
+}
+
+// checkRuns: by the workers' books no task finished twice, and no two runs of
+// a task overlap.
+func (c *cluster) checkRuns() {
+	c.t.Helper()
+	byTask := map[string][]standin.Run{}
+	for _, runs := range c.fleet.Books().Runs {
+		for _, r := range runs {
+			byTask[r.Task] = append(byTask[r.Task], r)
+		}
+	}
+	for id, runs := range byTask {
+		for i, a := range runs {
+			for _, b := range runs[:i] {
+				if (b.Ended == 0 || a.Began < b.Ended) && (a.Ended == 0 || b.Began < a.Ended) {
+					c.t.Errorf("task %s ran in two places: %+v %+v", id, a, b)
+				}
+			}
+		}
+	}
+}
+
+// TestUrgentEvictsAndBatchResumes: an urgent task starts while the cells are
+// full of batch; the evicted task resumes where it was and ends once.
+func TestUrgentEvictsAndBatchResumes(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	c.ready()
+	var batch []Task
+	for i := range 8 {
+		batch = append(batch, taskJSON(fmt.Sprint("b", i), "archive", 4000))
+	}
+	body, _ := json.Marshal(batch)
+	c.procs[0].call(http.MethodPost, "/v1/tasks", nil, body)
+	running := func() int {
+		n := 0
+		for _, runs := range c.fleet.Books().Runs {
+			for _, r := range runs {
+				if r.State == "running" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	eventually(t, "a VM is full of batch", func() bool { return running() >= 4 })
+	var urgent []Task
+	for i := range 4 {
+		urgent = append(urgent, taskJSON(fmt.Sprint("u", i), "preview", 50))
+	}
+	body, _ = json.Marshal(urgent)
+	c.procs[1].call(http.MethodPost, "/v1/tasks", nil, body)
+	for _, u := range urgent {
+		if st := c.waitTask(c.procs[0], u.ID); st.Code != result.OK {
+			t.Errorf("urgent %s: %v", u.ID, st.Code)
+		}
+	}
+	evictions := uint32(0)
+	for _, b := range batch {
+		st := c.waitTask(c.procs[1], b.ID)
+		if st.Code != result.OK || st.Evictions != st.Resumes {
+			t.Errorf("batch %s: %+v", b.ID, st)
+		}
+		evictions += st.Evictions
+	}
+	if evictions == 0 {
+		t.Error("nothing was evicted; the test doesn't test")
+	}
+	c.checkRuns()
+}
+
+// TestLeavingEndpointGetsNothingNew: by the operators' word on every entry, and
+// by the endpoint's own word on the entries that did not hear it.
+func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.ready()
+	vms := c.fleet.VMs()
+	if a := c.procs[0].call(http.MethodPost, "/v1/vms/"+vms[0].ID+"/drain", nil, nil); a.code != result.OK {
+		t.Fatalf("drain: %+v", a)
+	}
+	// The other endpoint of the entries' own place, so that it gets requests.
+	self := vms[2].ID
+	c.fleet.Endpoints[self].SetFaults(standin.EndpointFaults{Leaving: true})
+	quiet := func(p *proc) bool {
+		leaving := p.entry.view.leavingVMs(p.entry.clock())
+		return leaving[vms[0].ID] && leaving[self]
+	}
+	eventually(t, "all entries know", func() bool {
+		// Only the first entry routes: the others hear of it from their peers.
+		c.procs[0].call(http.MethodGet, "/v1/services/svc/", nil, nil)
+		return quiet(c.procs[0]) && quiet(c.procs[1]) && quiet(c.procs[2])
+	})
+	c.fleet.Endpoints[self].SetFaults(standin.EndpointFaults{})
+	before := c.fleet.Books().Endpoints
+	for i := range 60 {
+		if a := c.procs[i%3].call(http.MethodGet, "/v1/services/svc/", nil, nil); a.status != http.StatusOK {
+			t.Errorf("%+v", a)
+		}
+	}
+	after := c.fleet.Books().Endpoints
+	for _, vm := range []string{vms[0].ID, self} {
+		if n := after[vm].Total - before[vm].Total; n != 0 {
+			t.Errorf("leaving VM %s got %d new requests", vm, n)
+		}
+	}
+}
+
+// TestBadInput: each mistake gets its number, and nothing breaks.
+func TestBadInput(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.ready()
+	p := c.procs[0]
+	good := taskJSON("x", "reconcile", 1)
+	noGroup := good
+	noGroup.Labels = nil
+	badSelector := good
+	badSelector.VMs = "a in ("
+	cases := []struct {
+		name, method, path string
+		header             map[string]string
+		body               any
+		want               result.Code
+	}{
+		{"unknown service", "GET", "/v1/services/nope/", nil, nil, result.UnknownService},
+		{"bad deadline", "GET", "/v1/services/svc/", map[string]string{HeaderDeadlineMS: "soon"}, nil, result.BadRequest},
+		{"bad labels", "GET", "/v1/services/svc/", map[string]string{HeaderLabels: "a==,"}, nil, result.BadRequest},
+		{"long key", "POST", "/v1/services/svc/", map[string]string{HeaderKey: strings.Repeat("k", 300)}, nil, result.BadRequest},
+		{"unknown task", "GET", "/v1/tasks/nope", nil, nil, result.UnknownTask},
+		{"cancel unknown", "DELETE", "/v1/tasks/nope", nil, nil, result.UnknownTask},
+		{"bad selector", "GET", "/v1/tasks?selector=a+in+(", nil, nil, result.BadSelector},
+		{"cancel everything", "DELETE", "/v1/tasks", nil, nil, result.BadSelector},
+		{"no group", "POST", "/v1/tasks", nil, noGroup, result.UnknownGroup},
+		{"bad VM selector", "POST", "/v1/tasks", nil, badSelector, result.BadSelector},
+		{"unknown field", "POST", "/v1/tasks", nil, map[string]int{"idd": 1}, result.BadRequest},
+		{"no JSON", "POST", "/v1/tasks", nil, "x", result.BadRequest},
+		{"no If-Match", "PUT", "/v1/declarations", nil, map[string]int{}, result.BadRequest},
+		{"stale base", "PUT", "/v1/declarations", map[string]string{"If-Match": "0"}, map[string]int{}, result.RevisionConflict},
+		{"bad declarations", "PUT", "/v1/declarations", map[string]string{"If-Match": "1"}, map[string]int{"x": 1}, result.BadDeclarations},
+		{"unknown VM", "POST", "/v1/vms/nope/drain", nil, nil, result.NotFound},
+		{"unknown path", "GET", "/v2", nil, nil, result.NotFound},
+		{"wrong method", "POST", "/v1/members", nil, nil, result.MethodNotAllowed},
+	}
+	for _, tc := range cases {
+		var body []byte
+		if tc.body != nil {
+			body, _ = json.Marshal(tc.body)
+		}
+		a := p.call(tc.method, tc.path, tc.header, body)
+		if a.code != tc.want || a.status != result.Lookup(tc.want).HTTPStatus {
+			t.Errorf("%s: %d %v %s, want %v", tc.name, a.status, a.code, a.body, tc.want)
+		}
+	}
+	if rev := p.entry.declared.now().number; rev != 1 {
+		t.Errorf("revision %d after refused changes", rev)
+	}
+}
+
+// TestRawGarbage: bytes that are no HTTP, and headers over the limit, are
+// refused without harm.
+func TestRawGarbage(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.ready()
+	addr := strings.TrimPrefix(c.procs[0].url, "http://")
+	for _, raw := range []string{
+		"\x00\x01\x02\r\n\r\n",
+		"GET / HTTP/9.9\r\n\r\n",
+		"POST /v1/tasks HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+		"POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"GET /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", 200_000) + "\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, raw)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil && resp.StatusCode < 400 {
+			t.Errorf("%.40q was answered with %d", raw, resp.StatusCode)
+		}
+		_ = conn.Close()
+	}
+	if a := c.procs[0].call(http.MethodGet, "/v1/services/svc/", nil, nil); a.status != http.StatusOK {
+		t.Errorf("afterwards: %+v", a)
+	}
+}
--- a/router/router_fuzz_test.go
+++ b/router/router_fuzz_test.go
@@ -16,6 +16,7 @@
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "1000")
 }
 
 // The oracle follows each request by the actions alone, without the table's
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -165,6 +165,7 @@
 	case faults.Cut:
 		w.Header().Set("Content-Length", fmt.Sprint(2*len(answer)))
 		_, _ = w.Write(answer)
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	default:
 		_, _ = w.Write(answer)
