--- /dev/null
+++ b/entry/declared_test.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/juju/errors"
+
+	"leverstile.dev/api/result"
+	"leverstile.dev/kv"
+	"leverstile.dev/shard"
+	"leverstile.dev/standin"
+)
+
+// flakyStore is an entry's way to the store: calls are cut, or their answers
+// lost, as a seed says.
+type flakyStore struct {
+	kv.Store
+	mu  sync.Mutex
+	rng *rand.Rand
+	cut bool
+}
+
+func (f *flakyStore) Do(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	f.mu.Lock()
+	cut, fate := f.cut, f.rng.IntN(10)
+	delay := time.Duration(f.rng.IntN(200)) * time.Millisecond
+	f.mu.Unlock()
+	time.Sleep(delay) // so that operators get between each other's calls
+	if cut || fate == 0 {
+		return kv.TxnResult{}, errors.Trace(kv.ErrUnavailable)
+	}
+	res, err := f.Store.Do(ctx, txn)
+	if fate == 1 {
+		return kv.TxnResult{}, errors.Trace(kv.ErrUnavailable)
+	}
+	return res, err
+}
+
+func (f *flakyStore) setCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// declaredNode is what an entry runs for declarations: the watch and the
+// fetching, without the rest.
+type declaredNode struct {
+	*declared
+	store *flakyStore
+	mu    sync.Mutex
+	last  uint64
+	fell  bool
+}
+
+func newDeclaredNode(store kv.Store, seed uint64) *declaredNode {
+	n := &declaredNode{store: &flakyStore{Store: store, rng: rand.New(rand.NewPCG(seed, 3))}}
+	n.declared = newDeclared(n.store, func(r *revision) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.fell = n.fell || r.number <= n.last
+		n.last = max(n.last, r.number)
+	})
+	return n
+}
+
+func (n *declaredNode) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		pairs, rev, err := n.store.Range(ctx, shard.WatchPrefix)
+		if err == nil {
+			for _, p := range pairs {
+				n.headSeen(p)
+			}
+			_ = n.store.Watch(ctx, shard.WatchPrefix, rev, func(_ int64, evs []kv.Event) {
+				for _, ev := range evs {
+					n.headSeen(ev.Pair)
+				}
+			})
+		}
+		sleep(ctx, 100*time.Millisecond)
+	}
+}
+
+type applyOp struct {
+	apply bool
+	base  uint64
+	doc   string
+}
+
+type applyOut struct {
+	known    bool
+	accepted bool
+	rev      uint64
+	doc      string
+}
+
+// declarationsModel is a register with a revision. An apply succeeds exactly
+// if its base is the revision; a read at an entry may lag, so reads are
+// checked for monotony per entry and against the accepted documents instead.
+var declarationsModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		rev, in, out := state.(uint64), input.(applyOp), output.(applyOut)
+		ok := in.base == rev
+		if out.known && out.accepted != ok {
+			return false, rev
+		}
+		if ok {
+			return true, rev + 1
+		}
+		return true, rev
+	},
+}
+
+// TestDeclarationsRace: operators race at different entries while calls are
+// cut and answers are lost. Accepted changes form one history, are never lost,
+// and no entry's revision goes back.
+func TestDeclarationsRace(t *testing.T) {
+	for seed := range uint64(25) {
+		synctest.Test(t, func(t *testing.T) { raceDeclarations(t, seed) })
+	}
+}
+
+func raceDeclarations(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	store := standin.NewKVStore(time.Now)
+	var nodes []*declaredNode
+	var running sync.WaitGroup
+	for i := range 3 {
+		n := newDeclaredNode(store, seed*10+uint64(i))
+		nodes = append(nodes, n)
+		running.Go(func() { n.follow(ctx) })
+		running.Go(func() { n.run(ctx) })
+	}
+	h := &applyHistory{start: time.Now(), accepted: map[uint64]string{}}
+	var operators sync.WaitGroup
+	for i, n := range nodes {
+		operators.Go(func() { h.operate(ctx, n, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	operators.Wait()
+	for _, n := range nodes {
+		n.setCutAll(false)
+	}
+	time.Sleep(10 * time.Second) // heals well within this
+	final := h.check(t, seed)
+	for i, n := range nodes {
+		if n.fell {
+			t.Errorf("seed %d: entry %d went back to an older revision", seed, i)
+		}
+		got := n.now()
+		if got.number < final {
+			t.Errorf("seed %d: entry %d has revision %d, %d was accepted", seed, i, got.number, final)
+		}
+		if want, ok := h.accepted[got.number]; ok && string(got.document) != want {
+			t.Errorf("seed %d: entry %d has another document in revision %d than was accepted", seed, i, got.number)
+		}
+	}
+	cancel()
+	running.Wait()
+}
+
+func (n *declaredNode) setCutAll(cut bool) { n.store.setCut(cut) }
+
+type applyHistory struct {
+	mu       sync.Mutex
+	start    time.Time
+	ops      []porcupine.Operation
+	accepted map[uint64]string
+}
+
+func (h *applyHistory) operate(ctx context.Context, n *declaredNode, client int, rng *rand.Rand) {
+	for j := range 6 {
+		n.setCutAll(rng.IntN(4) == 0)
+		time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+		base := n.now().number
+		doc := fmt.Sprintf(`{"groups":[{"name":"g-%d-%d","share":1}]}`, client, j)
+		began := time.Since(h.start)
+		_, err := n.accept(ctx, base, []byte(doc))
+		h.record(client, applyOp{apply: true, base: base, doc: doc}, began, time.Since(h.start), err)
+	}
+}
+
+func (h *applyHistory) record(client int, op applyOp, began, ended time.Duration, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := applyOut{known: true, accepted: err == nil}
+	var re *result.Error
+	if errors.As(err, &re) && re.Code == result.CommitUnknown {
+		out.known, ended = false, 1<<40
+	}
+	if errors.As(err, &re) && re.Code == result.StoreUnavailable {
+		return // told that nothing was accepted
+	}
+	if err == nil {
+		h.accepted[op.base+1] = op.doc
+	}
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: op, Call: int64(began), Output: out, Return: int64(ended)})
+}
+
+// check returns the highest revision that was acknowledged.
+func (h *applyHistory) check(t *testing.T, seed uint64) uint64 {
+	if !porcupine.CheckOperations(declarationsModel, h.ops) {
+		t.Errorf("seed %d: the accepted changes form no single history", seed)
+	}
+	final := uint64(0)
+	for rev := range h.accepted {
+		final = max(final, rev)
+	}
+	if final == 0 {
+		t.Errorf("seed %d: nothing was ever accepted; the test doesn't test", seed)
+	}
+	return final
+}
