Measure slopes and replay routing traces; count control traffic by connection

Cause: the policies and docs/CAPACITY.md had no figures. Change: 'leverstile measure' (slopes of cell, router, claims, entries); router/replay plays eight recorded traces against each weighed policy and one all-seeing queue. What the first run showed was mended: the VM list was sent whole to each entry each second (264 B by VM and entry; now an ETag), each pair of entries exchanged twice, the choice of an endpoint grew with their number.

--- a/cmd/leverstile/main.go
+++ b/cmd/leverstile/main.go
@@ -43,6 +43,7 @@
 
 func commands() []command {
 	return []command{
+		{"measure", "Measure the slopes of docs/CAPACITY.md", "Measures bytes, calls and processor time against the stand-ins; takes one to two minutes.", &measureCommand{}},
 		{"serve", "Run an entry process", "Runs an entry process until SIGTERM, which drains it; a second signal ends it at once.", &serveCommand{}},
 		{"standin", "Run stand-ins of the platform", "Runs stand-ins of the key-value service, workers, endpoints and VM list in one process.", &standinCommand{}},
 		{"demo", "Run the whole path in one process", "Runs three entries against embedded stand-ins through load, eviction, a leaving endpoint and a rolling replacement, and checks the promises.", &demoCommand{}},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,7 +95,9 @@
 	e.addActor(&g, e.services.run)
 	e.addActor(&g, e.shards.run)
 	addServer(&g, e.callers, e.callersLn)
-	addServer(&g, e.peerSrv, e.peersLn)
+	addServer(&g, e.peerSrv, &platform.CountListener{
+		Listener: e.peersLn, Sent: e.set.GetOrCreateCounter(peerSent), Read: e.set.GetOrCreateCounter(peerRead),
+	})
 	done := make(chan struct{})
 	g.Add(func() error { return e.awaitStop(stop, abort, done) }, func(error) { close(done) })
 	e.log.Info().Str("place", e.settings.Place).Str("callers", e.callersLn.Addr().String()).
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,6 +14,14 @@
 	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
 	"leverstile.dev/api/gen/leverstile/peer/v1/peerv1connect"
 	"leverstile.dev/config"
+	"leverstile.dev/membership"
+	"leverstile.dev/platform"
+)
+
+// Counters of the traffic with peers, in both roles.
+const (
+	peerSent = "leverstile_peer_sent_bytes_total"
+	peerRead = "leverstile_peer_read_bytes_total"
 )
 
 // peerClients calls peers by address.
@@ -24,41 +32,20 @@
 }
 
 func newPeerClients(timeout time.Duration, set *metrics.Set) *peerClients {
-	sent := set.NewCounter("leverstile_peer_sent_bytes_total")
-	read := set.NewCounter("leverstile_peer_read_bytes_total")
+	sent := set.GetOrCreateCounter(peerSent)
+	read := set.GetOrCreateCounter(peerRead)
 	dialer := &net.Dialer{Timeout: timeout}
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{conn, sent, read}, nil
+			return platform.CountConn(conn, sent, read), err
 		},
 	}
 	return &peerClients{http: &http.Client{Transport: transport}, byID: map[string]peerv1connect.PeerClient{}}
 }
 
-// countedConn counts the bytes of control traffic, headers included.
-type countedConn struct {
-	net.Conn
-	sent, read *metrics.Counter
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.sent.Add(n)
-	return n, err
-}
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.read.Add(n)
-	return n, err
-}
-
 func (p *peerClients) at(address string) peerv1connect.PeerClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -93,8 +80,9 @@
 	}
 }
 
-// exchangePartners returns the addresses to exchange with: all peers, or a
-// random choice of them where there are many.
+// exchangePartners returns the addresses to exchange with: of each pair of
+// entries one calls the other, as both sides learn all; a random choice where
+// there are many.
 func (e *Entry) exchangePartners() []string {
 	self := e.peersLn.Addr().String()
 	seen := map[string]bool{self: true}
@@ -106,9 +94,11 @@
 		}
 	}
 	for _, m := range e.view.entries(e.clock(), true) {
-		add(m.Address)
+		if membership.Calls(e.settings.ID, m.ID) {
+			add(m.Address)
+		}
 	}
-	if len(out) == 0 || e.declared.now().number == 0 {
+	if e.view.alone(e.clock()) || e.declared.now().number == 0 {
 		for _, addr := range e.settings.Peers {
 			add(addr)
 		}
--- a/entry/view.go
+++ b/entry/view.go
@@ -124,6 +124,9 @@
 	}
 }
 
+// alone reports whether no peer has been heard of lately.
+func (v *view) alone(now time.Duration) bool { return len(v.peerViews(now)) == 0 }
+
 func (v *view) forgetPeers(now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -115,3 +115,13 @@
 func ClaimShard(service, key string, n int) int {
 	return int(xxhash.Sum64String(service+"\x00"+key) % uint64(n))
 }
+
+// Calls reports whether entry a calls b for an exchange of views, rather than
+// the other way round. Each entry calls about half of the others.
+func Calls(a, b string) bool {
+	x, y := weight(a, b), weight(b, a)
+	if x == y {
+		return a < b
+	}
+	return x > y
+}
--- a/router/policy.go
+++ b/router/policy.go
@@ -115,8 +115,8 @@
 	return e
 }
 
-// LeastLoaded looks at all endpoints and takes the one where a request is
-// expected to end first: by load of this entry and its peers, and by the
+// LeastLoaded looks at all endpoints, or a random run of sampleSize where there
+// are many more, and takes the one where a request is expected to end first: by load of this entry and its peers, and by the
 // endpoint's mean latency. Endpoints of the own place win while they have room
 // to spare.
 type LeastLoaded struct {
@@ -141,11 +141,23 @@
 // the slots: the own place is preferred until it is that much busier.
 const awayPenalty = 0.5
 
+// sampleSize bounds the endpoints with room that are compared where there are
+// more than twice as many, so that a choice costs the same at any size.
+const sampleSize = 48
+
 // Pick implements Policy.
 func (p *LeastLoaded) Pick(t *Table, now time.Duration, tried []*endpoint) (*endpoint, int) {
 	var best *endpoint
 	bestCost, ties, seen := 0.0, 0, 0
-	for _, e := range t.endpoints {
+	n, at := len(t.endpoints), 0
+	if n > 2*sampleSize {
+		at = t.rng.IntN(n)
+	}
+	for looked := 0; looked < n && (n <= 2*sampleSize || seen < sampleSize); looked++ {
+		e := t.endpoints[at]
+		if at++; at == n {
+			at = 0
+		}
 		if !t.room(now, e) || wasTried(e, tried) {
 			continue
 		}
--- /dev/null
+++ b/router/replay/replay.go
@@ -0,0 +1,373 @@
+// Package replay plays recorded arrivals and endpoint faults against routing
+// tables, one per entry, in a time of its own, and measures what callers see.
+// It has no network and no processes: it is the events of a trace in order.
+package replay
+
+import (
+	"bufio"
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+
+	"leverstile.dev/api/result"
+	"leverstile.dev/router"
+)
+
+// Header is the first line of a trace.
+type Header struct {
+	Name      string `json:"name"`
+	Entries   int    `json:"entries"`
+	Endpoints int    `json:"endpoints"`
+	Places    int    `json:"places"`
+	Slots     int    `json:"slots"`
+	Deadline  int    `json:"deadline_ms"`
+	// Groups names the group and class of each group number.
+	Groups []Group `json:"groups"`
+}
+
+// Group is a group of callers.
+type Group struct {
+	Name  string       `json:"name"`
+	Class router.Class `json:"class"`
+}
+
+// Line is one further line: what happens from AtMS on.
+type Line struct {
+	AtMS int `json:"at_ms"`
+	// Arrivals are offset in us, service time in us when undisturbed, and group.
+	Arrivals [][3]int `json:"arrivals,omitempty"`
+	Faults   []Fault  `json:"faults,omitempty"`
+}
+
+// Fault changes an endpoint from the line's time on.
+type Fault struct {
+	Endpoint int `json:"endpoint"`
+	// Slow multiplies service times; zero means one.
+	Slow float64 `json:"slow,omitempty"`
+	// Down refuses connections, Leaving refuses requests as not begun.
+	Down    bool `json:"down,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Trace is a recorded trace.
+type Trace struct {
+	Header
+	Lines []Line
+}
+
+// Read reads a trace.
+func Read(r io.Reader) (*Trace, error) {
+	t := &Trace{}
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, 16<<20)
+	for n := 0; sc.Scan(); n++ {
+		var err error
+		if n == 0 {
+			err = json.Unmarshal(sc.Bytes(), &t.Header)
+		} else {
+			var l Line
+			err = json.Unmarshal(sc.Bytes(), &l)
+			t.Lines = append(t.Lines, l)
+		}
+		if err != nil {
+			return nil, errors.Annotatef(err, "line %d", n+1)
+		}
+	}
+	return t, errors.Trace(sc.Err())
+}
+
+// Outcome is what a replay measured. Latencies are from the first arrival of a
+// request, repeats by its caller included.
+type Outcome struct {
+	Policy   string
+	Asked    int
+	Answered int
+	Refused  map[result.Code]int
+	// Failed ended with an unknown outcome.
+	Failed     int
+	P50, P99   time.Duration
+	P999       time.Duration
+	Retries    float64 // by request
+	Overshoot  int     // sent to an endpoint whose slots were all in use
+	ByGroup    map[string]GroupOutcome
+	AfterLeave int // sent to an endpoint more than 3 s after it began to leave
+}
+
+// GroupOutcome is a group's part.
+type GroupOutcome struct {
+	Asked, Answered int
+	P99             time.Duration
+}
+
+// Goodput is the part of requests that were answered.
+func (o Outcome) Goodput() float64 { return float64(o.Answered) / float64(max(o.Asked, 1)) }
+
+const (
+	// hop is the one-way delay between an entry and an endpoint.
+	hop = 500 * time.Microsecond
+	// exchangeEvery is how often entries tell each other their load.
+	exchangeEvery = 500 * time.Millisecond
+	tickEvery     = 5 * time.Millisecond
+	// comebacks is how often a refused caller asks again.
+	comebacks = 1
+	// leaveLimit is the time after which a leaving endpoint gets nothing new.
+	leaveLimit = 3 * time.Second
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+type endpoint struct {
+	inUse   int
+	slow    float64
+	down    bool
+	leaving bool
+	since   time.Duration
+}
+
+type request struct {
+	id       uint64
+	entry    int
+	group    int
+	service  time.Duration
+	first    time.Duration
+	comeback int
+	sentAt   time.Duration
+	endpoint int
+}
+
+type player struct {
+	trace     *Trace
+	now       time.Duration
+	queue     events
+	seq       int
+	tables    []*router.Table
+	endpoints []*endpoint
+	index     map[string]int
+	requests  map[uint64]*request
+	nextID    uint64
+	end       time.Duration
+	out       Outcome
+	all       *hdrhistogram.Histogram
+	byGroup   []*hdrhistogram.Histogram
+}
+
+// Play replays a trace with tables that use the policies of newPolicy. share
+// has entries exchange their load.
+func Play(t *Trace, newPolicy func() router.Policy, share bool) Outcome {
+	p := &player{trace: t, index: map[string]int{}, requests: map[uint64]*request{}, all: hdrhistogram.New(1, 100_000_000, 3)}
+	p.out = Outcome{Policy: newPolicy().Name(), Refused: map[result.Code]int{}, ByGroup: map[string]GroupOutcome{}}
+	for range t.Groups {
+		p.byGroup = append(p.byGroup, hdrhistogram.New(1, 100_000_000, 3))
+	}
+	p.build(newPolicy)
+	p.schedule(share)
+	for len(p.queue) > 0 {
+		ev := heap.Pop(&p.queue).(event)
+		p.now = ev.at
+		ev.fn()
+	}
+	p.sum()
+	return p.out
+}
+
+func (p *player) build(newPolicy func() router.Policy) {
+	var list []router.Endpoint
+	for i := range p.trace.Endpoints {
+		id := fmt.Sprintf("endpoint-%02d", i)
+		p.index[id] = i
+		p.endpoints = append(p.endpoints, &endpoint{slow: 1})
+		list = append(list, router.Endpoint{ID: id, VM: id, Place: fmt.Sprint("place-", i%p.trace.Places)})
+	}
+	for e := range p.trace.Entries {
+		table := router.New(router.Params{
+			Slots: p.trace.Slots, Place: fmt.Sprint("place-", e%p.trace.Places), Queue: 512, Attempts: 3,
+			RetryRatio: 0.1, Policy: newPolicy(),
+		}, uint64(e+1))
+		p.tables = append(p.tables, table)
+		p.take(e, table.SetEndpoints(0, list))
+	}
+}
+
+func (p *player) at(d time.Duration, fn func()) {
+	p.seq++
+	heap.Push(&p.queue, event{at: d, seq: p.seq, fn: fn})
+}
+
+func (p *player) schedule(share bool) {
+	n := 0
+	for _, line := range p.trace.Lines {
+		base := time.Duration(line.AtMS) * time.Millisecond
+		for _, f := range line.Faults {
+			p.at(base, func() { p.fault(f) })
+		}
+		for _, a := range line.Arrivals {
+			entry := n % p.trace.Entries
+			n++
+			at := base + time.Duration(a[0])*time.Microsecond
+			p.end = max(p.end, at)
+			p.at(at, func() {
+				p.arrive(&request{entry: entry, group: a[2], service: time.Duration(a[1]) * time.Microsecond, first: p.now})
+			})
+		}
+	}
+	p.out.Asked = n
+	p.end += 10 * time.Second
+	for e := range p.tables {
+		p.every(tickEvery, time.Duration(e)*time.Millisecond, func() { p.take(e, p.tables[e].Tick(p.now)) })
+		if share {
+			p.every(exchangeEvery, time.Duration(e)*exchangeEvery/time.Duration(len(p.tables)), func() { p.exchange(e) })
+		}
+	}
+}
+
+func (p *player) every(d, first time.Duration, fn func()) {
+	var again func()
+	again = func() {
+		fn()
+		if p.now < p.end {
+			p.at(p.now+d, again)
+		}
+	}
+	p.at(first, again)
+}
+
+func (p *player) fault(f Fault) {
+	e := p.endpoints[f.Endpoint]
+	if f.Leaving && !e.leaving {
+		e.since = p.now
+	}
+	e.slow, e.down, e.leaving = max(f.Slow, 1), f.Down, f.Leaving
+}
+
+// exchange tells all other entries the load of entry e.
+func (p *player) exchange(e int) {
+	load := p.tables[e].Load()
+	for o, t := range p.tables {
+		if o != e {
+			p.at(p.now+hop, func() { t.SetPeerLoad(p.now, fmt.Sprint("entry-", e), load) })
+		}
+	}
+}
+
+func (p *player) arrive(r *request) {
+	p.nextID++
+	r.id = p.nextID
+	p.requests[r.id] = r
+	g := p.trace.Groups[r.group]
+	p.take(r.entry, p.tables[r.entry].Arrive(p.now, router.Request{
+		ID: r.id, Group: g.Name, Class: g.Class, Repeatable: true,
+		Deadline: p.now + time.Duration(p.trace.Deadline)*time.Millisecond,
+	}))
+}
+
+// take carries out a table's actions.
+func (p *player) take(entry int, actions []router.Action) {
+	for _, a := range actions {
+		r := p.requests[a.Request]
+		switch a.Kind {
+		case router.Send:
+			if a.Attempt > 1 {
+				p.out.Retries++
+			}
+			r.endpoint = p.index[a.Endpoint.ID]
+			r.sentAt = p.now
+			p.at(p.now+hop, func() { p.begin(entry, r) })
+		case router.Refuse:
+			delete(p.requests, r.id)
+			p.refused(r, a)
+		case router.Fail:
+			delete(p.requests, r.id)
+			p.out.Failed++
+		}
+	}
+}
+
+func (p *player) refused(r *request, a router.Action) {
+	if r.comeback < comebacks {
+		r.comeback++
+		p.at(p.now+a.RetryAfter, func() {
+			r.entry = (r.entry + 1) % len(p.tables)
+			p.arrive(r)
+		})
+		return
+	}
+	p.out.Refused[a.Code]++
+}
+
+// begin is a request's arrival at its endpoint.
+func (p *player) begin(entry int, r *request) {
+	e := p.endpoints[r.endpoint]
+	if e.leaving && p.now-e.since > leaveLimit {
+		p.out.AfterLeave++
+	}
+	kind := router.Answered
+	switch {
+	case e.down:
+		kind = router.Unsent
+	case e.leaving:
+		kind = router.Leaving
+	case e.inUse >= p.trace.Slots:
+		p.out.Overshoot++
+		kind = router.Refused
+	}
+	if kind != router.Answered {
+		p.at(p.now+hop, func() { p.finish(entry, r, kind) })
+		return
+	}
+	e.inUse++
+	p.at(p.now+time.Duration(float64(r.service)*e.slow), func() {
+		e.inUse--
+		p.at(p.now+hop, func() { p.finish(entry, r, router.Answered) })
+	})
+}
+
+func (p *player) finish(entry int, r *request, kind router.Kind) {
+	if kind == router.Answered {
+		p.out.Answered++
+		us := (p.now - r.first).Microseconds()
+		_ = p.all.RecordValue(us)
+		_ = p.byGroup[r.group].RecordValue(us)
+	}
+	p.take(entry, p.tables[entry].Finish(p.now, r.id, router.Outcome{Kind: kind, Latency: p.now - r.sentAt}))
+}
+
+func (p *player) sum() {
+	q := func(h *hdrhistogram.Histogram, at float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(at)) * time.Microsecond
+	}
+	p.out.P50, p.out.P99, p.out.P999 = q(p.all, 50), q(p.all, 99), q(p.all, 99.9)
+	p.out.Retries /= float64(max(p.out.Asked, 1))
+	asked := make([]int, len(p.trace.Groups))
+	for _, l := range p.trace.Lines {
+		for _, a := range l.Arrivals {
+			asked[a[2]]++
+		}
+	}
+	for i, g := range p.trace.Groups {
+		p.out.ByGroup[g.Name] = GroupOutcome{Asked: asked[i], Answered: int(p.byGroup[i].TotalCount()), P99: q(p.byGroup[i], 99)}
+	}
+}
--- /dev/null
+++ b/router/replay/traces_test.go
@@ -0,0 +1,139 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"leverstile.dev/router"
+)
+
+// Want is the stated outcome of a trace, beside it in testdata.
+type Want struct {
+	// GoodputMin and P99MaxMS bound the chosen policy.
+	GoodputMin float64 `json:"goodput_min"`
+	P99MaxMS   float64 `json:"p99_max_ms"`
+	// OracleRatioMax bounds its p99 by that of one central queue; zero doesn't.
+	OracleRatioMax float64 `json:"oracle_ratio_max,omitempty"`
+	// Beats: its p99 is below that of these policies.
+	Beats []string `json:"beats,omitempty"`
+	// GroupGoodputMin bounds the goodput of single groups.
+	GroupGoodputMin map[string]float64 `json:"group_goodput_min,omitempty"`
+	Why             string             `json:"why"`
+}
+
+type contender struct {
+	name  string
+	make  func() router.Policy
+	share bool
+}
+
+var contenders = []contender{
+	{"chosen", router.DefaultPolicy, true},
+	{"random", func() router.Policy { return router.Random{} }, true},
+	{"round-robin", func() router.Policy { return &router.RoundRobin{} }, true},
+	{"two-choices-own", func() router.Policy { return router.TwoChoices{OwnOnly: true} }, false},
+	{"two-choices-peers", func() router.Policy { return router.TwoChoices{} }, true},
+	{"least-loaded-own", func() router.Policy { return &router.LeastLoaded{OwnOnly: true} }, false},
+	{"least-loaded-peers", func() router.Policy { return &router.LeastLoaded{Blind: true} }, true},
+}
+
+// TestTraces replays each trace with each policy against its stated outcome.
+// With -v it prints the table of docs/MEASUREMENTS.md.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.jsonl")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no traces", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".jsonl")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			replayOne(t, file, name)
+		})
+	}
+}
+
+func replayOne(t *testing.T, file, name string) {
+	trace := readTrace(t, file)
+	outcomes := map[string]Outcome{}
+	rows := []string{"| policy | p50 ms | p99 ms | p99.9 ms | goodput | refused | unknown | retries/request | overshoot |", "|---|---|---|---|---|---|---|---|---|"}
+	for _, c := range contenders {
+		if testing.Short() && c.name != "chosen" {
+			continue
+		}
+		out := Play(trace, c.make, c.share)
+		outcomes[c.name] = out
+		rows = append(rows, row(c.name, out))
+	}
+	oracle := Central(trace)
+	rows = append(rows, row("all-seeing", oracle))
+	t.Logf("%s\n%s", name, strings.Join(rows, "\n"))
+	checkWant(t, readWant(t, name), outcomes, oracle)
+}
+
+func ms(d interface{ Seconds() float64 }) float64 { return d.Seconds() * 1000 }
+
+func row(name string, o Outcome) string {
+	var refused []string
+	for code, n := range o.Refused {
+		refused = append(refused, fmt.Sprintf("%d x %d", n, code))
+	}
+	return fmt.Sprintf("| %s | %.1f | %.1f | %.1f | %.4f | %s | %d | %.4f | %d |",
+		name, ms(o.P50), ms(o.P99), ms(o.P999), o.Goodput(), strings.Join(refused, ", "), o.Failed, o.Retries, o.Overshoot)
+}
+
+func checkWant(t *testing.T, want Want, outcomes map[string]Outcome, oracle Outcome) {
+	chosen := outcomes["chosen"]
+	if chosen.Goodput() < want.GoodputMin {
+		t.Errorf("goodput %.4f, stated at least %.4f", chosen.Goodput(), want.GoodputMin)
+	}
+	if ms(chosen.P99) > want.P99MaxMS {
+		t.Errorf("p99 %.1f ms, stated at most %.1f", ms(chosen.P99), want.P99MaxMS)
+	}
+	if r := ms(chosen.P99) / ms(oracle.P99); want.OracleRatioMax > 0 && r > want.OracleRatioMax {
+		t.Errorf("p99 is %.2f of the all-seeing queue's, stated at most %.2f", r, want.OracleRatioMax)
+	}
+	for _, name := range want.Beats {
+		if other, ok := outcomes[name]; ok && chosen.P99 > other.P99 {
+			t.Errorf("p99 %.1f ms, %s has %.1f", ms(chosen.P99), name, ms(other.P99))
+		}
+	}
+	for group, least := range want.GroupGoodputMin {
+		g := chosen.ByGroup[group]
+		if got := float64(g.Answered) / float64(max(g.Asked, 1)); got < least {
+			t.Errorf("group %s: goodput %.4f, stated at least %.4f", group, got, least)
+		}
+	}
+	if chosen.AfterLeave > 0 {
+		t.Errorf("%d requests went to leaving endpoints after %v", chosen.AfterLeave, leaveLimit)
+	}
+}
+
+func readTrace(t *testing.T, file string) *Trace {
+	f, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	trace, err := Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return trace
+}
+
+func readWant(t *testing.T, name string) Want {
+	b, err := os.ReadFile(filepath.Join("testdata", name+".want.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var w Want
+	if err := json.Unmarshal(b, &w); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
--- a/router/router.go
+++ b/router/router.go
@@ -180,6 +180,9 @@
 	out      []Action
 	leaving  map[string]bool // VMs
 
+	usableCount int
+	usableUntil time.Duration
+
 	// Stats counts since the table was made.
 	Stats Stats
 }
@@ -246,6 +249,7 @@
 		}
 	}
 	t.endpoints = rest
+	t.usableUntil = 0
 	t.dispatch(now)
 	return t.take()
 }
@@ -265,6 +269,7 @@
 func (t *Table) SetLeaving(vms map[string]bool) {
 	t.leaving = map[string]bool{}
 	maps.Copy(t.leaving, vms)
+	t.usableUntil = 0
 	for _, e := range t.endpoints {
 		e.leaving = vms[e.VM]
 	}
@@ -348,16 +353,26 @@
 	return result.QueueFull, wait
 }
 
+// usable counts the endpoints that aren't leaving or ejected. The count is kept
+// for usableFor, so that its cost doesn't grow with the number of requests.
 func (t *Table) usable(now time.Duration) int {
+	if now < t.usableUntil {
+		return t.usableCount
+	}
 	n := 0
 	for _, e := range t.endpoints {
 		if !e.leaving && now >= e.ejectedUntil {
 			n++
 		}
 	}
+	t.usableCount, t.usableUntil = n, now+usableFor
 	return n
 }
 
+// usableFor is how long a count of usable endpoints is kept; changes of the
+// list, of leaving VMs and of ejections end it early.
+const usableFor = 10 * time.Millisecond
+
 // expectedWait is how long a new request of a class would wait in the queue:
 // those ahead of it, at the rate at which requests in flight end.
 func (t *Table) expectedWait(usable int, c Class) time.Duration {
@@ -424,6 +439,7 @@
 		// Remembered by VM, as the list may drop the endpoint and bring it back.
 		e.leaving = true
 		t.leaving[e.VM] = true
+		t.usableUntil = 0
 	case Unsent, Fault, Lost:
 		e.faults++
 		if e.faults >= ejectAfter {
@@ -452,6 +468,7 @@
 	e.ejectFor = min(max(2*e.ejectFor, ejectBase), ejectMax)
 	e.ejectedUntil = now + e.ejectFor
 	e.faults = 0
+	t.usableUntil = 0
 	t.Stats.Ejected++
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"leverstile.dev/platform"
 )
 
@@ -371,10 +373,27 @@
 	return b
 }
 
+// serveVMs answers with the list, or that it has not changed.
+func (f *Fleet) serveVMs(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(f.VMs())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
 // handler serves the VM list and the control of faults.
 func (f *Fleet) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.VMs()) })
+	mux.HandleFunc("GET "+platform.PathVMs, f.serveVMs)
 	mux.HandleFunc("GET /control/books", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Books()) })
 	mux.HandleFunc("PUT /control/kv", func(w http.ResponseWriter, r *http.Request) {
 		var in KVFaults
