Limit requests by refusals instead of peers' reports

Cause: entries that don't see each other's requests overshoot the endpoints' slots. Change: a refusal for want of a slot puts the request back into the queue, costs no retry and lowers the entry's concurrency limit in proportion to the limit; answers raise it by a constant. Peers' load is no longer exchanged. Word of leaving VMs carries its age: it went round between peers for ever before.

--- a/config/settings.go
+++ b/config/settings.go
@@ -65,7 +65,7 @@
 	s.Limits.Queue = 512
 	s.Limits.ClaimShards = 8
 	s.Timing.CommitEveryMS = 100
-	s.Timing.ExchangeEveryMS = 500
+	s.Timing.ExchangeEveryMS = 1000
 	s.Timing.TaskLeaseMS = 30_000
 	s.Timing.OutageGraceMS = 3_600_000
 	s.Timing.DrainDelayMS = 3000
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -380,6 +380,15 @@
 		c.procs[0].call(http.MethodGet, "/v1/services/svc/", nil, nil)
 		return quiet(c.procs[0]) && quiet(c.procs[1]) && quiet(c.procs[2])
 	})
+	// The tables take over what the view knows right after.
+	eventually(t, "the tables know", func() bool {
+		for _, p := range c.procs {
+			if p.entry.services.get("svc").offers(vms[0].ID) || p.entry.services.get("svc").offers(self) {
+				return false
+			}
+		}
+		return true
+	})
 	c.fleet.Endpoints[self].SetFaults(standin.EndpointFaults{})
 	before := c.fleet.Books().Endpoints
 	for i := range 60 {
@@ -395,6 +404,13 @@
 	}
 }
 
+// offers reports whether a VM's endpoint may get requests.
+func (svc *service) offers(vm string) bool {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.table.Offers(vm)
+}
+
 // TestBadInput: each mistake gets its number, and nothing breaks.
 func TestBadInput(t *testing.T) {
 	c := newCluster(t, 1, 1)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -58,7 +58,7 @@
 }
 
 // exchangeFanOut bounds the peers that one round exchanges with.
-const exchangeFanOut = 8
+const exchangeFanOut = 4
 
 // exchange swaps views with peers, round by round.
 func (e *Entry) exchange(ctx context.Context) {
@@ -125,8 +125,9 @@
 	if v.GetEntry() == "" || v.GetEntry() == e.settings.ID {
 		return
 	}
-	e.view.heard(e.clock(), v)
-	e.services.peerLoad(v)
+	if e.view.heard(e.clock(), v) {
+		e.services.refresh()
+	}
 }
 
 func (e *Entry) fetchDeclarations(ctx context.Context, addr string) {
@@ -151,8 +152,7 @@
 		Place:                e.settings.Place,
 		Draining:             e.draining.Load(),
 		DeclarationsRevision: e.declared.now().number,
-		Loads:                e.services.loads(),
-		LeavingVms:           e.view.toldLeaving(now),
+		Leaving:              e.view.toldLeaving(now),
 	}
 	v.Shards, v.Usage = e.shards.summary()
 	return v
--- a/entry/services.go
+++ b/entry/services.go
@@ -9,7 +9,6 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
-	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
 	"leverstile.dev/config"
 	"leverstile.dev/platform"
 	"leverstile.dev/router"
@@ -146,37 +145,11 @@
 		}
 	}
 	svc.transport.setLimit(max(svc.spec.Connections/entries, 1))
+	svc.table.SetEntries(entries)
 	svc.table.SetLeaving(leaving)
 	svc.deliver(svc.table.SetEndpoints(now, list))
 }
 
-// peerLoad takes over a peer's requests in flight.
-func (s *services) peerLoad(v *peerv1.View) {
-	counts := make(map[string]int, len(v.GetLoads()))
-	for _, l := range v.GetLoads() {
-		counts[l.GetEndpoint()] = int(l.GetInFlight())
-	}
-	now := s.entry.clock()
-	for _, svc := range s.all() {
-		svc.mu.Lock()
-		svc.table.SetPeerLoad(now, v.GetEntry(), counts)
-		svc.mu.Unlock()
-	}
-}
-
-// loads are this entry's requests in flight by endpoint.
-func (s *services) loads() []*peerv1.EndpointLoad {
-	var out []*peerv1.EndpointLoad
-	for _, svc := range s.all() {
-		svc.mu.Lock()
-		for id, n := range svc.table.Load() {
-			out = append(out, &peerv1.EndpointLoad{Endpoint: id, InFlight: uint32(n)})
-		}
-		svc.mu.Unlock()
-	}
-	return out
-}
-
 func (s *services) inFlight() int {
 	n := 0
 	for _, svc := range s.all() {
--- a/entry/view.go
+++ b/entry/view.go
@@ -115,13 +115,22 @@
 	return best
 }
 
-func (v *view) heard(now time.Duration, pv *peerv1.View) {
+// heard takes over a peer's view. It returns whether it tells of a leaving VM
+// that was not known.
+func (v *view) heard(now time.Duration, pv *peerv1.View) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.peers[pv.GetEntry()] = peerState{pv, now}
-	for _, vm := range pv.GetLeavingVms() {
-		v.leaving[vm] = now
+	news := false
+	for _, l := range pv.GetLeaving() {
+		at := now - time.Duration(l.GetAgeMs())*time.Millisecond
+		old, known := v.leaving[l.GetVm()]
+		if !known || at > old {
+			v.leaving[l.GetVm()] = at
+		}
+		news = news || !known
 	}
+	return news
 }
 
 // alone reports whether no peer has been heard of lately.
@@ -171,24 +180,20 @@
 	return out
 }
 
-// ownLeaving returns the VMs found to be leaving, for peers. Only those that
-// this entry has seen itself of late are told on, so that word of a VM ends.
-func (v *view) toldLeaving(now time.Duration) []string {
+// toldLeaving returns the VMs that peers are told of, with the age of the word.
+func (v *view) toldLeaving(now time.Duration) []*peerv1.LeavingVM {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	var out []string
+	var out []*peerv1.LeavingVM
 	for vm, at := range v.leaving {
-		if now-at < leavingTold {
-			out = append(out, vm)
+		if now-at < leavingHold {
+			out = append(out, &peerv1.LeavingVM{Vm: vm, AgeMs: uint32((now - at).Milliseconds())})
 		}
 	}
-	sort.Strings(out)
+	sort.Slice(out, func(i, j int) bool { return out[i].GetVm() < out[j].GetVm() })
 	return out
 }
 
-// leavingTold is how long a sign of a leaving VM is told to peers.
-const leavingTold = 5 * time.Second
-
 func (v *view) setVMs(now time.Duration, vms []platform.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/router/policy.go
+++ b/router/policy.go
@@ -12,7 +12,7 @@
 
 // DefaultPolicy returns the policy in use; docs/design/endpoint-choice.md has
 // the measurements that chose it.
-func DefaultPolicy() Policy { return &LeastLoaded{} }
+func DefaultPolicy() Policy { return &LeastLoaded{OwnOnly: true} }
 
 func wasTried(e *endpoint, tried []*endpoint) bool {
 	for _, o := range tried {
--- a/router/replay/replay.go
+++ b/router/replay/replay.go
@@ -205,7 +205,7 @@
 	for e := range p.trace.Entries {
 		table := router.New(router.Params{
 			Slots: p.trace.Slots, Place: fmt.Sprint("place-", e%p.trace.Places), Queue: 512, Attempts: 3,
-			RetryRatio: 0.1, Policy: newPolicy(),
+			RetryRatio: 0.1, Entries: p.trace.Entries, Policy: newPolicy(),
 		}, uint64(e+1))
 		p.tables = append(p.tables, table)
 		p.take(e, table.SetEndpoints(0, list))
@@ -248,7 +248,7 @@
 	var again func()
 	again = func() {
 		fn()
-		if p.now < p.end {
+		if p.now < p.end || len(p.requests) > 0 {
 			p.at(p.now+d, again)
 		}
 	}
@@ -347,6 +347,7 @@
 
 func (p *player) finish(entry int, r *request, kind router.Kind) {
 	if kind == router.Answered {
+		delete(p.requests, r.id)
 		p.out.Answered++
 		us := (p.now - r.first).Microseconds()
 		_ = p.all.RecordValue(us)
--- a/router/router.go
+++ b/router/router.go
@@ -105,6 +105,8 @@
 	Attempts int
 	// RetryRatio is how many retries each request adds to the budget.
 	RetryRatio float64
+	// Entries is how many entries send to the same endpoints.
+	Entries int
 	// Policy chooses among the endpoints.
 	Policy Policy
 }
@@ -158,6 +160,7 @@
 	mayHaveRun bool
 	// notBefore is when a retry may be sent.
 	notBefore time.Duration
+	refusals  int
 	queued    bool
 }
 
@@ -183,6 +186,10 @@
 	usableCount int
 	usableUntil time.Duration
 
+	// limit is how many requests this entry may have in flight at all
+	// endpoints, learnt from refusals; see limit.go.
+	limit concurrencyLimit
+
 	// Stats counts since the table was made.
 	Stats Stats
 }
@@ -220,9 +227,15 @@
 	if p.Policy == nil {
 		p.Policy = t.params.Policy
 	}
+	if p.Entries == 0 {
+		p.Entries = t.params.Entries
+	}
 	t.params = p
 }
 
+// SetEntries sets how many entries send to the same endpoints.
+func (t *Table) SetEntries(n int) { t.params.Entries = n }
+
 // SetEndpoints replaces the list of endpoints.
 func (t *Table) SetEndpoints(now time.Duration, list []Endpoint) []Action {
 	keep := make(map[string]bool, len(list))
@@ -275,6 +288,16 @@
 	}
 }
 
+// Offers reports whether the endpoint on a VM may get requests.
+func (t *Table) Offers(vm string) bool {
+	for _, e := range t.endpoints {
+		if e.VM == vm && !e.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // SetPeerLoad takes over what a peer has in flight, by endpoint id.
 func (t *Table) SetPeerLoad(now time.Duration, peer string, counts map[string]int) {
 	t.peers[peer] = peerLoad{now, counts}
@@ -429,12 +452,14 @@
 func (t *Table) judge(now time.Duration, e *endpoint, o Outcome) {
 	switch o.Kind {
 	case Answered:
+		t.limit.answered()
 		e.faults, e.ejectFor = 0, 0
 		e.latency = mix(e.latency, o.Latency)
 		t.latency = mix(t.latency, o.Latency)
 	case Refused:
 		// Refusing shows that it lives; it is only full for a moment.
 		e.fullUntil = now + fullFor
+		t.limit.refused(t.inFlight+1, t.evenPart())
 	case Leaving:
 		// Remembered by VM, as the list may drop the endpoint and bring it back.
 		e.leaving = true
@@ -449,6 +474,11 @@
 	}
 }
 
+// evenPart is this entry's part of all slots if entries had the same load.
+func (t *Table) evenPart() float64 {
+	return float64(t.params.Slots*len(t.endpoints)) / float64(max(t.params.Entries, 1))
+}
+
 func mix(mean, sample time.Duration) time.Duration {
 	return mean + time.Duration(latencyWeight*float64(sample-mean))
 }
@@ -481,6 +511,8 @@
 		delete(t.requests, f.ID)
 	case !notRun && !f.Repeatable:
 		t.fail(f, result.AnswerLost)
+	case o.Kind == Refused && t.mayWait(now, f):
+		t.wait(now, f, e)
 	case !t.mayRetry(now, f):
 		t.giveUp(f, o.Kind, notRun)
 	default:
@@ -488,6 +520,27 @@
 	}
 }
 
+// mayWait reports whether a request that an endpoint refused for want of a slot
+// waits here for another one. That costs no retry: the endpoint lives, nothing
+// ran, and the concurrency limit sees to it that it doesn't become a storm.
+func (t *Table) mayWait(now time.Duration, f *flight) bool {
+	return !f.Once && f.refusals < maxRefusals && now < f.Deadline
+}
+
+// maxRefusals bounds how often one request is refused for want of a slot.
+const maxRefusals = 16
+
+func (t *Table) wait(now time.Duration, f *flight, e *endpoint) {
+	f.refusals++
+	f.attempt--
+	f.tried = append(f.tried[:0], e)
+	f.notBefore = now + time.Duration(t.rng.Int64N(int64(refusalPause)))
+	t.queue.pushFront(f)
+}
+
+// refusalPause bounds the jitter before a refused request is sent elsewhere.
+const refusalPause = 4 * time.Millisecond
+
 func (t *Table) mayRetry(now time.Duration, f *flight) bool {
 	return !f.Once && f.attempt < t.params.Attempts && t.budget >= 1 && now < f.Deadline
 }
@@ -551,7 +604,7 @@
 func (t *Table) dispatch(now time.Duration) {
 	for {
 		f := t.queue.next(now)
-		if f == nil {
+		if f == nil || !t.limit.room(t.inFlight) {
 			return
 		}
 		e, candidates := t.params.Policy.Pick(t, now, f.tried)
@@ -577,10 +630,9 @@
 	})
 }
 
-// room reports whether a request may be sent to e: its slots are not in use as
-// far as this entry and its peers' reports tell. Reports lag, so the sum may
-// overshoot; the endpoint's own refusal is the last guard.
+// room reports whether a request may be sent to e: this entry doesn't use all
+// its slots. Other entries use some too, unseen; the endpoint's own refusal is
+// the guard, and the concurrency limit keeps refusals rare.
 func (t *Table) room(now time.Duration, e *endpoint) bool {
-	return !e.leaving && now >= e.ejectedUntil && now >= e.fullUntil &&
-		e.own < t.params.Slots && e.own+e.others < t.params.Slots
+	return !e.leaving && now >= e.ejectedUntil && now >= e.fullUntil && e.own < t.params.Slots
 }
