--- a/cell/calls.go
+++ b/cell/calls.go
@@ -136,6 +136,19 @@
 	o.answerAfter(pos, reply)
 }
 
+// Waiting counts the pending tasks of each group that has some.
+func (o *Owner) Waiting() map[string]int {
+	out := map[string]int{}
+	for group, q := range o.table.queues {
+		for _, t := range q.tasks {
+			if t.phase == Pending && !t.unfit {
+				out[group]++
+			}
+		}
+	}
+	return out
+}
+
 // Explain says in one line why a task runs where it does or why it waits.
 func (o *Owner) Explain(now time.Duration, id string) string {
 	t := o.table.tasks[id]
--- a/cell/learning.go
+++ b/cell/learning.go
@@ -29,18 +29,32 @@
 	if o.model == nil || !o.mayDecide(now) {
 		return
 	}
-	switch w.ladder.Next(o.ladder, s.Factor) {
+	unthrottled := o.model.Predict(s.Service, s.Load, w.view.Kinds)
+	switch w.ladder.Next(o.ladder, s.Factor, unthrottled) {
 	case scheduler.StepThrottle:
 		w.throttledKind = o.worstKind(w, s)
-		o.throttle(w, true)
+		o.throttle(now, w, true)
 	case scheduler.StepRelease:
-		o.throttle(w, false)
+		o.throttle(now, w, false)
 	case scheduler.StepEvict:
 		o.evictWorst(now, w, s)
 	case scheduler.StepNone:
 	}
 }
 
+// recordKinds notes what runs on the worker from now on. Throttled tasks are
+// left out: they are held to hardly disturb anybody, and counting them in full
+// would teach the model that their kind is harmless.
+func (o *Owner) recordKinds(now time.Duration, w *worker) {
+	kinds := map[string]int{}
+	for _, t := range o.table.onWorker[w.id] {
+		if !t.throttled {
+			kinds[t.spec.GetKind()]++
+		}
+	}
+	w.history.Record(now, kinds)
+}
+
 // worstKind returns the kind on the worker that adds most to the slow-down.
 func (o *Owner) worstKind(w *worker, s platform.Slowdown) string {
 	worst, most := "", -1.0
@@ -53,7 +67,7 @@
 	return worst
 }
 
-func (o *Owner) throttle(w *worker, on bool) {
+func (o *Owner) throttle(now time.Duration, w *worker, on bool) {
 	what := "throttle"
 	if !on {
 		what = "release"
@@ -64,14 +78,15 @@
 		}
 	}
 	w.dirty = true
+	o.recordKinds(now, w)
 	o.decide(Decision{What: what, Worker: w.id, Reason: "tasks of kind " + w.throttledKind + " beside a service"})
 }
 
 // evictWorst evicts the task of the worst kind that loses least, within the
 // budget.
 func (o *Owner) evictWorst(now time.Duration, w *worker, s platform.Slowdown) {
-	if o.budget < 1 {
-		return
+	if o.budget < budgetBurst/2 {
+		return // the rest is for urgent tasks
 	}
 	kind := o.worstKind(w, s)
 	var victim *task
@@ -81,6 +96,7 @@
 		}
 	}
 	if victim != nil {
+		w.bar(now, kind)
 		o.evict(scheduler.Eviction{Task: victim.spec.GetId(), Worker: w.id, Loss: now - victim.since})
 	}
 }
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -35,8 +35,9 @@
 	// StoreSilence is how long a commit may go unanswered before submissions
 	// are refused.
 	StoreSilence time.Duration
-	// MaxFailures of its own make a task fail for good.
-	MaxFailures uint32
+	// MaxFailures on different workers make a task fail for good, or twice as
+	// many in all.
+	MaxFailures int
 	// Retain is how long a finished task is known.
 	Retain time.Duration
 	// EvictionsPerMinute is the eviction budget.
@@ -128,7 +129,7 @@
 	params  Params
 	core    *shard.Core
 	table   *table
-	planner *scheduler.Planner
+	planner scheduler.Scheduler
 	model   *scheduler.Interference
 	sizes   *scheduler.Estimator
 	shares  *scheduler.Shares
@@ -137,6 +138,7 @@
 	groups     []scheduler.GroupSpec
 	vms        map[string]platform.VM
 	vmsKnown   bool
+	largest    platform.Resources       // the most of each kind that a VM has
 	missing    map[string]time.Duration // since when a VM isn't in the list
 	workers    map[string]*worker
 	order      []*worker // workers by id; nil when out of date
@@ -164,7 +166,7 @@
 
 // NewOwner returns an Owner that owns nothing yet. planner may use model;
 // model learns from the workers' samples.
-func NewOwner(params Params, sp shard.Params, planner *scheduler.Planner, model *scheduler.Interference) *Owner {
+func NewOwner(params Params, sp shard.Params, planner scheduler.Scheduler, model *scheduler.Interference) *Owner {
 	o := &Owner{
 		params:  params,
 		table:   newTable(),
--- a/cell/planning.go
+++ b/cell/planning.go
@@ -78,17 +78,34 @@
 }
 
 func (o *Owner) candidate(now time.Duration, t *task) *scheduler.Task {
-	ask := fromProto(t.spec.GetRequest())
-	if t.failures == 0 {
-		ask = o.sizes.Ask(t.spec.GetKind(), ask)
-	}
+	ask := o.ask(t)
 	return &scheduler.Task{
 		ID: t.spec.GetId(), Kind: t.spec.GetKind(), Group: t.spec.GetGroup(),
 		Ask: ask, Selector: t.selector, Urgent: t.spec.GetUrgent(),
-		Waited: now - t.since, Avoid: t.avoid,
+		Waited: now - t.since, Avoid: t.failedOn,
 	}
 }
 
+// ask is what a task is planned with: its kind's measured size if that is
+// known, else what was declared. After a failure, which too little memory may
+// have caused, it is the larger of both and more with each one, within the
+// largest VM.
+func (o *Owner) ask(t *task) platform.Resources {
+	declared := fromProto(t.spec.GetRequest())
+	ask := o.sizes.Ask(t.spec.GetKind(), declared)
+	if t.failures > 0 {
+		n := int64(t.failures) + 1
+		ask.CPUMilli = max(ask.CPUMilli, declared.CPUMilli)
+		ask.MemoryMiB = n * max(ask.MemoryMiB, declared.MemoryMiB)
+	}
+	if !declared.Fits(o.largest) {
+		return declared
+	}
+	ask.CPUMilli = min(ask.CPUMilli, o.largest.CPUMilli)
+	ask.MemoryMiB = min(ask.MemoryMiB, o.largest.MemoryMiB)
+	return ask
+}
+
 // listRunning fills in what an urgent task could replace.
 func (o *Owner) listRunning(now time.Duration) {
 	for id, w := range o.workers {
@@ -141,7 +158,7 @@
 	})
 	t.since = now
 	w.untold = append(w.untold, t.startPos)
-	w.history.Record(now, w.view.Kinds)
+	o.recordKinds(now, w)
 	o.counters.Started++
 	o.decide(Decision{What: "start", Task: pl.Task.ID, Attempt: t.attempt, Worker: w.id, Score: pl.Score, Fitting: pl.Fitting})
 }
--- a/cell/table.go
+++ b/cell/table.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 	"time"
 
@@ -68,8 +69,9 @@
 	selector  labels.Selector
 	since     time.Duration // when it became runnable, or its attempt began
 	doneAt    time.Duration
-	avoid     string
-	unfit     bool
+	// failedOn are the workers on which attempts have failed.
+	failedOn []string
+	unfit    bool
 	// evictingFor: room is being made for this task.
 	evictingFor bool
 }
@@ -205,7 +207,9 @@
 		t.evictions++
 	case journalv1.EndReason_END_REASON_FAILED:
 		t.failures++
-		t.avoid = t.worker
+		if !slices.Contains(t.failedOn, t.worker) {
+			t.failedOn = append(t.failedOn, t.worker)
+		}
 	default:
 	}
 	tb.enqueue(t)
@@ -288,7 +292,7 @@
 		checkpoint: st.GetCheckpoint(), cancel: st.GetCancelRequested(),
 		code: result.Code(st.GetCode()), detail: st.GetDetail(),
 		evictions: st.GetEvictions(), failures: st.GetFailures(), resumes: st.GetResumes(),
-		seq: tb.nextSeq, selector: sel,
+		seq: tb.nextSeq, selector: sel, failedOn: st.GetFailedOn(),
 	}
 	tb.tasks[t.spec.GetId()] = t
 	switch t.phase {
@@ -307,7 +311,7 @@
 		Spec: t.spec, Phase: uint32(t.phase), Attempt: t.attempt, Worker: t.worker, Boot: t.boot,
 		Given: toProto(t.given), Checkpoint: t.checkpoint, CancelRequested: t.cancel,
 		Code: uint32(t.code), Detail: t.detail,
-		Evictions: t.evictions, Failures: t.failures, Resumes: t.resumes,
+		Evictions: t.evictions, Failures: t.failures, Resumes: t.resumes, FailedOn: t.failedOn,
 	}
 }
 
--- a/cell/workers.go
+++ b/cell/workers.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -74,6 +75,8 @@
 	quarantineFor   time.Duration
 	quarantineUntil time.Duration
 	throttledKind   string
+	// barred kinds may not be started here until the given times.
+	barred map[string]time.Duration
 }
 
 // worker returns the row of a worker, new if need be.
@@ -130,11 +133,23 @@
 			o.worker(id).describe(vm)
 		}
 	}
+	o.largest = largestOf(vms)
 	o.shares.SetTotal(o.totalCapacity())
 	o.reconsiderUnfit()
 	o.dirty = true
 }
 
+func largestOf(vms []platform.VM) platform.Resources {
+	var most platform.Resources
+	for _, vm := range vms {
+		c := vm.Capacity.Sub(vm.Reserved)
+		most.CPUMilli = max(most.CPUMilli, c.CPUMilli)
+		most.MemoryMiB = max(most.MemoryMiB, c.MemoryMiB)
+		most.Accelerators = max(most.Accelerators, c.Accelerators)
+	}
+	return most
+}
+
 func (o *Owner) noteMissing(now time.Duration, id string, listed map[string]platform.VM) {
 	if _, ok := listed[id]; ok {
 		return
@@ -243,7 +258,7 @@
 		}},
 	})
 	t.since = now
-	w.history.Record(now, w.view.Kinds)
+	o.recordKinds(now, w)
 	o.decide(Decision{What: "attempt-ended", Task: t.spec.GetId(), Attempt: attempt, Worker: w.id, Reason: why})
 }
 
@@ -261,7 +276,7 @@
 	o.counters.Finished++
 	if wasAssigned {
 		w := o.worker(workerID)
-		w.history.Record(now, w.view.Kinds)
+		o.recordKinds(now, w)
 	}
 	o.decide(Decision{What: "done", Task: t.spec.GetId(), Attempt: t.attempt, Worker: workerID, Reason: code.String()})
 }
@@ -269,6 +284,7 @@
 func (o *Owner) refreshUsable(now time.Duration, w *worker) {
 	vm, listed := o.vms[w.id]
 	usable := listed && vm.State == platform.VMLive && w.boot != 0 && !w.lapsed
+	w.liftBars(now)
 	usable = usable && now >= w.quarantineUntil && now < w.leaseEnd
 	if usable != w.view.Usable {
 		w.view.Usable = usable
@@ -280,6 +296,27 @@
 	o.noticeRoom(w)
 }
 
+// barFor is how long a kind that was evicted for a service's sake is kept off
+// the VM.
+const barFor = 5 * time.Minute
+
+func (w *worker) bar(now time.Duration, kind string) {
+	if w.barred == nil {
+		w.barred, w.view.Barred = map[string]time.Duration{}, map[string]bool{}
+	}
+	w.barred[kind] = now + barFor
+	w.view.Barred[kind] = true
+}
+
+func (w *worker) liftBars(now time.Duration) {
+	for kind, until := range w.barred {
+		if now >= until {
+			delete(w.barred, kind)
+			delete(w.view.Barred, kind)
+		}
+	}
+}
+
 // vacate moves tasks off a VM that is leaving. Tasks that can't be evicted run
 // on as long as the VM lives.
 func (o *Owner) vacate(now time.Duration, w *worker) {
@@ -323,6 +360,9 @@
 		if w.address == "" || now < w.notBefore || w.inFlight && !(w.dirty && w.idleSync) {
 			continue
 		}
+		if !w.dirty && len(w.acks) > 0 && now-w.clockAt < o.params.HeartbeatEvery {
+			continue // the worker would answer at once with ends that wait for their commit
+		}
 		if !w.inFlight && o.inFlight >= o.params.WorkerCalls {
 			return
 		}
@@ -551,13 +591,23 @@
 		o.finish(now, t, result.TaskFailed, r.Detail)
 	case blamed:
 		o.endAttempt(now, t, journalv1.EndReason_END_REASON_WORKER_LOST, nil, "failed on a worker that fails everything")
-	case t.failures+1 >= o.params.MaxFailures:
+	case o.exhausted(t):
 		o.finish(now, t, result.AttemptsExhausted, r.Detail)
 	default:
 		o.endAttempt(now, t, journalv1.EndReason_END_REASON_FAILED, nil, "failed; tried again")
 	}
 }
 
+// exhausted reports whether a failure now is a task's last: it has failed on
+// enough different workers, or too often in all.
+func (o *Owner) exhausted(t *task) bool {
+	workers := len(t.failedOn)
+	if !slices.Contains(t.failedOn, t.worker) {
+		workers++
+	}
+	return workers >= o.params.MaxFailures || int(t.failures)+1 >= 2*o.params.MaxFailures
+}
+
 // blame decides whether a failure is the worker's fault rather than the task's:
 // many tasks in a row that had not failed elsewhere, and no success.
 func (o *Owner) blame(now time.Duration, w *worker, t *task) bool {
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -9,46 +11,52 @@
 // level of the service's load, from samples that arrive late.
 //
 // The model is additive: a service's slow-down is 1 plus the sum over the
-// tasks on the VM of a coefficient for (service, kind, load level). Each
-// sample corrects the coefficients of the kinds that ran at the time it speaks
-// of, by normalized least mean squares (Widrow and Hoff 1960; Nagumo and Noda
-// 1967). A pair with few samples leans on the kind's mean over all services.
+// tasks on the VM of a coefficient for (service, kind, load level). The
+// coefficients of a service and level are estimated together by a Kalman
+// filter (Kalman 1960) whose state is a slow random walk, so that a few noisy
+// tasks among many quiet ones get the blame. A kind that a service has not met
+// starts from the mean of its coefficients elsewhere.
 type Interference struct {
-	params InterferenceParams
-	pairs  map[pairKey]*coefficient
-	kinds  map[string]*coefficient
+	params  InterferenceParams
+	filters map[filterKey]*filter
+	// kinds holds each kind's mean coefficient over all filters.
+	kinds map[string]*mean
 }
 
 // InterferenceParams are the parameters of the model.
 type InterferenceParams struct {
-	// Rate is the step of the correction, between 0 and 1.
-	Rate float64
-	// Confident is the number of samples after which a pair's own coefficient
-	// counts in full.
-	Confident float64
+	// Noise is the variance of a sample, Drift that by which a coefficient may
+	// change from one sample to the next, Prior that of a new coefficient.
+	Noise, Drift, Prior float64
 	// Tolerated is the predicted slow-down up to which a placement passes.
 	Tolerated float64
 }
 
 // DefaultInterferenceParams were chosen by the traces in docs/MEASUREMENTS.md.
-var DefaultInterferenceParams = InterferenceParams{Rate: 0.3, Confident: 12, Tolerated: 1.5}
+var DefaultInterferenceParams = InterferenceParams{Noise: 0.02, Drift: 1e-6, Prior: 0.1, Tolerated: 1.5}
 
 // loadLevels is the number of levels into which load is cut.
 const loadLevels = 4
 
-type pairKey struct {
-	service, kind string
-	level         int
+type filterKey struct {
+	service string
+	level   int
 }
 
-type coefficient struct {
-	value   float64
-	samples float64
+// filter estimates the coefficients of one service at one level of load.
+type filter struct {
+	index  map[string]int
+	names  []string
+	values []float64
+	// cov is the covariance of the estimates.
+	cov [][]float64
 }
 
+type mean struct{ sum, n float64 }
+
 // NewInterference returns a model that knows nothing.
 func NewInterference(params InterferenceParams) *Interference {
-	return &Interference{params: params, pairs: map[pairKey]*coefficient{}, kinds: map[string]*coefficient{}}
+	return &Interference{params: params, filters: map[filterKey]*filter{}, kinds: map[string]*mean{}}
 }
 
 func level(load float64) int {
@@ -62,55 +70,93 @@
 	if len(kinds) == 0 || math.IsNaN(factor) || factor <= 0 {
 		return
 	}
-	lvl := level(load)
-	norm := 0.0
-	for _, n := range kinds {
-		norm += float64(n) * float64(n)
+	key := filterKey{service, level(load)}
+	f := m.filters[key]
+	if f == nil {
+		f = &filter{index: map[string]int{}}
+		m.filters[key] = f
 	}
-	err := factor - m.Predict(service, load, kinds)
-	for kind, n := range kinds {
-		step := m.params.Rate * err * float64(n) / norm
-		m.pair(pairKey{service, kind, lvl}, kind).learn(step)
-		m.kind(kind).learn(step)
+	names := slices.Sorted(maps.Keys(kinds))
+	for _, name := range names {
+		f.know(name, m.prior(name), m.params.Prior)
+	}
+	f.update(m.params, factor-1, kinds)
+	for _, name := range names {
+		m.remember(name)
+	}
+}
+
+// know adds a kind with a first estimate.
+func (f *filter) know(name string, value, variance float64) {
+	if _, ok := f.index[name]; ok {
+		return
+	}
+	f.index[name] = len(f.names)
+	f.names = append(f.names, name)
+	f.values = append(f.values, value)
+	for i := range f.cov {
+		f.cov[i] = append(f.cov[i], 0)
 	}
+	row := make([]float64, len(f.names))
+	row[len(row)-1] = variance
+	f.cov = append(f.cov, row)
 }
 
-func (c *coefficient) learn(step float64) {
-	c.value = max(c.value+step, 0)
-	c.samples++
+// update is one step of the Kalman filter with the measured extra slow-down.
+func (f *filter) update(p InterferenceParams, measured float64, kinds map[string]int) {
+	n := len(f.names)
+	counts := make([]float64, n)
+	for name, c := range kinds {
+		counts[f.index[name]] = float64(c)
+	}
+	for i := range n {
+		f.cov[i][i] = min(f.cov[i][i]+p.Drift, p.Prior)
+	}
+	gain := make([]float64, n)
+	variance, predicted := p.Noise, 0.0
+	for i := range n {
+		for j := range n {
+			gain[i] += f.cov[i][j] * counts[j]
+		}
+		variance += counts[i] * gain[i]
+		predicted += counts[i] * f.values[i]
+	}
+	for i := range n {
+		f.values[i] = max(f.values[i]+gain[i]/variance*(measured-predicted), 0)
+		for j := range n {
+			f.cov[i][j] -= gain[i] * gain[j] / variance
+		}
+	}
 }
 
-func (m *Interference) kind(kind string) *coefficient {
-	c := m.kinds[kind]
-	if c == nil {
-		c = &coefficient{}
-		m.kinds[kind] = c
+// remember refreshes a kind's mean over all filters.
+func (m *Interference) remember(kind string) {
+	mn := &mean{}
+	for _, f := range m.filters {
+		if i, ok := f.index[kind]; ok {
+			mn.sum += f.values[i]
+			mn.n++
+		}
 	}
-	return c
+	m.kinds[kind] = mn
 }
 
-func (m *Interference) pair(k pairKey, kind string) *coefficient {
-	c := m.pairs[k]
-	if c == nil {
-		c = &coefficient{value: m.kind(kind).value}
-		m.pairs[k] = c
+func (m *Interference) prior(kind string) float64 {
+	if mn := m.kinds[kind]; mn != nil && mn.n > 0 {
+		return mn.sum / mn.n
 	}
-	return c
+	return 0
 }
 
 // Coefficient returns what one task of kind adds to the slow-down of service
 // under load.
 func (m *Interference) Coefficient(service, kind string, load float64) float64 {
-	prior := 0.0
-	if c := m.kinds[kind]; c != nil {
-		prior = c.value
-	}
-	own := m.pairs[pairKey{service, kind, level(load)}]
-	if own == nil {
-		return prior
+	if f := m.filters[filterKey{service, level(load)}]; f != nil {
+		if i, ok := f.index[kind]; ok {
+			return f.values[i]
+		}
 	}
-	trust := min(own.samples/m.params.Confident, 1)
-	return trust*own.value + (1-trust)*prior
+	return m.prior(kind)
 }
 
 // Predict returns the slow-down of service under load beside kinds.
@@ -140,8 +186,11 @@
 func (interferenceFilter) Name() string { return "interference" }
 
 func (f interferenceFilter) Passes(t *Task, w *Worker) bool {
-	if len(w.Services) == 0 {
-		return true
+	if len(w.Services) == 0 || t.Urgent {
+		return true // an urgent task is as dear as a request
+	}
+	if w.Barred[t.Kind] {
+		return false
 	}
 	if f.model.with(w, t.Kind) <= f.model.params.Tolerated {
 		return true
--- a/scheduler/ladder.go
+++ b/scheduler/ladder.go
@@ -1,17 +1,16 @@
 package scheduler
 
 // LadderParams are the thresholds of a Ladder, as slow-down factors. Release
-// lies well below Throttle, so that a VM doesn't go back and forth.
+// lies below Throttle, so that a VM doesn't go back and forth.
 type LadderParams struct {
 	Throttle float64
-	Evict    float64
 	Release  float64
 	// Samples in a row that a threshold must be passed for.
 	Samples int
 }
 
 // DefaultLadderParams are the thresholds in use.
-var DefaultLadderParams = LadderParams{Throttle: 1.5, Evict: 1.8, Release: 1.2, Samples: 2}
+var DefaultLadderParams = LadderParams{Throttle: 1.5, Release: 1.4, Samples: 2}
 
 // Step is what a Ladder asks for.
 type Step int
@@ -34,40 +33,42 @@
 	high, low int
 }
 
-// Next takes one sample.
-func (l *Ladder) Next(p LadderParams, factor float64) Step {
-	limit := p.Throttle
-	if l.throttled {
-		limit = p.Evict
+// Next takes one sample: the measured slow-down, and the one predicted if
+// nothing were throttled. While tasks are throttled the measured one tells
+// little; they are released once the prediction allows it, and one by one
+// evicted as long as it does not.
+func (l *Ladder) Next(p LadderParams, measured, unthrottled float64) Step {
+	if !l.throttled {
+		return l.watch(p, measured)
 	}
-	if factor <= p.Release {
+	if unthrottled <= p.Release {
 		l.low++
+		l.high = 0
 	} else {
+		l.high++
 		l.low = 0
 	}
-	if factor < limit {
+	switch {
+	case l.low >= p.Samples:
+		*l = Ladder{}
+		return StepRelease
+	case l.high >= p.Samples:
 		l.high = 0
-		return l.release(p)
-	}
-	l.high++
-	if l.high < p.Samples {
-		return StepNone
-	}
-	l.high = 0
-	if l.throttled {
 		return StepEvict
+	default:
+		return StepNone
 	}
-	l.throttled = true
-	return StepThrottle
 }
 
-func (l *Ladder) release(p LadderParams) Step {
-	if !l.throttled || l.low < p.Samples {
+func (l *Ladder) watch(p LadderParams, measured float64) Step {
+	if measured < p.Throttle {
+		l.high = 0
 		return StepNone
 	}
-	l.throttled = false
-	return StepRelease
+	l.high++
+	if l.high < p.Samples {
+		return StepNone
+	}
+	*l = Ladder{throttled: true}
+	return StepThrottle
 }
-
-// Throttled reports whether the VM's worst kind is throttled now.
-func (l *Ladder) Throttled() bool { return l.throttled }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"sort"
 
 	"leverstile.dev/platform"
@@ -34,6 +35,8 @@
 	// failed remembers asks that found no room in this round, so that a long
 	// queue of equal tasks is tried once.
 	failed map[askKey]bool
+	// starved are groups with a task that has waited long for room.
+	starved []string
 }
 
 type askKey struct {
@@ -111,6 +114,10 @@
 		r.wait(t, ReasonQuota)
 		return 1
 	}
+	if r.leavesHole(t) {
+		r.wait(t, ReasonShare)
+		return 1
+	}
 	key := keyOf(t)
 	if r.failed[key] {
 		r.wait(t, ReasonNoRoom)
@@ -120,10 +127,25 @@
 		return 0
 	}
 	r.failed[key] = true
-	r.wait(t, r.whyNot(t))
+	reason := r.whyNot(t)
+	r.wait(t, reason)
+	if reason == ReasonNoRoom && t.Waited >= r.planner.limits.ReserveAfter {
+		r.starved = append(r.starved, t.Group)
+	}
 	return 1
 }
 
+// leavesHole reports whether a group that is above its share has to leave room
+// unused, so that it adds up for one below its share.
+func (r *round) leavesHole(t *Task) bool {
+	for _, other := range r.starved {
+		if other != t.Group && r.snap.Shares.Above(t.Group, other) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *round) wait(t *Task, reason Reason) {
 	r.plan.Waiting = append(r.plan.Waiting, Waiting{t, reason})
 }
@@ -134,7 +156,7 @@
 	var bestScore float64
 	fitting := 0
 	for _, w := range r.snap.Workers {
-		if !r.planner.passes(t, w) {
+		if firstRejection(r.planner.filters, t, w) != "" {
 			continue
 		}
 		fitting++
@@ -154,15 +176,6 @@
 	return true
 }
 
-func (p *Planner) passes(t *Task, w *Worker) bool {
-	for _, f := range p.filters {
-		if !f.Passes(t, w) {
-			return false
-		}
-	}
-	return true
-}
-
 func (p *Planner) score(t *Task, w *Worker) float64 {
 	sum := 0.0
 	for _, s := range p.scorers {
@@ -192,7 +205,7 @@
 // stream of small ones can't starve them. The VM that has most room already is
 // chosen; its tasks run to their end.
 func (r *round) reserve() {
-	left := r.planner.limits.Reservations
+	left := int(math.Ceil(r.planner.limits.ReservedPart * float64(len(r.snap.Workers))))
 	for _, q := range r.snap.Queues {
 		for i, t := range q.Tasks {
 			if i >= r.planner.limits.BlockedPerGroup || left == 0 {
@@ -305,18 +318,5 @@
 // Explain counts, for each policy step that keeps t off a worker, the workers
 // that the step rejects first. Workers that would take it count as "fits".
 func (p *Planner) Explain(t *Task, workers []*Worker) map[string]int {
-	counts := map[string]int{}
-	for _, w := range workers {
-		counts[p.firstRejection(t, w)]++
-	}
-	return counts
-}
-
-func (p *Planner) firstRejection(t *Task, w *Worker) string {
-	for _, f := range p.filters {
-		if !f.Passes(t, w) {
-			return f.Name()
-		}
-	}
-	return "fits"
+	return explain(p.filters, t, workers)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,6 +31,8 @@
 	Kinds map[string]int
 	// Running are the tasks that an urgent task could replace.
 	Running []*Running
+	// Barred kinds were evicted for a service's sake a short while ago.
+	Barred map[string]bool
 	// reservedFor is a large waiting task that the VM is kept free for.
 	reservedFor string
 }
@@ -54,8 +56,8 @@
 	Urgent   bool
 	// Waited is the time since the task became runnable.
 	Waited time.Duration
-	// Avoid is the worker on which the last attempt failed.
-	Avoid string
+	// Avoid are the workers on which attempts failed.
+	Avoid []string
 }
 
 // Queue is the waiting work of one group, first come first served; urgent
@@ -107,6 +109,7 @@
 	ReasonQuota     Reason = "the group's quota is in use"
 	ReasonEvicting  Reason = "room is being made by an eviction"
 	ReasonReserved  Reason = "a VM is kept free for it"
+	ReasonShare     Reason = "the group is above its share, and one below its share waits for room"
 	ReasonBehind    Reason = "other work of the group is ahead"
 	ReasonPlanLimit Reason = "the planner's limit per round was reached"
 )
@@ -118,6 +121,13 @@
 	Waiting    []Waiting
 }
 
+// Scheduler makes plans from snapshots. Implementations are pure apart from
+// the room that Plan takes; see Planner.Plan.
+type Scheduler interface {
+	Plan(snap *Snapshot) Plan
+	Explain(t *Task, workers []*Worker) map[string]int
+}
+
 // Filter is one condition on a worker. Implementations keep no state and must
 // not change their arguments.
 type Filter interface {
@@ -139,7 +149,7 @@
 	weightInterference = 4.0
 	weightPacking      = 1.0
 	weightAccelerator  = 2.0
-	weightAvoid        = 1.0
+	weightAvoid        = 4.0
 )
 
 type weighted struct {
@@ -163,16 +173,16 @@
 	BlockedPerGroup int
 	// ReserveAfter is the wait after which a VM is kept free for a task.
 	ReserveAfter time.Duration
-	// Reservations bounds the VMs kept free at a time.
-	Reservations int
+	// ReservedPart bounds the VMs kept free at a time, as a part of all.
+	ReservedPart float64
 }
 
 // DefaultLimits are the limits used unless a test sets others.
 var DefaultLimits = Limits{
 	Placements:      256,
-	BlockedPerGroup: 8,
-	ReserveAfter:    20 * time.Second,
-	Reservations:    2,
+	BlockedPerGroup: 16,
+	ReserveAfter:    10 * time.Second,
+	ReservedPart:    0.25,
 }
 
 // NewPlanner returns the planner in use. interference may be nil, which plans
--- a/scheduler/scores.go
+++ b/scheduler/scores.go
@@ -41,14 +41,16 @@
 	return 1 - fraction(w.Free.Accelerators-t.Ask.Accelerators, w.Capacity.Accelerators)
 }
 
-// avoidScore prefers another worker than the one that failed the last attempt.
+// avoidScore prefers workers on which no attempt has failed.
 type avoidScore struct{}
 
 func (avoidScore) Name() string { return "avoid" }
 
 func (avoidScore) Score(t *Task, w *Worker) float64 {
-	if t.Avoid == w.ID {
-		return 0
+	for _, id := range t.Avoid {
+		if id == w.ID {
+			return 0
+		}
 	}
 	return 1
 }
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -168,6 +169,39 @@
 	return (s.dominant(g.subtree) + g.past) / weight
 }
 
+// Above reports whether group a holds clearly more for its share than b, where
+// their ways up the tree part.
+func (s *Shares) Above(a, b string) bool {
+	pathA, pathB := s.path(a), s.path(b)
+	for i := range min(len(pathA), len(pathB)) {
+		if pathA[i] != pathB[i] {
+			return s.held(pathA[i]) > aboveFactor*s.held(pathB[i])
+		}
+	}
+	return false
+}
+
+// aboveFactor keeps groups that are about even from blocking each other.
+const aboveFactor = 1.1
+
+// held is what a group holds now by weight.
+func (s *Shares) held(g *groupShare) float64 {
+	return s.dominant(g.subtree) / max(g.spec.Share, minShare)
+}
+
+// minShare stands in for the share of a group that is not declared.
+const minShare = 1e-9
+
+// path returns a group with its ancestors, the topmost first.
+func (s *Shares) path(group string) []*groupShare {
+	var up []*groupShare
+	for g := s.groups[group]; g != nil && g != s.root; g = g.parent {
+		up = append(up, g)
+	}
+	slices.Reverse(up)
+	return up
+}
+
 // WithinQuota reports whether a group and all its parents may hold r more.
 func (s *Shares) WithinQuota(group string, r platform.Resources) bool {
 	for g := s.groups[group]; g != nil && g != s.root; g = g.parent {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -31,9 +31,9 @@
 		case <-ctx.Done():
 			return reply
 		case <-timeout.C:
-			return w.again(clock(), req)
+			return w.Report(clock(), req)
 		case <-tick.C:
-			reply = w.again(clock(), req)
+			reply = w.Report(clock(), req)
 		}
 	}
 	return reply
@@ -42,9 +42,9 @@
 // workerTick is how often a waiting call looks for news.
 const workerTick = 20 * time.Millisecond
 
-// again reports for a request that was taken already, unless a newer one has
+// Report reports for a request that was taken already, unless a newer one has
 // been taken since.
-func (w *Worker) again(now time.Duration, req *platform.SyncRequest) *platform.SyncReply {
+func (w *Worker) Report(now time.Duration, req *platform.SyncRequest) *platform.SyncReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
