--- a/entry/declared.go
+++ b/entry/declared.go
@@ -1,14 +1,18 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"k8s.io/apimachinery/pkg/labels"
 
@@ -19,20 +23,53 @@
 )
 
 // headKey holds the head of the accepted declarations. The document itself
-// stands in parts below documentPrefix.
+// stands in parts below documentPrefix, each under the hash of its content: an
+// entry that has the former revision reads only the parts that have changed.
 const (
 	headKey        = shard.WatchPrefix + "declarations"
 	documentPrefix = "/leverstile/declarations/"
-	// partBytes bounds a part, so that its base64 stays under the store's 1 MB.
-	partBytes = 700_000
+	// partMax bounds a part, so that its base64 stays under the store's 1 MB.
+	partMax = 700_000
+	// partMin and partMask make parts end at lines that depend on the text
+	// alone, every 4 KB or so, so that a change in one place leaves the other
+	// parts as they are (content-defined chunking, Muthitacharoen et al. 2001).
+	partMin  = 2048
+	partMask = 63
 )
 
 // head describes the accepted declarations. ID is the hash of the document and
-// its revision, which also names its parts.
+// its revision; Parts are the keys of its parts in order.
 type head struct {
-	Revision uint64 `json:"revision"`
-	ID       string `json:"id"`
-	Parts    int    `json:"parts"`
+	Revision uint64   `json:"revision"`
+	ID       string   `json:"id"`
+	Parts    []string `json:"parts"`
+}
+
+// split cuts a document into parts.
+func split(doc []byte) [][]byte {
+	var parts [][]byte
+	from := 0
+	for at := 0; at < len(doc); {
+		end := bytes.IndexByte(doc[at:], '\n')
+		if end < 0 {
+			end = len(doc) - at - 1
+		}
+		line := doc[at : at+end+1]
+		at += len(line)
+		if size := at - from; size >= partMin && xxhash.Sum64(line)&partMask == 0 || size >= partMax/2 {
+			parts = append(parts, doc[from:at])
+			from = at
+		}
+	}
+	for ; from < len(doc); from += partMax {
+		parts = append(parts, doc[from:min(from+partMax, len(doc))])
+	}
+	return parts
+}
+
+func partName(part []byte) string {
+	sum := sha256.Sum256(part)
+	return hex.EncodeToString(sum[:12])
 }
 
 // revision is one accepted set of declarations, ready for use. It is immutable.
@@ -78,6 +115,8 @@
 type declared struct {
 	store   kv.Store
 	onForce func(*revision)
+	// fetched counts the bytes of parts read from the store.
+	fetched *metrics.Counter
 
 	mu      sync.RWMutex
 	current *revision
@@ -85,9 +124,12 @@
 	wake    chan struct{}
 }
 
-func newDeclared(store kv.Store, onForce func(*revision)) *declared {
+func newDeclared(store kv.Store, set *metrics.Set, onForce func(*revision)) *declared {
 	empty, _ := newRevision(0, []byte("{}")) // "{}" always parses
-	return &declared{store: store, onForce: onForce, current: empty, wake: make(chan struct{}, 1)}
+	return &declared{
+		store: store, onForce: onForce, current: empty, wake: make(chan struct{}, 1),
+		fetched: set.NewCounter("leverstile_declarations_fetched_bytes_total"),
+	}
 }
 
 // now returns the revision in force here.
@@ -151,17 +193,36 @@
 	}
 }
 
+// fetch reads the parts that are not at hand, in one call.
 func (d *declared) fetch(ctx context.Context, h head) (*revision, error) {
-	pairs, _, err := d.store.Range(ctx, documentPrefix+h.ID+"/")
-	if err != nil {
-		return nil, err
+	have := map[string][]byte{}
+	for _, part := range split(d.now().document) {
+		have[partName(part)] = part
 	}
-	if len(pairs) != h.Parts {
-		return nil, errors.NotFoundf("all %d parts of revision %d", h.Parts, h.Revision)
+	var missing []string
+	var gets []kv.Op
+	for _, name := range h.Parts {
+		if _, ok := have[name]; !ok {
+			missing = append(missing, name)
+			gets = append(gets, kv.Get(documentPrefix+name))
+		}
+	}
+	if len(gets) > 0 {
+		res, err := d.store.Do(ctx, kv.Txn{Then: gets})
+		if err != nil {
+			return nil, err
+		}
+		for i, name := range missing {
+			if len(res.Reads[i]) == 0 {
+				return nil, errors.NotFoundf("part %s of revision %d", name, h.Revision)
+			}
+			have[name] = res.Reads[i][0].Value
+			d.fetched.Add(len(have[name]))
+		}
 	}
 	var doc []byte
-	for _, p := range pairs {
-		doc = append(doc, p.Value...)
+	for _, name := range h.Parts {
+		doc = append(doc, have[name]...)
 	}
 	if documentID(h.Revision, doc) != h.ID {
 		return nil, errors.NotValidf("document of revision %d", h.Revision)
@@ -183,28 +244,48 @@
 		return nil, result.New(result.BadDeclarations, "%v", err)
 	}
 	h := head{Revision: next.number, ID: documentID(next.number, doc)}
-	for at := 0; at == 0 || at < len(doc); at += partBytes {
-		part := doc[at:min(at+partBytes, len(doc))]
-		key := fmt.Sprintf("%s%s/%06d", documentPrefix, h.ID, h.Parts)
-		if _, err := d.store.Do(ctx, kv.Txn{Then: []kv.Op{kv.Put(key, part, 0)}}); err != nil {
-			// Nothing refers to the parts yet: nothing was accepted.
-			return nil, result.New(result.StoreUnavailable, "%v", err).After(time.Second)
-		}
-		h.Parts++
+	if err := d.writeParts(ctx, &h, doc); err != nil {
+		// No head refers to the parts: nothing was accepted.
+		return nil, result.New(result.StoreUnavailable, "%v", err).After(time.Second)
 	}
 	if err := d.commitHead(ctx, base, h); err != nil {
-		var re *result.Error
-		if errors.As(err, &re) && re.Code == result.RevisionConflict {
-			// Lost the race for sure: no head refers to these parts, nor can any
-			// later one, as the revision is part of their name.
-			_, _ = d.store.Do(ctx, kv.Txn{Then: []kv.Op{kv.DeletePrefix(documentPrefix + h.ID + "/")}})
-		}
 		return nil, err
 	}
 	d.force(next)
 	return next, nil
 }
 
+// writeParts writes the parts that the store doesn't have. One that is there
+// already may be deleted by another operator's acceptance right after; then
+// that one was accepted, and this change will be refused for its base.
+func (d *declared) writeParts(ctx context.Context, h *head, doc []byte) error {
+	for _, part := range split(doc) {
+		name := partName(part)
+		h.Parts = append(h.Parts, name)
+		key := documentPrefix + name
+		_, err := d.store.Do(ctx, kv.Txn{
+			If:   []kv.Compare{{Key: key, Missing: true}},
+			Then: []kv.Op{kv.Put(key, part, 0)},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// staleParts are the parts of cur that h has not. Parts of changes that lost a
+// race stay until a later document happens to hold them; they are few.
+func staleParts(cur, h head) []kv.Op {
+	var out []kv.Op
+	for _, name := range cur.Parts {
+		if !slices.Contains(h.Parts, name) {
+			out = append(out, kv.Delete(documentPrefix+name))
+		}
+	}
+	return out
+}
+
 // commitTries is how often a commit whose answer was lost is tried again.
 const commitTries = 4
 
@@ -255,9 +336,7 @@
 	if cur.Revision != base {
 		return true, d.conflict(cur.Revision, base, h, *sent)
 	}
-	if cur.ID != "" {
-		then = append(then, kv.DeletePrefix(documentPrefix+cur.ID+"/"))
-	}
+	then = append(then, staleParts(cur, h)...)
 	*sent = true
 	got, err := d.store.Do(ctx, kv.Txn{If: []kv.Compare{cond}, Then: then})
 	if err != nil {
--- a/entry/declared_test.go
+++ b/entry/declared_test.go
@@ -9,10 +9,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/anishathalye/porcupine"
 	"github.com/juju/errors"
 
 	"leverstile.dev/api/result"
+	"leverstile.dev/config"
 	"leverstile.dev/kv"
 	"leverstile.dev/shard"
 	"leverstile.dev/standin"
@@ -61,7 +63,7 @@
 
 func newDeclaredNode(store kv.Store, seed uint64) *declaredNode {
 	n := &declaredNode{store: &flakyStore{Store: store, rng: rand.New(rand.NewPCG(seed, 3))}}
-	n.declared = newDeclared(n.store, func(r *revision) {
+	n.declared = newDeclared(n.store, metrics.NewSet(), func(r *revision) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.fell = n.fell || r.number <= n.last
@@ -217,3 +219,52 @@
 	}
 	return final
 }
+
+// TestLargeDeclarationsAndSmallChanges: a document over 1 MB is accepted as
+// one, and a change in one place has other entries read little of it.
+func TestLargeDeclarationsAndSmallChanges(t *testing.T) {
+	decl := &config.Declarations{}
+	for i := range 20_000 {
+		decl.Groups = append(decl.Groups, config.Group{Name: fmt.Sprintf("group-%05d", i), Share: 1})
+	}
+	store := standin.NewKVStore(time.Now)
+	ctx := context.Background()
+	writer := newDeclared(store, metrics.NewSet(), func(*revision) {})
+	reader := newDeclared(store, metrics.NewSet(), func(*revision) {})
+	apply := func(base uint64) int {
+		doc, err := decl.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := writer.accept(ctx, base, doc); err != nil {
+			t.Fatal(err)
+		}
+		pairs, _, err := store.Range(ctx, headKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader.headSeen(pairs[0])
+		r, err := reader.fetch(ctx, reader.seen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader.force(r)
+		if string(r.document) != string(doc) {
+			t.Fatal("the reader has another document")
+		}
+		return len(doc)
+	}
+	size := apply(0)
+	first := int(reader.fetched.Get())
+	if size < 1<<20 || first != size {
+		t.Fatalf("a document of %d bytes, %d read", size, first)
+	}
+	decl.Groups[777].Share = 2
+	apply(1)
+	if again := int(reader.fetched.Get()) - first; again > 40_000 || again == 0 {
+		t.Errorf("%d bytes read after a change in one place of %d bytes", again, size)
+	}
+	if pairs, _, _ := store.Range(ctx, documentPrefix); len(pairs) != len(reader.seen.Parts) {
+		t.Errorf("%d parts in the store, the head has %d", len(pairs), len(reader.seen.Parts))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 	self := membership.Entry{ID: s.ID, Address: peers.Addr().String(), Place: s.Place}
 	e.lease = &lease{store: e.store, clock: e.clock, ttl: config.Ms(s.Store.LeaseMS), self: self, dirty: true}
 	e.peers = newPeerClients(config.Ms(s.Store.TimeoutMS), set)
-	e.declared = newDeclared(e.store, e.onForce)
+	e.declared = newDeclared(e.store, set, e.onForce)
 	e.services = newServices(e)
 	e.shards = newShards(e)
 	e.callers = &http.Server{
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -365,6 +365,9 @@
 		x.ended(journalv1.ClaimPhase_CLAIM_PHASE_UNKNOWN, nil)
 		panic(http.ErrAbortHandler)
 	}
+	if x.key != "" {
+		_ = out.c.Flush() // the caller need not wait for the recording of the outcome
+	}
 	x.ended(journalv1.ClaimPhase_CLAIM_PHASE_DONE, &journalv1.ClaimOutcome{
 		Status: int32(res.resp.StatusCode), ContentType: res.resp.Header.Get("Content-Type"),
 		Body: kept.buf.Bytes(), BodyDropped: kept.dropped,
