Time out slow callers; keep entries with other fleet parameters from owning anything

Cause: a caller that stopped in the middle of its body held its connection for ever. Entries with different claim_shards, task_lease_ms or outage_grace_ms would break at most once and the wait at takeovers, silently. Ruled out for the first: http.Server.ReadTimeout, which would cut long uploads that make progress. Resetting the deadline after the timeout made net/http wait for the rest of the body before answering (the new test hung). Change: deadlines that move with each read and write. The three parameters are kept in the store by the first entry; one that differs routes, owns nothing and refuses claims as not run, and says so in its log. Conclusion: settings can no longer break these promises unnoticed.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -128,7 +128,7 @@
 // flush carries out the owner's commands.
 func (c *cellRunner) flush() {
 	core := c.owner.Core()
-	core.SetLease(c.entry.lease.current())
+	core.SetLease(c.entry.lease.forShards())
 	cmds := c.owner.Take()
 	c.status.set(core)
 	ctx := c.ctx
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -46,7 +46,7 @@
 
 func (c *claimRunner) flush() {
 	core := c.owner.Core()
-	core.SetLease(c.entry.lease.current())
+	core.SetLease(c.entry.lease.forShards())
 	ops, replies, errs := c.owner.Take()
 	c.status.set(core)
 	ctx := c.ctx
@@ -101,6 +101,9 @@
 // claimFor asks the owner of a key's shard for the claim. Only a reply with
 // result.OK allows the request to be sent; without one nothing was run.
 func (e *Entry) claimFor(ctx context.Context, service string, r claim.Request) claim.Reply {
+	if e.mismatch.Load() {
+		return claim.Reply{Code: result.OwnerUnavailable, RetryAfter: claimTimeout}
+	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	n := membership.ClaimShard(service, r.Key, len(e.shards.claims))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"leverstile.dev/api/result"
 	"leverstile.dev/config"
 	"leverstile.dev/kv"
 	"leverstile.dev/membership"
@@ -45,6 +46,7 @@
 	shards   *shards
 
 	draining  atomic.Bool
+	mismatch  atomic.Bool // see fleetMismatch
 	storeSeen atomic.Int64
 	// recording are outcomes of claimed requests that are not recorded yet.
 	recording sync.WaitGroup
@@ -69,7 +71,13 @@
 	e.store = e.kvClient
 	e.platform = platform.NewClient("http://"+s.Platform.VMList, config.Ms(s.Store.TimeoutMS), set)
 	self := membership.Entry{ID: s.ID, Address: peers.Addr().String(), Place: s.Place}
-	e.lease = &lease{store: e.store, clock: e.clock, ttl: config.Ms(s.Store.LeaseMS), self: self, dirty: true}
+	e.lease = &lease{
+		store: e.store, clock: e.clock, ttl: config.Ms(s.Store.LeaseMS), self: self, dirty: true,
+		fleet: fleetParams{
+			ClaimShards: s.Limits.ClaimShards, TaskLeaseMS: s.Timing.TaskLeaseMS, OutageGraceMS: s.Timing.OutageGraceMS,
+		},
+		onMismatch: e.fleetMismatch,
+	}
 	e.peers = newPeerClients(config.Ms(s.Store.TimeoutMS), set)
 	e.declared = newDeclared(e.store, set, e.onForce)
 	e.services = newServices(e)
@@ -201,6 +209,17 @@
 	})
 }
 
+// fleetMismatch tells that this entry can't own cells or claims.
+func (e *Entry) fleetMismatch(stored fleetParams) {
+	e.mismatch.Store(true)
+	own := e.lease.fleet
+	e.log.Error().Uint32("code", uint32(result.BadSettings)).
+		Int("claim_shards", own.ClaimShards).Int("claim_shards_of_fleet", stored.ClaimShards).
+		Int("task_lease_ms", own.TaskLeaseMS).Int("task_lease_ms_of_fleet", stored.TaskLeaseMS).
+		Int("outage_grace_ms", own.OutageGraceMS).Int("outage_grace_ms_of_fleet", stored.OutageGraceMS).
+		Msg("settings differ from the fleet's; this entry routes but owns nothing and claims nothing")
+}
+
 // replan has the assignment of shards looked at again.
 func (e *Entry) replan() {
 	select {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	"leverstile.dev/api/result"
+	"leverstile.dev/config"
 	"leverstile.dev/standin"
 )
 
@@ -489,3 +490,46 @@
 		t.Errorf("afterwards: %+v", a)
 	}
 }
+
+// TestSlowCallerIsTimedOut: a caller that stops in the middle of its body gets
+// an answer and holds nothing.
+func TestSlowCallerIsTimedOut(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	c.adjust = func(s *config.Settings) { s.Timing.CallerIdleMS = 200 }
+	c.start("e0")
+	c.ready()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(c.procs[0].url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /v1/services/svc/ HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nabc")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil && resp.Header.Get(HeaderCode) != fmt.Sprint(int(result.BadRequest)) {
+		t.Errorf("%+v", resp)
+	}
+	if n := c.procs[0].entry.services.inFlight(); n != 0 {
+		t.Errorf("%d requests in flight", n)
+	}
+}
+
+// TestOtherFleetParameters: an entry whose settings would break a promise if it
+// owned anything routes, owns nothing and claims nothing.
+func TestOtherFleetParameters(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.ready()
+	c.adjust = func(s *config.Settings) { s.Limits.ClaimShards, s.Timing.OutageGraceMS = 5, 7 }
+	odd := c.start("odd")
+	eventually(t, "the odd entry routes", func() bool {
+		return odd.call(http.MethodGet, "/v1/services/svc/", nil, nil).status == http.StatusOK
+	})
+	eventually(t, "it knows that it differs", odd.entry.mismatch.Load)
+	a := odd.call(http.MethodPost, "/v1/services/svc/", map[string]string{HeaderKey: "k"}, nil)
+	if a.code != result.OwnerUnavailable || c.runsOf("k") != 0 {
+		t.Errorf("claim at the odd entry: %v, %d runs", a.code, c.runsOf("k"))
+	}
+	c.procs[0].kill()
+	if owned, _ := odd.entry.shards.summary(); len(owned) > 0 {
+		t.Errorf("the odd entry owns %v", owned)
+	}
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -55,6 +55,8 @@
 	t     *testing.T
 	fleet *standin.Fleet
 	procs []*proc
+	// adjust changes the settings of entries started from now on.
+	adjust func(*config.Settings)
 }
 
 func newCluster(t *testing.T, vms, entries int) *cluster {
@@ -96,6 +98,9 @@
 	for _, p := range c.procs {
 		s.Peers = append(s.Peers, p.entry.peersLn.Addr().String())
 	}
+	if c.adjust != nil {
+		c.adjust(s)
+	}
 	set := metrics.NewSet()
 	quiet := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	p := &proc{
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -27,11 +27,30 @@
 	clock Clock
 	ttl   time.Duration
 
+	// fleet are the parameters that all entries must share; onMismatch is told
+	// of an entry's that differ from those in the store.
+	fleet      fleetParams
+	onMismatch func(stored fleetParams)
+
 	mu    sync.Mutex
 	self  membership.Entry
 	id    int64
 	until time.Duration // clock reading up to which the lease surely holds
 	dirty bool          // the entry key has to be written
+	// agreed: the fleet's parameters are this entry's. Until then it owns nothing.
+	agreed bool
+}
+
+// fleetKey holds the parameters that all entries must share. The first entry
+// writes them; an operator may delete the key while none is running.
+const fleetKey = "/leverstile/fleet"
+
+// fleetParams must be the same on all entries: a new owner waits for what a
+// former one may have granted, and a key must fall into one claim shard.
+type fleetParams struct {
+	ClaimShards   int `json:"claim_shards"`
+	TaskLeaseMS   int `json:"task_lease_ms"`
+	OutageGraceMS int `json:"outage_grace_ms"`
 }
 
 // current returns the lease and until when it surely holds.
@@ -41,6 +60,17 @@
 	return l.id, l.until
 }
 
+// forShards returns the lease under which shards may be owned: none while this
+// entry's parameters differ from the fleet's.
+func (l *lease) forShards() (int64, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.agreed {
+		return 0, 0
+	}
+	return l.id, l.until
+}
+
 // holds reports whether the lease surely holds now.
 func (l *lease) holds() bool {
 	id, until := l.current()
@@ -109,10 +139,7 @@
 	if !dirty {
 		return nil
 	}
-	value, err := json.Marshal(self)
-	if err == nil {
-		_, err = l.store.Do(ctx, kv.Txn{Then: []kv.Op{kv.Put(entryPrefix+self.ID, value, id)}})
-	}
+	err := l.write(ctx, self, id)
 	if err != nil {
 		l.mu.Lock()
 		l.dirty = true
@@ -121,6 +148,40 @@
 	return err
 }
 
+// write writes the entry key, and the fleet's parameters if there are none.
+func (l *lease) write(ctx context.Context, self membership.Entry, id int64) error {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fleet, err := json.Marshal(l.fleet)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	put := kv.Put(entryPrefix+self.ID, value, id)
+	res, err := l.store.Do(ctx, kv.Txn{
+		If:   []kv.Compare{{Key: fleetKey, Missing: true}},
+		Then: []kv.Op{put, kv.Put(fleetKey, fleet, 0)},
+		Else: []kv.Op{put, kv.Get(fleetKey)},
+	})
+	if err != nil {
+		return err
+	}
+	stored := l.fleet
+	if !res.Succeeded && len(res.Reads[0]) > 0 {
+		if err := json.Unmarshal(res.Reads[0][0].Value, &stored); err != nil {
+			return errors.Annotate(err, fleetKey)
+		}
+	}
+	l.mu.Lock()
+	l.agreed = stored == l.fleet
+	l.mu.Unlock()
+	if stored != l.fleet {
+		l.onMismatch(stored)
+	}
+	return nil
+}
+
 // revoke ends the lease at a planned stop, so that nobody waits for its end.
 func (l *lease) revoke(ctx context.Context) {
 	if id, _ := l.current(); id != 0 {
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -151,20 +151,46 @@
 	if x.size > limits.BodyBytes {
 		return result.New(result.BodyTooLarge, "at most %d bytes", limits.BodyBytes)
 	}
-	limited := http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes)
-	body, err := io.ReadAll(io.LimitReader(limited, int64(limits.ReplayBytes)+1))
+	idle := config.Ms(x.svc.entry.settings.Timing.CallerIdleMS)
+	body := &patientReader{body: x.r.Body, c: http.NewResponseController(x.w), idle: idle}
+	limited := http.MaxBytesReader(x.w, body, limits.BodyBytes)
+	kept, err := io.ReadAll(io.LimitReader(limited, int64(limits.ReplayBytes)+1))
 	if err != nil {
 		return bodyError(err)
 	}
-	x.body = body
-	if len(body) > limits.ReplayBytes {
+	x.body = kept
+	if len(kept) > limits.ReplayBytes {
 		x.rest = limited
 	} else {
-		x.size = int64(len(body))
+		x.size = int64(len(kept))
 	}
 	return nil
 }
 
+// patientReader reads a caller's body and gives up on a caller that sends
+// nothing for too long.
+type patientReader struct {
+	body io.ReadCloser
+	c    *http.ResponseController
+	idle time.Duration
+}
+
+// Read implements io.Reader.
+func (p *patientReader) Read(b []byte) (int, error) {
+	_ = p.c.SetReadDeadline(time.Now().Add(p.idle))
+	n, err := p.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		// The connection's next request has its own time. After a timeout the
+		// deadline stays: net/http reads what is left of a body before it
+		// answers, and would wait for it.
+		_ = p.c.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (p *patientReader) Close() error { return p.body.Close() }
+
 func bodyError(err error) *result.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -356,7 +382,9 @@
 	x.w.WriteHeader(res.resp.StatusCode)
 	kept := &keeper{limit: keptBody}
 	out := &flushing{w: x.w, c: http.NewResponseController(x.w), live: res.resp.ContentLength < 0, key: x.key != ""}
+	out.idle = config.Ms(x.svc.entry.settings.Timing.CallerIdleMS)
 	_, err := io.Copy(io.MultiWriter(out, kept), res.resp.Body)
+	_ = out.c.SetWriteDeadline(time.Time{}) // net/http keeps it for the connection's next answer
 	o := router.Outcome{Kind: res.kind, Latency: x.svc.entry.clock() - began, AnswerBegan: true}
 	if err != nil && out.err == nil {
 		o.Kind = router.Lost
@@ -403,6 +431,7 @@
 	c    *http.ResponseController
 	live bool
 	key  bool
+	idle time.Duration
 	err  error
 }
 
@@ -411,6 +440,7 @@
 	if f.err != nil {
 		return len(b), nil
 	}
+	_ = f.c.SetWriteDeadline(time.Now().Add(f.idle))
 	n, err := f.w.Write(b)
 	if err == nil && f.live {
 		err = f.c.Flush()
