Read as a newcomer: split large files, drop what stood twice; force revisions one at a time

The race detector on TestDeclarationsRace pointed at an unlocked read in the test, and reading force() for it showed a fault of the product: two revisions arriving at once could reach the services in the wrong order, the older one last. Ruled out: doing the callback under the declarations' lock; services read the declarations.

--- /dev/null
+++ b/cell/attempts.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/api/result"
+	"leverstile.dev/platform"
+)
+
+// giveUp ends the attempts on a worker whose task leases have ended or whose
+// VM is gone. Records are only made while this entry may decide; until then
+// the attempts keep counting as running, which is safe.
+func (o *Owner) giveUp(now time.Duration, w *worker, gone bool) {
+	if !o.mayDecide(now) {
+		return
+	}
+	w.lapsed = true
+	w.needFull = true
+	for _, t := range o.onWorker(w.id) {
+		why := "no contact until its lease had ended"
+		if gone {
+			why = "its VM is gone"
+		}
+		o.attemptLost(now, t, why)
+	}
+}
+
+// attemptLost ends an attempt that may have run for a while and surely runs no
+// more.
+func (o *Owner) attemptLost(now time.Duration, t *task, why string) {
+	o.counters.Lost++
+	switch {
+	case t.cancel:
+		o.finish(now, t, result.TaskCancelled, "its worker was lost while it was being stopped")
+	case t.spec.GetNotRepeatable():
+		o.finish(now, t, result.WorkerLostNoRep, why)
+	default:
+		o.endAttempt(now, t, journalv1.EndReason_END_REASON_WORKER_LOST, nil, why)
+	}
+}
+
+func (o *Owner) endAttempt(now time.Duration, t *task, reason journalv1.EndReason, checkpoint []byte, why string) {
+	w := o.worker(t.worker)
+	attempt := t.attempt
+	o.propose(&journalv1.TaskRecord{
+		Id: t.spec.GetId(),
+		Change: &journalv1.TaskRecord_Ended{Ended: &journalv1.Ended{
+			Attempt: attempt, Reason: reason, Checkpoint: checkpoint,
+		}},
+	})
+	t.since = now
+	o.recordKinds(now, w)
+	o.decide(Decision{What: "attempt-ended", Task: t.spec.GetId(), Attempt: attempt, Worker: w.id, Reason: why})
+}
+
+func (o *Owner) finish(now time.Duration, t *task, code result.Code, detail string) {
+	workerID, wasAssigned := t.worker, t.phase == Assigned
+	o.propose(&journalv1.TaskRecord{
+		Id: t.spec.GetId(),
+		Change: &journalv1.TaskRecord_Finished{Finished: &journalv1.Finished{
+			Attempt: t.attempt, Code: uint32(code), Detail: detail,
+		}},
+	})
+	t.doneAt = now
+	o.done = append(o.done, t)
+	delete(o.reasons, t.spec.GetId())
+	o.counters.Finished++
+	if wasAssigned {
+		w := o.worker(workerID)
+		o.recordKinds(now, w)
+	}
+	o.decide(Decision{What: "done", Task: t.spec.GetId(), Attempt: t.attempt, Worker: workerID, Reason: code.String()})
+}
+
+func (o *Owner) attemptEnded(now time.Duration, w *worker, t *task, r platform.Report) {
+	switch r.State {
+	case platform.AttemptFinished:
+		w.succeeded()
+		o.finish(now, t, result.OK, r.Detail)
+	case platform.AttemptFailed:
+		o.attemptFailed(now, w, t, r)
+	case platform.AttemptRefused:
+		o.counters.Refused++
+		w.notBefore = now + o.params.RetryEvery
+		w.needFull = true
+		o.endOrCancel(now, t, journalv1.EndReason_END_REASON_NEVER_BEGAN, nil, "refused by the worker")
+	default:
+		o.counters.Evicted++
+		o.endOrCancel(now, t, journalv1.EndReason_END_REASON_EVICTED, r.Checkpoint, "stopped with a checkpoint")
+	}
+}
+
+func (o *Owner) endOrCancel(now time.Duration, t *task, reason journalv1.EndReason, checkpoint []byte, why string) {
+	if t.cancel {
+		o.finish(now, t, result.TaskCancelled, why)
+		return
+	}
+	o.endAttempt(now, t, reason, checkpoint, why)
+}
+
+func (o *Owner) attemptFailed(now time.Duration, w *worker, t *task, r platform.Report) {
+	blamed := o.blame(now, w, t)
+	switch {
+	case t.cancel:
+		o.finish(now, t, result.TaskCancelled, "failed while it was being cancelled")
+	case t.spec.GetNotRepeatable():
+		o.finish(now, t, result.TaskFailed, r.Detail)
+	case blamed:
+		o.endAttempt(now, t, journalv1.EndReason_END_REASON_WORKER_LOST, nil, "failed on a worker that fails everything")
+	case o.exhausted(t):
+		o.finish(now, t, result.AttemptsExhausted, r.Detail)
+	default:
+		o.endAttempt(now, t, journalv1.EndReason_END_REASON_FAILED, nil, "failed; tried again")
+	}
+}
+
+// exhausted reports whether a failure now is a task's last: it has failed on
+// enough different workers, or too often in all.
+func (o *Owner) exhausted(t *task) bool {
+	workers := len(t.failedOn)
+	if !slices.Contains(t.failedOn, t.worker) {
+		workers++
+	}
+	return workers >= o.params.MaxFailures || int(t.failures)+1 >= 2*o.params.MaxFailures
+}
+
+// blame decides whether a failure is the worker's fault rather than the task's:
+// many tasks in a row that had not failed elsewhere, and no success.
+func (o *Owner) blame(now time.Duration, w *worker, t *task) bool {
+	if t.failures == 0 {
+		w.failuresInRow++
+	}
+	if w.failuresInRow < blameAfter {
+		return false
+	}
+	if now >= w.quarantineUntil && o.quarantined(now) < quarantinedPart*float64(len(o.workers)) {
+		w.quarantineFor = min(max(2*w.quarantineFor, firstQuarantine), maxQuarantine)
+		w.quarantineUntil = now + w.quarantineFor
+		o.decide(Decision{What: "quarantine", Worker: w.id, Reason: "fails everything, for " + w.quarantineFor.String()})
+	}
+	return now < w.quarantineUntil
+}
+
+func (o *Owner) quarantined(now time.Duration) float64 {
+	n := 0.0
+	for _, w := range o.workers {
+		if now < w.quarantineUntil {
+			n++
+		}
+	}
+	return n
+}
+
+// succeeded clears the worker's name.
+func (w *worker) succeeded() {
+	w.failuresInRow = 0
+	w.quarantineFor = 0
+}
--- a/cell/replay/replay.go
+++ b/cell/replay/replay.go
@@ -4,7 +4,6 @@
 package replay
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -23,6 +22,7 @@
 	"leverstile.dev/scheduler"
 	"leverstile.dev/shard"
 	"leverstile.dev/standin"
+	"leverstile.dev/trace"
 )
 
 // Header is the first line of a trace.
@@ -71,22 +71,8 @@
 
 // Read reads a trace.
 func Read(r io.Reader) (*Trace, error) {
-	t := &Trace{}
-	sc := bufio.NewScanner(r)
-	for n := 0; sc.Scan(); n++ {
-		var err error
-		if n == 0 {
-			err = json.Unmarshal(sc.Bytes(), &t.Header)
-		} else {
-			var l Line
-			err = json.Unmarshal(sc.Bytes(), &l)
-			t.Lines = append(t.Lines, l)
-		}
-		if err != nil {
-			return nil, errors.Annotatef(err, "line %d", n+1)
-		}
-	}
-	return t, errors.Trace(sc.Err())
+	head, lines, err := trace.Read[Header, Line](r)
+	return &Trace{Header: head, Lines: lines}, err
 }
 
 // Policy is a way to schedule that is compared.
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"sort"
@@ -226,9 +227,9 @@
 	s.deliver(f, func() func() {
 		a := shard.Answer{ID: op.ID}
 		if op.Txn != nil {
-			a.Txn, a.Err = s.kv.Do(nil, *op.Txn)
+			a.Txn, a.Err = s.kv.Do(context.Background(), *op.Txn)
 		} else {
-			a.Pairs, _, a.Err = s.kv.Range(nil, op.Prefix)
+			a.Pairs, _, a.Err = s.kv.Range(context.Background(), op.Prefix)
 		}
 		return func() { answer(a) }
 	}, func() { answer(shard.Answer{ID: op.ID, Err: errors.Trace(kv.ErrUnavailable)}) })
@@ -275,7 +276,7 @@
 	}
 	sent := s.clock(n)
 	if n.lease != 0 {
-		err := s.kv.KeepAlive(nil, n.lease)
+		err := s.kv.KeepAlive(context.Background(), n.lease)
 		if errors.Is(err, kv.ErrLeaseNotFound) {
 			n.lease = 0
 		} else if err == nil && f == arrives {
@@ -283,7 +284,7 @@
 		}
 	}
 	if n.lease == 0 {
-		id, err := s.kv.Grant(nil, simStoreTTL)
+		id, err := s.kv.Grant(context.Background(), simStoreTTL)
 		if err == nil && f == arrives {
 			n.lease = id
 			n.owner.Core().SetLease(id, sent+simStoreTTL-simMargin)
@@ -504,7 +505,7 @@
 	}
 	for _, op := range n.store {
 		if op.Txn != nil {
-			s.late = append(s.late, func() { _, _ = s.kv.Do(nil, *op.Txn) })
+			s.late = append(s.late, func() { _, _ = s.kv.Do(context.Background(), *op.Txn) })
 		}
 	}
 	n.store, n.syncs = nil, nil
--- /dev/null
+++ b/cell/sync.go
@@ -0,0 +1,259 @@
+package cell
+
+import (
+	"time"
+
+	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
+	"leverstile.dev/platform"
+)
+
+// syncWorkers calls the workers that have to be told something or are due for
+// a heartbeat.
+func (o *Owner) syncWorkers(now time.Duration) {
+	if !o.mayRenew(now) {
+		return
+	}
+	for _, w := range o.sorted() {
+		w.noticeCommits(o.core.Committed())
+		if w.address == "" || now < w.notBefore || w.inFlight && !(w.dirty && w.idleSync) {
+			continue
+		}
+		if !w.dirty && len(w.acks) > 0 && now-w.clockAt < o.params.HeartbeatEvery {
+			continue // the worker would answer at once with ends that wait for their commit
+		}
+		if !w.inFlight && o.inFlight >= o.params.WorkerCalls {
+			return
+		}
+		o.sync(now, w)
+	}
+}
+
+// noticeCommits marks the worker as having something to be told once records
+// that concern it are durable.
+func (w *worker) noticeCommits(committed uint64) {
+	n := 0
+	for n < len(w.untold) && w.untold[n] <= committed {
+		n++
+	}
+	if n > 0 {
+		w.untold = w.untold[n:]
+		w.dirty = true
+	}
+}
+
+func (o *Owner) sync(now time.Duration, w *worker) {
+	w.seq++
+	req := &platform.SyncRequest{
+		Cell: o.params.Cell, Term: o.core.Term(), Seq: w.seq, Boot: w.boot, Full: w.needFull,
+	}
+	if w.boot != 0 {
+		o.renew(w, req)
+	}
+	o.tell(now, w, req)
+	if !w.inFlight {
+		o.inFlight++
+	}
+	w.inFlight = true
+	w.askedFull = w.needFull
+	w.idleSync = !w.dirty && !w.needFull
+	if w.idleSync {
+		req.WaitMS = o.params.HeartbeatEvery.Milliseconds()
+	}
+	w.dirty = false
+	o.out.Syncs = append(o.out.Syncs, Sync{Worker: w.id, Address: w.address, Request: req})
+}
+
+// renew sets the lease's end as a reading of the worker's own clock. The
+// reading it counts from was taken before clockAt, so by our clock the lease
+// ends no later than leaseEnd, however late the request arrives.
+func (o *Owner) renew(w *worker, req *platform.SyncRequest) {
+	req.LeaseUntilMS = w.clockMS + o.params.TaskLease.Milliseconds()
+	w.leaseEnd = max(w.leaseEnd, w.clockAt+o.params.TaskLease+o.params.ClockMargin)
+}
+
+// tell adds starts, stops and acknowledgements that are due.
+func (o *Owner) tell(now time.Duration, w *worker, req *platform.SyncRequest) {
+	w.starts, w.stops = w.starts[:0], w.stops[:0]
+	for _, t := range o.onWorker(w.id) {
+		switch {
+		case t.stopping:
+			w.stops = append(w.stops, t.ref())
+		case o.mayStart(now, w, t):
+			req.Starts = append(req.Starts, startOf(t))
+			w.starts = append(w.starts, t.ref())
+		}
+		if t.throttled {
+			req.Throttled = append(req.Throttled, t.ref())
+		}
+	}
+	req.Stops = append(req.Stops, w.stops...)
+	req.Stops = append(req.Stops, w.strays...)
+	for ref, pos := range w.acks {
+		if pos <= o.core.Committed() || o.params.NoAckCommit {
+			req.Acks = append(req.Acks, ref)
+		}
+	}
+}
+
+// mayStart reports whether the worker is to be told of an attempt: committed,
+// meant for this incarnation, not listed by the worker yet. As a worker lists
+// each attempt until its end is acknowledged, one that it doesn't list has not
+// begun there, and telling it again is safe.
+func (o *Owner) mayStart(now time.Duration, w *worker, t *task) bool {
+	committed := t.startPos <= o.core.Committed() || o.params.NoStartCommit
+	return !t.running && !w.needFull && t.boot == w.boot && committed && o.mayDecide(now)
+}
+
+func startOf(t *task) platform.Start {
+	return platform.Start{
+		AttemptRef: t.ref(), Kind: t.spec.GetKind(), Given: t.given,
+		Payload: t.spec.GetPayload(), Checkpoint: t.checkpoint,
+	}
+}
+
+// WorkerAnswer takes the outcome of a call to a worker. Answers to other calls
+// than the last one are ignored: the last one's says all.
+func (o *Owner) WorkerAnswer(now time.Duration, id string, term, seq uint64, reply *platform.SyncReply, err error) {
+	w := o.workers[id]
+	if !o.wasOwning || term != o.core.Term() || w == nil || seq != w.seq || !w.inFlight {
+		return
+	}
+	w.inFlight = false
+	o.inFlight--
+	if err != nil || reply.Refused != "" {
+		w.notBefore = now + o.params.RetryEvery
+		w.dirty = true
+		w.needFull = true
+		o.Tick(now)
+		return
+	}
+	o.heard(now, w, reply)
+	o.Tick(now)
+}
+
+func (o *Owner) heard(now time.Duration, w *worker, reply *platform.SyncReply) {
+	if w.boot != reply.Boot {
+		o.booted(now, w, reply.Boot)
+	}
+	w.clockMS, w.clockAt = reply.ClockMS, now
+	w.lapsed = false
+	ended := o.heardEnds(now, w, reply.Ended)
+	o.markStarted(w, ended)
+	o.endNeverBegun(now, w)
+	if w.askedFull {
+		o.takeList(w, reply.Running)
+	} else if reply.RunningHash != o.runningHash(w) {
+		w.needFull, w.dirty = true, true
+	}
+	o.learn(now, w, reply)
+}
+
+// booted handles a worker's first answer under this term, or a restart. What
+// was started on another incarnation runs no more.
+func (o *Owner) booted(now time.Duration, w *worker, boot uint64) {
+	if w.boot == 0 {
+		// The worker refuses former owners from here on; what they last granted
+		// counts from a reading of its clock that lies before now.
+		w.leaseEnd = now + o.params.TaskLease + o.params.ClockMargin
+	}
+	w.boot = boot
+	w.needFull = true
+	for _, t := range o.onWorker(w.id) {
+		if t.boot != boot {
+			o.attemptLost(now, t, "its worker has restarted")
+		}
+	}
+}
+
+// heardEnds takes the attempts that the worker lists as ended, and returns them.
+func (o *Owner) heardEnds(now time.Duration, w *worker, reports []platform.Report) map[platform.AttemptRef]bool {
+	ended := make(map[platform.AttemptRef]bool, len(reports))
+	acks := make(map[platform.AttemptRef]uint64, len(reports))
+	for _, r := range reports {
+		ended[r.AttemptRef] = true
+		t := o.table.onWorker[w.id][r.Task]
+		if t != nil && t.attempt == r.Attempt {
+			o.attemptEnded(now, w, t, r)
+		}
+		if r.State == platform.AttemptRefused {
+			continue // the worker doesn't keep it
+		}
+		// An end of an attempt that the table no longer holds was recorded before.
+		pos, known := w.acks[r.AttemptRef]
+		if !known {
+			pos = o.core.Proposed()
+			w.untold = append(w.untold, pos)
+		}
+		acks[r.AttemptRef] = pos
+	}
+	w.acks = acks
+	return ended
+}
+
+// markStarted notes that the starts of the answered call have begun.
+func (o *Owner) markStarted(w *worker, ended map[platform.AttemptRef]bool) {
+	for _, ref := range w.starts {
+		t := o.table.onWorker[w.id][ref.Task]
+		if t != nil && t.attempt == ref.Attempt && !ended[ref] {
+			t.running = true
+		}
+	}
+	w.starts = w.starts[:0]
+}
+
+// endNeverBegun ends attempts that were to be stopped and that the worker does
+// not know: had they begun, it would list them until they are acknowledged, and
+// the fence on sequence numbers keeps earlier starts out from now on.
+func (o *Owner) endNeverBegun(now time.Duration, w *worker) {
+	for _, ref := range w.stops {
+		t := o.table.onWorker[w.id][ref.Task]
+		if t != nil && t.attempt == ref.Attempt {
+			o.endOrCancel(now, t, journalv1.EndReason_END_REASON_NEVER_BEGAN, nil, "stopped before it began")
+		}
+	}
+	w.stops = w.stops[:0]
+}
+
+func (o *Owner) runningHash(w *worker) uint64 {
+	var sum uint64
+	for _, t := range o.table.onWorker[w.id] {
+		if t.running {
+			sum += t.ref().Hash()
+		}
+	}
+	return sum
+}
+
+// takeList takes over a full list of what runs on the worker. Attempts that
+// the table doesn't hold there are stopped, and their room counts until then.
+func (o *Owner) takeList(w *worker, running []platform.Report) {
+	w.needFull = false
+	for _, t := range o.table.onWorker[w.id] {
+		t.running = false
+	}
+	w.view.Free = w.view.Free.Add(w.foreign)
+	w.foreign, w.strays = platform.Resources{}, nil
+	for _, r := range running {
+		t := o.table.onWorker[w.id][r.Task]
+		if t != nil && t.attempt == r.Attempt {
+			t.running = true
+			continue
+		}
+		w.foreign = w.foreign.Add(r.Given)
+		w.strays = append(w.strays, r.AttemptRef)
+	}
+	w.view.Free = w.view.Free.Sub(w.foreign)
+	// Strays are stopped by the next call, and the list after it tells that
+	// they are gone.
+	w.needFull = len(w.strays) > 0
+	w.dirty = w.dirty || w.needFull || o.startsDue(w)
+}
+
+func (o *Owner) startsDue(w *worker) bool {
+	for _, t := range o.table.onWorker[w.id] {
+		if !t.running {
+			return true
+		}
+	}
+	return false
+}
--- a/claim/claim_fuzz_test.go
+++ b/claim/claim_fuzz_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -207,9 +208,9 @@
 	do := func() shard.Answer {
 		a := shard.Answer{ID: op.ID}
 		if op.Txn != nil {
-			a.Txn, a.Err = s.kv.Do(nil, *op.Txn)
+			a.Txn, a.Err = s.kv.Do(context.Background(), *op.Txn)
 		} else {
-			a.Pairs, _, a.Err = s.kv.Range(nil, op.Prefix)
+			a.Pairs, _, a.Err = s.kv.Range(context.Background(), op.Prefix)
 		}
 		return a
 	}
@@ -238,11 +239,11 @@
 	if n.storeCut {
 		return
 	}
-	if n.lease != 0 && errors.Is(s.kv.KeepAlive(nil, n.lease), kv.ErrLeaseNotFound) {
+	if n.lease != 0 && errors.Is(s.kv.KeepAlive(context.Background(), n.lease), kv.ErrLeaseNotFound) {
 		n.lease = 0
 	}
 	if n.lease == 0 {
-		id, err := s.kv.Grant(nil, claimTTL)
+		id, err := s.kv.Grant(context.Background(), claimTTL)
 		if err != nil {
 			return
 		}
@@ -355,7 +356,7 @@
 	n.dead = true
 	for _, op := range n.store {
 		if op.Txn != nil {
-			s.late = append(s.late, func() { _, _ = s.kv.Do(nil, *op.Txn) })
+			s.late = append(s.late, func() { _, _ = s.kv.Do(context.Background(), *op.Txn) })
 		}
 	}
 	n.store = nil
--- a/cmd/leverstile/demo.go
+++ b/cmd/leverstile/demo.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -194,13 +193,9 @@
 
 // start runs an entry on free ports.
 func (d *demo) start(id string) error {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, peers, err := entry.Listen(entry.AnyPort, entry.AnyPort)
 	if err != nil {
-		return errors.Trace(err)
-	}
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	s := config.DefaultSettings()
 	s.ID, s.Place = id, "north"
@@ -370,20 +365,8 @@
 
 // check compares the stand-ins' books with the promises.
 func (d *demo) check() {
-	byTask := map[string][]standin.Run{}
-	for _, runs := range d.fleet.Books().Runs {
-		for _, r := range runs {
-			byTask[r.Task] = append(byTask[r.Task], r)
-		}
-	}
-	for id, runs := range byTask {
-		for i, a := range runs {
-			for _, b := range runs[:i] {
-				if (b.Ended == 0 || a.Began < b.Ended) && (a.Ended == 0 || b.Began < a.Ended) {
-					d.breaks("task %s ran in two places", id)
-				}
-			}
-		}
+	for _, id := range d.fleet.Books().Overlaps() {
+		d.breaks("task %s ran in two places", id)
 	}
 	if d.load.cut > 0 {
 		d.breaks("%d requests were cut off or got another's answer", d.load.cut)
--- a/cmd/leverstile/serve.go
+++ b/cmd/leverstile/serve.go
@@ -1,13 +1,11 @@
 package main
 
 import (
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/juju/errors"
 
 	"leverstile.dev/api/result"
 	"leverstile.dev/config"
@@ -28,13 +26,9 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", settings.Listen.Callers)
+	callers, peers, err := entry.Listen(settings.Listen.Callers, settings.Listen.Peers)
 	if err != nil {
-		return errors.Trace(err)
-	}
-	peers, err := net.Listen("tcp", settings.Listen.Peers)
-	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	set := metrics.NewSet()
 	logger, flush := entry.NewLogger(os.Stderr, settings.Log.Level, settings.ID, set)
--- a/entry/declared.go
+++ b/entry/declared.go
@@ -118,6 +118,8 @@
 	// fetched counts the bytes of parts read from the store.
 	fetched *metrics.Counter
 
+	// forcing is taken before mu and held while onForce runs.
+	forcing sync.Mutex
 	mu      sync.RWMutex
 	current *revision
 	seen    head // newest head seen in the store
@@ -140,7 +142,11 @@
 }
 
 // force puts a revision into force unless it is older than the current one.
+// Two revisions that arrive at once are put into force one after the other, so
+// that the older one can't be the last to reach the services.
 func (d *declared) force(r *revision) {
+	d.forcing.Lock()
+	defer d.forcing.Unlock()
 	d.mu.Lock()
 	newer := r.number > d.current.number
 	if newer {
--- a/entry/declared_test.go
+++ b/entry/declared_test.go
@@ -72,6 +72,12 @@
 	return n
 }
 
+func (n *declaredNode) hasFallen() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fell
+}
+
 func (n *declaredNode) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		pairs, rev, err := n.store.Range(ctx, shard.WatchPrefix)
@@ -98,8 +104,6 @@
 type applyOut struct {
 	known    bool
 	accepted bool
-	rev      uint64
-	doc      string
 }
 
 // declarationsModel is a register with a revision. An apply succeeds exactly
@@ -152,7 +156,7 @@
 	time.Sleep(10 * time.Second) // heals well within this
 	final := h.check(t, seed)
 	for i, n := range nodes {
-		if n.fell {
+		if n.hasFallen() {
 			t.Errorf("seed %d: entry %d went back to an older revision", seed, i)
 		}
 		got := n.now()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,8 +3,8 @@
 // exchanges with its peers. The decisions are in the packages router, cell,
 // claim, scheduler, membership and config; this package is the shell.
 //
-// Lock order: a service's lock before the view's, the view's before that of
-// the declarations or of the lease. No lock is held while a peer, the store, a
+// Lock order: declared.forcing, then a service's lock, then the view's, then that
+// of the declarations or of the lease. No lock is held while a peer, the store, a
 // worker or an endpoint is called. Cells and claim shards have no lock: each
 // is driven by one loop.
 package entry
@@ -57,6 +57,23 @@
 	peersLn   net.Listener
 }
 
+// Listen opens the listeners of an entry; port 0 takes any free one.
+func Listen(callers, peers string) (net.Listener, net.Listener, error) {
+	c, err := net.Listen("tcp", callers)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	p, err := net.Listen("tcp", peers)
+	if err != nil {
+		_ = c.Close()
+		return nil, nil, errors.Trace(err)
+	}
+	return c, p, nil
+}
+
+// AnyPort is an address for Listen on loopback.
+const AnyPort = "127.0.0.1:0"
+
 // New prepares an entry process. The listeners are taken over.
 func New(s *config.Settings, logger *log.Logger, set *metrics.Set, callers, peers net.Listener) *Entry {
 	e := &Entry{
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -291,24 +291,11 @@
 	return out
 }
 
-// checkRuns: by the workers' books no task finished twice, and no two runs of
-// a task overlap.
+// checkRuns: by the workers' books no two runs of a task overlap.
 func (c *cluster) checkRuns() {
 	c.t.Helper()
-	byTask := map[string][]standin.Run{}
-	for _, runs := range c.fleet.Books().Runs {
-		for _, r := range runs {
-			byTask[r.Task] = append(byTask[r.Task], r)
-		}
-	}
-	for id, runs := range byTask {
-		for i, a := range runs {
-			for _, b := range runs[:i] {
-				if (b.Ended == 0 || a.Began < b.Ended) && (a.Ended == 0 || b.Began < a.Ended) {
-					c.t.Errorf("task %s ran in two places: %+v %+v", id, a, b)
-				}
-			}
-		}
+	for _, id := range c.fleet.Books().Overlaps() {
+		c.t.Errorf("task %s ran in two places", id)
 	}
 }
 
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -79,11 +78,7 @@
 
 func (c *cluster) start(id string) *proc {
 	c.t.Helper()
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, peers, err := Listen(AnyPort, AnyPort)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -58,16 +58,25 @@
 	return connect.NewResponse(out), nil
 }
 
-// GetTasks implements peerv1connect.PeerHandler.
-func (p *peerServer) GetTasks(ctx context.Context, req *connect.Request[peerv1.GetTasksRequest]) (*connect.Response[peerv1.GetTasksResponse], error) {
-	out := &peerv1.GetTasksResponse{Code: uint32(result.OwnerUnavailable)}
-	c := p.entry.shards.cell(req.Msg.GetCell())
-	sel, err := labels.Parse(req.Msg.GetSelector())
+// ownedCell returns a cell that this entry owns, with a parsed selector, or nil
+// and the code that says why not.
+func (p *peerServer) ownedCell(name, selector string) (*cellRunner, labels.Selector, result.Code) {
+	sel, err := labels.Parse(selector)
 	if err != nil {
-		out.Code = uint32(result.BadSelector)
-		return connect.NewResponse(out), nil
+		return nil, nil, result.BadSelector
 	}
+	c := p.entry.shards.cell(name)
 	if c == nil || c.status.ownedTerm() == 0 {
+		return nil, nil, result.OwnerUnavailable
+	}
+	return c, sel, result.OK
+}
+
+// GetTasks implements peerv1connect.PeerHandler.
+func (p *peerServer) GetTasks(ctx context.Context, req *connect.Request[peerv1.GetTasksRequest]) (*connect.Response[peerv1.GetTasksResponse], error) {
+	c, sel, code := p.ownedCell(req.Msg.GetCell(), req.Msg.GetSelector())
+	out := &peerv1.GetTasksResponse{Code: uint32(code)}
+	if c == nil {
 		return connect.NewResponse(out), nil
 	}
 	reply := c.get(ctx, req.Msg.GetId(), sel)
@@ -87,14 +96,9 @@
 
 // CancelTasks implements peerv1connect.PeerHandler.
 func (p *peerServer) CancelTasks(ctx context.Context, req *connect.Request[peerv1.CancelTasksRequest]) (*connect.Response[peerv1.CancelTasksResponse], error) {
-	out := &peerv1.CancelTasksResponse{Code: uint32(result.OwnerUnavailable)}
-	c := p.entry.shards.cell(req.Msg.GetCell())
-	sel, err := labels.Parse(req.Msg.GetSelector())
-	if err != nil {
-		out.Code = uint32(result.BadSelector)
-		return connect.NewResponse(out), nil
-	}
-	if c == nil || c.status.ownedTerm() == 0 {
+	c, sel, code := p.ownedCell(req.Msg.GetCell(), req.Msg.GetSelector())
+	out := &peerv1.CancelTasksResponse{Code: uint32(code)}
+	if c == nil {
 		return connect.NewResponse(out), nil
 	}
 	reply := c.cancel(ctx, req.Msg.GetId(), sel)
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
 	"github.com/rs/xid"
 	"k8s.io/apimachinery/pkg/labels"
 
@@ -144,61 +143,6 @@
 	return nil
 }
 
-// readBody keeps a small body, so that the request can be sent again.
-func (x *exchangeOfOne) readBody() *result.Error {
-	limits := x.svc.entry.settings.Limits
-	x.size = x.r.ContentLength
-	if x.size > limits.BodyBytes {
-		return result.New(result.BodyTooLarge, "at most %d bytes", limits.BodyBytes)
-	}
-	idle := config.Ms(x.svc.entry.settings.Timing.CallerIdleMS)
-	body := &patientReader{body: x.r.Body, c: http.NewResponseController(x.w), idle: idle}
-	limited := http.MaxBytesReader(x.w, body, limits.BodyBytes)
-	kept, err := io.ReadAll(io.LimitReader(limited, int64(limits.ReplayBytes)+1))
-	if err != nil {
-		return bodyError(err)
-	}
-	x.body = kept
-	if len(kept) > limits.ReplayBytes {
-		x.rest = limited
-	} else {
-		x.size = int64(len(kept))
-	}
-	return nil
-}
-
-// patientReader reads a caller's body and gives up on a caller that sends
-// nothing for too long.
-type patientReader struct {
-	body io.ReadCloser
-	c    *http.ResponseController
-	idle time.Duration
-}
-
-// Read implements io.Reader.
-func (p *patientReader) Read(b []byte) (int, error) {
-	_ = p.c.SetReadDeadline(time.Now().Add(p.idle))
-	n, err := p.body.Read(b)
-	if errors.Is(err, io.EOF) {
-		// The connection's next request has its own time. After a timeout the
-		// deadline stays: net/http reads what is left of a body before it
-		// answers, and would wait for it.
-		_ = p.c.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (p *patientReader) Close() error { return p.body.Close() }
-
-func bodyError(err error) *result.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.New(result.BodyTooLarge, "at most %d bytes", tooLarge.Limit)
-	}
-	return result.New(result.BadRequest, "body: %v", err)
-}
-
 // fingerprint tells a repeated request from another one with the same key.
 func (x *exchangeOfOne) fingerprint() uint64 {
 	h := xxhash.New()
@@ -406,54 +350,6 @@
 	}
 }
 
-// keeper keeps what is written to it, up to a limit.
-type keeper struct {
-	limit   int
-	buf     bytes.Buffer
-	dropped bool
-}
-
-// Write implements io.Writer.
-func (k *keeper) Write(b []byte) (int, error) {
-	if k.dropped || k.buf.Len()+len(b) > k.limit {
-		k.dropped = true
-		k.buf.Reset()
-		return len(b), nil
-	}
-	return k.buf.Write(b)
-}
-
-// flushing passes data on at once where the endpoint streams. For a claimed
-// request a caller that went away doesn't end the reading of the answer, as
-// its outcome has to be recorded.
-type flushing struct {
-	w    http.ResponseWriter
-	c    *http.ResponseController
-	live bool
-	key  bool
-	idle time.Duration
-	err  error
-}
-
-// Write implements io.Writer.
-func (f *flushing) Write(b []byte) (int, error) {
-	if f.err != nil {
-		return len(b), nil
-	}
-	_ = f.c.SetWriteDeadline(time.Now().Add(f.idle))
-	n, err := f.w.Write(b)
-	if err == nil && f.live {
-		err = f.c.Flush()
-	}
-	if err != nil {
-		f.err = err
-		if f.key {
-			return len(b), nil
-		}
-	}
-	return n, err
-}
-
 // log writes the line of one routing decision.
 func (x *exchangeOfOne) log(decision string, code result.Code, endpoint string, attempt int) {
 	e := x.svc.entry
--- a/measure/entries.go
+++ b/measure/entries.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -51,13 +50,9 @@
 }
 
 func (g *group) start(i int) error {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, peers, err := entry.Listen(entry.AnyPort, entry.AnyPort)
 	if err != nil {
-		return errors.Trace(err)
-	}
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
 	s := config.DefaultSettings()
 	s.ID, s.Place = fmt.Sprintf("entry-%03d", i), [2]string{"a", "b"}[i%2]
--- /dev/null
+++ b/router/outcome.go
@@ -0,0 +1,152 @@
+package router
+
+import (
+	"time"
+
+	"leverstile.dev/api/result"
+)
+
+// Finish takes the end of a request's attempt.
+func (t *Table) Finish(now time.Duration, id uint64, o Outcome) []Action {
+	f := t.requests[id]
+	if f == nil || f.endpoint == nil {
+		return nil
+	}
+	e := f.endpoint
+	f.endpoint = nil
+	e.own--
+	t.inFlight--
+	if e.own == 0 {
+		delete(t.departed, e.ID)
+	}
+	t.judge(now, e, o)
+	t.conclude(now, f, e, o)
+	t.dispatch(now)
+	return t.take()
+}
+
+// judge updates what is known of the endpoint.
+func (t *Table) judge(now time.Duration, e *endpoint, o Outcome) {
+	switch o.Kind {
+	case Answered:
+		t.limit.answered()
+		e.faults, e.ejectFor = 0, 0
+		e.latency = mix(e.latency, o.Latency)
+		t.latency = mix(t.latency, o.Latency)
+	case Refused:
+		// Refusing shows that it lives; it is only full for a moment.
+		e.fullUntil = now + fullFor
+		t.limit.refused(t.inFlight+1, t.evenPart())
+	case Leaving:
+		// Remembered by VM, as the list may drop the endpoint and bring it back.
+		e.leaving = true
+		t.leaving[e.VM] = true
+		t.usableUntil = 0
+	case Unsent, Fault, Lost:
+		e.faults++
+		if e.faults >= ejectAfter {
+			t.eject(now, e)
+		}
+	case Abandoned:
+	}
+}
+
+// evenPart is this entry's part of all slots if entries had the same load.
+func (t *Table) evenPart() float64 {
+	return float64(t.params.Slots*len(t.endpoints)) / float64(max(t.params.Entries, 1))
+}
+
+func mix(mean, sample time.Duration) time.Duration {
+	return mean + time.Duration(latencyWeight*float64(sample-mean))
+}
+
+// eject leaves an endpoint out for a while, unless too many are out already:
+// then the fault is likely not theirs.
+func (t *Table) eject(now time.Duration, e *endpoint) {
+	out := 0
+	for _, o := range t.endpoints {
+		if now < o.ejectedUntil {
+			out++
+		}
+	}
+	if float64(out+1) > maxEjected*float64(len(t.endpoints)) {
+		return
+	}
+	e.ejectFor = min(max(2*e.ejectFor, ejectBase), ejectMax)
+	e.ejectedUntil = now + e.ejectFor
+	e.faults = 0
+	t.usableUntil = 0
+	t.Stats.Ejected++
+}
+
+// conclude ends the request or tries it again.
+func (t *Table) conclude(now time.Duration, f *flight, e *endpoint, o Outcome) {
+	notRun := o.Kind == Refused || o.Kind == Unsent || o.Kind == Leaving
+	f.mayHaveRun = f.mayHaveRun || !notRun
+	switch {
+	case o.Kind == Answered || o.Kind == Fault || o.Kind == Abandoned || o.AnswerBegan:
+		delete(t.requests, f.ID)
+	case !notRun && !f.Repeatable:
+		t.fail(f, result.AnswerLost)
+	case o.Kind == Refused && t.mayWait(now, f):
+		t.wait(now, f, e)
+	case !t.mayRetry(now, f):
+		t.giveUp(f, o.Kind, notRun)
+	default:
+		t.retry(now, f, e)
+	}
+}
+
+// mayWait reports whether a request that an endpoint refused for want of a slot
+// waits here for another one. That costs no retry: the endpoint lives, nothing
+// ran, and the concurrency limit sees to it that it doesn't become a storm.
+func (t *Table) mayWait(now time.Duration, f *flight) bool {
+	return !f.Once && f.refusals < maxRefusals && now < f.Deadline
+}
+
+// maxRefusals bounds how often one request is refused for want of a slot.
+const maxRefusals = 16
+
+func (t *Table) wait(now time.Duration, f *flight, e *endpoint) {
+	f.refusals++
+	f.attempt--
+	f.tried = append(f.tried[:0], e)
+	f.notBefore = now + time.Duration(t.rng.Int64N(int64(refusalPause)))
+	t.queue.pushFront(f)
+}
+
+// refusalPause bounds the jitter before a refused request is sent elsewhere.
+const refusalPause = 4 * time.Millisecond
+
+func (t *Table) mayRetry(now time.Duration, f *flight) bool {
+	return !f.Once && f.attempt < t.params.Attempts && t.budget >= 1 && now < f.Deadline
+}
+
+func (t *Table) giveUp(f *flight, k Kind, notRun bool) {
+	if !notRun {
+		t.fail(f, result.AnswerLost)
+		return
+	}
+	code := result.EndpointRefused
+	if k == Unsent {
+		code = result.EndpointDown
+	}
+	if f.attempt > 1 {
+		code = result.RetriesExhausted
+	}
+	t.refuse(f, code, t.latency)
+}
+
+func (t *Table) fail(f *flight, code result.Code) {
+	delete(t.requests, f.ID)
+	t.out = append(t.out, Action{Kind: Fail, Request: f.ID, Attempt: f.attempt, Code: code})
+}
+
+func (t *Table) retry(now time.Duration, f *flight, e *endpoint) {
+	t.budget--
+	t.Stats.Retried++
+	f.tried = append(f.tried, e)
+	ceiling := min(backoffBase<<min(f.attempt-1, 8), backoffCap)
+	f.notBefore = now + time.Duration(t.rng.Int64N(int64(ceiling)))
+	t.queue.pushFront(f)
+}
--- a/router/replay/replay.go
+++ b/router/replay/replay.go
@@ -4,18 +4,16 @@
 package replay
 
 import (
-	"bufio"
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/juju/errors"
 
 	"leverstile.dev/api/result"
 	"leverstile.dev/router"
+	"leverstile.dev/trace"
 )
 
 // Header is the first line of a trace.
@@ -62,23 +60,8 @@
 
 // Read reads a trace.
 func Read(r io.Reader) (*Trace, error) {
-	t := &Trace{}
-	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, 16<<20)
-	for n := 0; sc.Scan(); n++ {
-		var err error
-		if n == 0 {
-			err = json.Unmarshal(sc.Bytes(), &t.Header)
-		} else {
-			var l Line
-			err = json.Unmarshal(sc.Bytes(), &l)
-			t.Lines = append(t.Lines, l)
-		}
-		if err != nil {
-			return nil, errors.Annotatef(err, "line %d", n+1)
-		}
-	}
-	return t, errors.Trace(sc.Err())
+	head, lines, err := trace.Read[Header, Line](r)
+	return &Trace{Header: head, Lines: lines}, err
 }
 
 // Outcome is what a replay measured. Latencies are from the first arrival of a
--- a/shard/core.go
+++ b/shard/core.go
@@ -11,10 +11,8 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
@@ -176,8 +174,10 @@
 // OwnerKey is the key that exists while a shard has an owner.
 func OwnerKey(name string) string { return OwnerPrefix + name }
 
-func (c *Core) prefix() string  { return dataPrefix + c.params.Name + "/" }
+func (c *Core) prefix() string { return dataPrefix + c.params.Name + "/" }
+
 func (c *Core) termKey() string { return c.prefix() + "term" }
+
 func (c *Core) headKey() string { return c.prefix() + "head" }
 
 func (c *Core) logPrefix(gen uint64) string {
@@ -472,91 +472,6 @@
 	c.acquired(first(res.Reads[0]))
 }
 
-func (c *Core) acquired(term *kv.Pair) {
-	c.phase = Loading
-	c.term = decodeTerm(term).GetTerm()
-	c.termMod = term.ModRevision
-	c.machine.Reset()
-}
-
-func (c *Core) load(pairs []kv.Pair) error {
-	byKey := make(map[string]kv.Pair, len(pairs))
-	for _, p := range pairs {
-		byKey[p.Key] = p
-	}
-	if byKey[c.termKey()].ModRevision != c.termMod {
-		c.lose()
-		return nil
-	}
-	c.machine.Reset()
-	err := c.restore(byKey)
-	if err == nil {
-		err = c.replay(pairs)
-	}
-	if err != nil {
-		c.lose()
-		return errors.Annotatef(err, "shard %s", c.params.Name)
-	}
-	c.phase = Owning
-	c.queue, c.chunk, c.snapshot = nil, nil, nil
-	c.proposed, c.committed = 0, 0
-	return nil
-}
-
-func (c *Core) restore(byKey map[string]kv.Pair) error {
-	head := &journalv1.SnapshotHead{}
-	c.gen, c.headMod = 0, 0
-	if p, ok := byKey[c.headKey()]; ok {
-		if err := proto.Unmarshal(p.Value, head); err != nil {
-			return errors.Annotate(err, p.Key)
-		}
-		c.gen, c.headMod = head.GetGeneration(), p.ModRevision
-	}
-	for i := range head.GetParts() {
-		key := fmt.Sprintf("%s%08x", c.snapPrefix(c.gen), i)
-		p, ok := byKey[key]
-		if !ok {
-			return errors.NotFoundf("snapshot part %s", key)
-		}
-		if err := c.machine.Restore(p.Value); err != nil {
-			return errors.Annotate(err, key)
-		}
-	}
-	return nil
-}
-
-func (c *Core) replay(pairs []kv.Pair) error {
-	c.seq, c.journalBytes = 0, 0
-	prefix := c.logPrefix(c.gen)
-	for _, p := range pairs {
-		if !strings.HasPrefix(p.Key, prefix) {
-			continue
-		}
-		if p.Key != c.logKey() {
-			return errors.NotFoundf("journal value %s", c.logKey())
-		}
-		if err := c.replayChunk(p.Value); err != nil {
-			return errors.Annotate(err, p.Key)
-		}
-		c.seq++
-		c.journalBytes += len(p.Value)
-	}
-	return nil
-}
-
-func (c *Core) replayChunk(value []byte) error {
-	msg := &journalv1.Chunk{}
-	if err := proto.Unmarshal(value, msg); err != nil {
-		return errors.Trace(err)
-	}
-	for _, rec := range msg.GetRecords() {
-		if err := c.machine.Apply(rec); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // answerCommit handles a journal write. If the key exists already and the term
 // is still ours, then an earlier try of the same write took effect: only the
 // term's owner writes, and it uses each key for one chunk.
@@ -607,16 +522,6 @@
 	return &pairs[0]
 }
 
-func decodeTerm(p *kv.Pair) *journalv1.TermRecord {
-	rec := &journalv1.TermRecord{}
-	if p != nil {
-		// A value that can't be read counts as term 0; the compare on its
-		// revision still orders owners.
-		_ = proto.Unmarshal(p.Value, rec)
-	}
-	return rec
-}
-
 func mustMarshal(m proto.Message) []byte {
 	b, err := proto.Marshal(m)
 	if err != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -360,6 +361,29 @@
 	KV        KVCalls                 `json:"kv"`
 }
 
+// Overlaps returns the tasks of which two runs overlap in time: they ran in two
+// places at once.
+func (b Books) Overlaps() []string {
+	byTask := map[string][]Run{}
+	for _, runs := range b.Runs {
+		for _, r := range runs {
+			byTask[r.Task] = append(byTask[r.Task], r)
+		}
+	}
+	var out []string
+	for id, runs := range byTask {
+		sort.Slice(runs, func(i, j int) bool { return runs[i].Began < runs[j].Began })
+		for i, r := range runs[1:] {
+			if runs[i].Ended == 0 || r.Began < runs[i].Ended {
+				out = append(out, id)
+				break
+			}
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Books returns the books of all stand-ins.
 func (f *Fleet) Books() Books {
 	b := Books{Endpoints: map[string]EndpointBook{}, Runs: map[string][]Run{}, KV: f.KV.Calls()}
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,36 @@
+// Package trace reads recorded traces: a JSON header on the first line, then one
+// JSON line for each thing that happens.
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// maxLine bounds a line in bytes.
+const maxLine = 16 << 20
+
+// Read returns the header and the lines of a trace. Errors name the line.
+func Read[H, L any](r io.Reader) (H, []L, error) {
+	var head H
+	var lines []L
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for n := 1; sc.Scan(); n++ {
+		var err error
+		if n == 1 {
+			err = json.Unmarshal(sc.Bytes(), &head)
+		} else {
+			var l L
+			err = json.Unmarshal(sc.Bytes(), &l)
+			lines = append(lines, l)
+		}
+		if err != nil {
+			return head, nil, errors.Annotatef(err, "line %d", n)
+		}
+	}
+	return head, lines, errors.Trace(sc.Err())
+}
