Let cells and claim shards commit at intervals of their own; hold the order of revisions by a test

Cause: one interval served both. Change: commit_every_ms (250) for cells, claim_commit_every_ms (100) for claim shards. A first version of the order test used a sleep under a mutex inside synctest, which never ends; the test now checks that the lock is held.

--- a/cmd/leverstile/demo.go
+++ b/cmd/leverstile/demo.go
@@ -201,7 +201,7 @@
 	s.ID, s.Place = id, "north"
 	s.Store.Addresses, s.Store.LeaseMS = []string{d.fleet.KVAddress}, 3000
 	s.Platform.VMList, s.Platform.PollMS = d.fleet.Address, 200
-	s.Timing.ExchangeEveryMS, s.Timing.CommitEveryMS = 100, 20
+	s.Timing.ExchangeEveryMS, s.Timing.CommitEveryMS, s.Timing.ClaimCommitEveryMS = 100, 20, 20
 	s.Timing.DrainDelayMS = 500
 	set := metrics.NewSet()
 	logger, _ := entry.NewLogger(d.logs, "info", id, set)
--- a/config/settings.go
+++ b/config/settings.go
@@ -36,14 +36,16 @@
 		ClaimShards int `json:"claim_shards"`
 	} `json:"limits"`
 	Timing struct {
-		CommitEveryMS   int `json:"commit_every_ms"`
-		ExchangeEveryMS int `json:"exchange_every_ms"`
-		TaskLeaseMS     int `json:"task_lease_ms"`
-		OutageGraceMS   int `json:"outage_grace_ms"`
-		DrainDelayMS    int `json:"drain_delay_ms"`
-		DrainTimeoutMS  int `json:"drain_timeout_ms"`
-		CallerIdleMS    int `json:"caller_idle_ms"`
-		ClaimRetainMS   int `json:"claim_retain_ms"`
+		CommitEveryMS int `json:"commit_every_ms"`
+		// ClaimCommitEveryMS is for claim shards, as requests wait for their commits.
+		ClaimCommitEveryMS int `json:"claim_commit_every_ms"`
+		ExchangeEveryMS    int `json:"exchange_every_ms"`
+		TaskLeaseMS        int `json:"task_lease_ms"`
+		OutageGraceMS      int `json:"outage_grace_ms"`
+		DrainDelayMS       int `json:"drain_delay_ms"`
+		DrainTimeoutMS     int `json:"drain_timeout_ms"`
+		CallerIdleMS       int `json:"caller_idle_ms"`
+		ClaimRetainMS      int `json:"claim_retain_ms"`
 	} `json:"timing"`
 	Log struct {
 		Level string `json:"level"`
@@ -64,7 +66,8 @@
 	s.Limits.ReplayBytes = 64 << 10
 	s.Limits.Queue = 512
 	s.Limits.ClaimShards = 8
-	s.Timing.CommitEveryMS = 100
+	s.Timing.CommitEveryMS = 250
+	s.Timing.ClaimCommitEveryMS = 100
 	s.Timing.ExchangeEveryMS = 1000
 	s.Timing.TaskLeaseMS = 30_000
 	s.Timing.OutageGraceMS = 3_600_000
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -47,7 +47,7 @@
 	planner := scheduler.NewPlanner(scheduler.DefaultLimits, model)
 	c := &cellRunner{
 		entry: e, name: name, calls: map[uint64]chan cell.Reply{}, ctx: context.Background(),
-		owner: cell.NewOwner(params, e.shardParams(cellShard+name), planner, model),
+		owner: cell.NewOwner(params, e.shardParams(cellShard+name, config.Ms(e.settings.Timing.CommitEveryMS)), planner, model),
 	}
 	c.loop = newLoop(shardTick, func() { c.owner.Tick(e.clock()) }, c.flush)
 	return c
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -30,7 +30,7 @@
 	params := claim.DefaultParams(name, e.settings.ID, config.Ms(e.settings.Timing.ClaimRetainMS))
 	c := &claimRunner{
 		entry: e, name: name, calls: map[uint64]chan claim.Reply{}, ctx: context.Background(),
-		owner: claim.NewOwner(params, e.shardParams(name)),
+		owner: claim.NewOwner(params, e.shardParams(name, config.Ms(e.settings.Timing.ClaimCommitEveryMS))),
 	}
 	c.loop = newLoop(shardTick, func() { c.owner.Tick(e.clock(), time.Now()) }, c.flush)
 	return c
--- a/entry/declared_test.go
+++ b/entry/declared_test.go
@@ -272,3 +272,28 @@
 		t.Errorf("%d parts in the store, the head has %d", len(pairs), len(reader.seen.Parts))
 	}
 }
+
+// TestRevisionsReachServicesInOrder: a revision is put into force while the lock
+// is held that another one has to wait for, so that of two that arrive at once
+// the older one can't be the last.
+func TestRevisionsReachServicesInOrder(t *testing.T) {
+	var d *declared
+	calls := 0
+	d = newDeclared(standin.NewKVStore(time.Now), metrics.NewSet(), func(*revision) {
+		calls++
+		if d.forcing.TryLock() {
+			t.Error("another revision could overtake this one")
+			d.forcing.Unlock()
+		}
+	})
+	for _, number := range []uint64{2, 1, 3} {
+		r, err := newRevision(number, []byte("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.force(r)
+	}
+	if calls != 2 || d.now().number != 3 {
+		t.Errorf("%d revisions put into force, the last is %d", calls, d.now().number)
+	}
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -87,7 +87,7 @@
 	s.Store.Addresses = []string{c.fleet.KVAddress}
 	s.Store.LeaseMS, s.Store.TimeoutMS = 2000, 500
 	s.Platform.VMList, s.Platform.PollMS = c.fleet.Address, 100
-	s.Timing.ExchangeEveryMS, s.Timing.CommitEveryMS = 50, 5
+	s.Timing.ExchangeEveryMS, s.Timing.CommitEveryMS, s.Timing.ClaimCommitEveryMS = 50, 5, 5
 	s.Timing.TaskLeaseMS, s.Timing.OutageGraceMS = 1500, 1000
 	s.Timing.DrainDelayMS, s.Timing.DrainTimeoutMS = 1000, int(patience.Milliseconds())
 	for _, p := range c.procs {
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -43,10 +43,10 @@
 func claimName(i int) string { return fmt.Sprintf("%s%d", claimShard, i) }
 
 // shardParams are the parameters of a shard's core.
-func (e *Entry) shardParams(name string) shard.Params {
+func (e *Entry) shardParams(name string, commitEvery time.Duration) shard.Params {
 	return shard.Params{
 		Name: name, Self: e.settings.ID,
-		CommitEvery:   config.Ms(e.settings.Timing.CommitEveryMS),
+		CommitEvery:   commitEvery,
 		RetryEvery:    shard.DefaultRetryEvery,
 		MaxValueBytes: shard.DefaultMaxValueBytes,
 		SnapshotBytes: shard.DefaultSnapshotBytes,
