Make the eviction test's start certain; one walk over cells for list and cancel

Cause: the test took four running tasks for a full VM; on a slow machine they might have been on two VMs, with no eviction to test. List and cancel walked the cells in the same twelve lines. Change: the test waits for all batch that has room, by the home cells of its ids; inEachCell.

--- a/cell/replay/replay.go
+++ b/cell/replay/replay.go
@@ -159,7 +159,7 @@
 		}
 		if p.now >= nextSample {
 			nextSample += sampleEvery
-			p.sample(start)
+			p.sample()
 		}
 		if err := p.round(); err != nil {
 			return p.out, err
@@ -246,7 +246,8 @@
 	return []platform.Slowdown{{Service: p.trace.Service, Factor: factor, Load: load}}
 }
 
-func (p *player) sample(time.Duration) {
+// sample has all workers measure, and notes what groups hold.
+func (p *player) sample() {
 	for i, w := range p.workers {
 		if !p.gone[i] {
 			w.Measure(p.now)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 
+	"k8s.io/apimachinery/pkg/labels"
+
 	"leverstile.dev/api/result"
 	"leverstile.dev/config"
 	"leverstile.dev/standin"
@@ -306,7 +308,16 @@
 	c.ready()
 	var batch []Task
 	for i := range 8 {
-		batch = append(batch, taskJSON(fmt.Sprint("b", i), "archive", 4000))
+		batch = append(batch, taskJSON(fmt.Sprint("b", i), "archive", 6000))
+	}
+	// Each cell has one VM with room for four; home cells follow from the ids.
+	full := map[string]int{}
+	for _, b := range batch {
+		home := homeCell(c.procs[0].entry.declared.now(), b.ID, labels.Everything())
+		full[home] = min(full[home]+1, 4)
+	}
+	if full["a"] != 4 && full["b"] != 4 {
+		t.Fatalf("no cell gets full: %v", full)
 	}
 	body, _ := json.Marshal(batch)
 	c.procs[0].call(http.MethodPost, "/v1/tasks", nil, body)
@@ -321,7 +332,7 @@
 		}
 		return n
 	}
-	eventually(t, "a VM is full of batch", func() bool { return running() >= 4 })
+	eventually(t, "all batch that has room runs", func() bool { return running() == full["a"]+full["b"] })
 	var urgent []Task
 	for i := range 4 {
 		urgent = append(urgent, taskJSON(fmt.Sprint("u", i), "preview", 50))
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -404,25 +404,34 @@
 	return sel, nil
 }
 
+// inEachCell calls fn for each declared cell and returns the first refusal.
+func (e *Entry) inEachCell(r *http.Request, fn func(ctx context.Context, cell string) *result.Error) *result.Error {
+	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
+	defer cancel()
+	for _, c := range e.declared.now().cells {
+		if refusal := fn(ctx, c.name); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
 func (e *Entry) serveList(w http.ResponseWriter, r *http.Request) {
+	out := []TaskStatus{}
 	sel, refusal := parseSelector(r)
+	if refusal == nil {
+		refusal = e.inEachCell(r, func(ctx context.Context, cell string) *result.Error {
+			tasks, err := e.query(ctx, cell, "", sel)
+			for _, t := range tasks {
+				out = append(out, statusOf(t))
+			}
+			return err
+		})
+	}
 	if refusal != nil {
 		e.refuse(w, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
-	defer cancel()
-	out := []TaskStatus{}
-	for _, c := range e.declared.now().cells {
-		tasks, err := e.query(ctx, c.name, "", sel)
-		if err != nil {
-			e.refuse(w, err)
-			return
-		}
-		for _, t := range tasks {
-			out = append(out, statusOf(t))
-		}
-	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	e.reply(w, out)
 }
@@ -449,21 +458,18 @@
 	if refusal == nil && sel.Empty() {
 		refusal = result.New(result.BadSelector, "a selector is needed; it must not be empty")
 	}
+	out := []TaskAnswer{}
+	if refusal == nil {
+		refusal = e.inEachCell(r, func(ctx context.Context, cell string) *result.Error {
+			answers, err := e.cancelIn(ctx, cell, "", sel)
+			out = append(out, answers...)
+			return err
+		})
+	}
 	if refusal != nil {
 		e.refuse(w, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), taskCallTimeout)
-	defer cancel()
-	out := []TaskAnswer{}
-	for _, c := range e.declared.now().cells {
-		answers, err := e.cancelIn(ctx, c.name, "", sel)
-		if err != nil {
-			e.refuse(w, err)
-			return
-		}
-		out = append(out, answers...)
-	}
 	e.reply(w, out)
 }
 
