--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -207,3 +207,18 @@
 		t.Errorf("declared 4 cores, uses 1: planned with %+v", got)
 	}
 }
+
+// TestSharesCountOtherCells: what a group holds in other cells counts against
+// its share in this one.
+func TestSharesCountOtherCells(t *testing.T) {
+	shares := NewShares([]GroupSpec{{Name: "a", Share: 1}, {Name: "b", Share: 1}}, cores(16), time.Minute)
+	shares.SetElsewhere("a", cores(6))
+	var tasks []*Task
+	for i := range 8 {
+		tasks = append(tasks, &Task{ID: fmt.Sprint("a", i), Group: "a", Ask: cores(1)}, &Task{ID: fmt.Sprint("b", i), Group: "b", Ask: cores(1)})
+	}
+	NewPlanner(DefaultLimits, nil).Plan(snapshot(shares, []*Worker{newWorker("w", cores(8))}, tasks...))
+	if a, b := shares.InUse()["a"].CPUMilli, shares.InUse()["b"].CPUMilli; a != 1000 || b != 7000 {
+		t.Errorf("a holds %d and 6000 elsewhere, b holds %d", a, b)
+	}
+}
