--- a/measure/entries.go
+++ b/measure/entries.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +15,7 @@
 
 	"leverstile.dev/config"
 	"leverstile.dev/entry"
+	"leverstile.dev/platform"
 	"leverstile.dev/standin"
 )
 
@@ -157,9 +160,56 @@
 	r.add("entries: time from acceptance to in force on all", "ms", n, force...)
 	r.add("entries: store calls by change of declarations", "calls", n, perChange)
 	g.idle(r, n, vms)
+	return g.tasks(r)
+}
+
+// tasks measures what one task costs in traffic, from submission to its end.
+func (g *group) tasks(r *Report) error {
+	const count = 1000
+	var tasks []entry.Task
+	for i := range count {
+		tasks = append(tasks, entry.Task{
+			ID: fmt.Sprintf("task-%05d", i), Kind: "measured", Labels: map[string]string{"app": "x"},
+			Request: platform.Resources{CPUMilli: 1000, MemoryMiB: 1024}, Payload: json.RawMessage(`{"work_ms":500}`),
+		})
+	}
+	body, err := json.Marshal(tasks)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	before, store := g.traffic(), g.fleet.KV.Calls()
+	resp, err := http.Post(g.entries[0].url+"/v1/tasks", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_ = resp.Body.Close()
+	for began := time.Now(); g.finished() < count; time.Sleep(20 * time.Millisecond) {
+		if time.Since(began) > time.Minute {
+			return errors.Errorf("%d of %d tasks finished", g.finished(), count)
+		}
+	}
+	r.add("entries: platform traffic by task, from submission to its end", "B", len(g.entries), (g.traffic()-before)/count)
+	r.add("entries: store writes by 1,000 tasks, 2 cells", "calls", len(g.entries), float64(g.fleet.KV.Calls().Writes()-store.Writes()))
 	return nil
 }
 
+func (g *group) traffic() float64 {
+	return g.counter("leverstile_platform_sent_bytes_total") + g.counter("leverstile_platform_read_bytes_total")
+}
+
+// finished counts the runs that ended well by the workers' books.
+func (g *group) finished() int {
+	n := 0
+	for _, runs := range g.fleet.Books().Runs {
+		for _, run := range runs {
+			if run.State == platform.AttemptFinished {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // idle measures what entries spend on control with nothing to do.
 func (g *group) idle(r *Report, n, vms int) {
 	time.Sleep(time.Second)
