--- a/cell/learning.go
+++ b/cell/learning.go
@@ -19,13 +19,13 @@
 			o.model.Observe(s.Service, s.Load, s.Factor, kinds)
 		}
 		w.view.Load = s.Load
-		o.climb(now, w, s)
+		o.applyLadder(now, w, s)
 	}
 }
 
-// climb takes one step of the ladder that keeps a service's tail: throttle,
+// applyLadder takes one step of the ladder that keeps a service's tail: throttle,
 // then evict, the kind that slows it down most.
-func (o *Owner) climb(now time.Duration, w *worker, s platform.Slowdown) {
+func (o *Owner) applyLadder(now time.Duration, w *worker, s platform.Slowdown) {
 	if o.model == nil || !o.mayDecide(now) {
 		return
 	}
--- a/cell/sync.go
+++ b/cell/sync.go
@@ -49,7 +49,7 @@
 	if w.boot != 0 {
 		o.renew(w, req)
 	}
-	o.tell(now, w, req)
+	o.fillRequest(now, w, req)
 	if !w.inFlight {
 		o.inFlight++
 	}
@@ -71,8 +71,8 @@
 	w.leaseEnd = max(w.leaseEnd, w.clockAt+o.params.TaskLease+o.params.ClockMargin)
 }
 
-// tell adds starts, stops and acknowledgements that are due.
-func (o *Owner) tell(now time.Duration, w *worker, req *platform.SyncRequest) {
+// fillRequest adds starts, stops and acknowledgements that are due.
+func (o *Owner) fillRequest(now time.Duration, w *worker, req *platform.SyncRequest) {
 	w.starts, w.stops = w.starts[:0], w.stops[:0]
 	for _, t := range o.onWorker(w.id) {
 		switch {
@@ -87,7 +87,7 @@
 		}
 	}
 	req.Stops = append(req.Stops, w.stops...)
-	req.Stops = append(req.Stops, w.strays...)
+	req.Stops = append(req.Stops, w.orphans...)
 	for ref, pos := range w.acks {
 		if pos <= o.core.Committed() || o.params.NoAckCommit {
 			req.Acks = append(req.Acks, ref)
@@ -127,17 +127,18 @@
 		o.Tick(now)
 		return
 	}
-	o.heard(now, w, reply)
+	o.handleReply(now, w, reply)
 	o.Tick(now)
 }
 
-func (o *Owner) heard(now time.Duration, w *worker, reply *platform.SyncReply) {
+// handleReply takes over what a worker tells in answer to the last call.
+func (o *Owner) handleReply(now time.Duration, w *worker, reply *platform.SyncReply) {
 	if w.boot != reply.Boot {
-		o.booted(now, w, reply.Boot)
+		o.handleRestart(now, w, reply.Boot)
 	}
 	w.clockMS, w.clockAt = reply.ClockMS, now
 	w.lapsed = false
-	ended := o.heardEnds(now, w, reply.Ended)
+	ended := o.handleEnded(now, w, reply.Ended)
 	o.markStarted(w, ended)
 	o.endNeverBegun(now, w)
 	if w.askedFull {
@@ -148,9 +149,9 @@
 	o.learn(now, w, reply)
 }
 
-// booted handles a worker's first answer under this term, or a restart. What
+// handleRestart handles a worker's first answer under this term, or a restart. What
 // was started on another incarnation runs no more.
-func (o *Owner) booted(now time.Duration, w *worker, boot uint64) {
+func (o *Owner) handleRestart(now time.Duration, w *worker, boot uint64) {
 	if w.boot == 0 {
 		// The worker refuses former owners from here on; what they last granted
 		// counts from a reading of its clock that lies before now.
@@ -165,8 +166,8 @@
 	}
 }
 
-// heardEnds takes the attempts that the worker lists as ended, and returns them.
-func (o *Owner) heardEnds(now time.Duration, w *worker, reports []platform.Report) map[platform.AttemptRef]bool {
+// handleEnded takes the attempts that the worker lists as ended, and returns them.
+func (o *Owner) handleEnded(now time.Duration, w *worker, reports []platform.Report) map[platform.AttemptRef]bool {
 	ended := make(map[platform.AttemptRef]bool, len(reports))
 	acks := make(map[platform.AttemptRef]uint64, len(reports))
 	for _, r := range reports {
@@ -232,7 +233,7 @@
 		t.running = false
 	}
 	w.view.Free = w.view.Free.Add(w.foreign)
-	w.foreign, w.strays = platform.Resources{}, nil
+	w.foreign, w.orphans = platform.Resources{}, nil
 	for _, r := range running {
 		t := o.table.onWorker[w.id][r.Task]
 		if t != nil && t.attempt == r.Attempt {
@@ -240,12 +241,12 @@
 			continue
 		}
 		w.foreign = w.foreign.Add(r.Given)
-		w.strays = append(w.strays, r.AttemptRef)
+		w.orphans = append(w.orphans, r.AttemptRef)
 	}
 	w.view.Free = w.view.Free.Sub(w.foreign)
-	// Strays are stopped by the next call, and the list after it tells that
+	// Orphans are stopped by the next call, and the list after it tells that
 	// they are gone.
-	w.needFull = len(w.strays) > 0
+	w.needFull = len(w.orphans) > 0
 	w.dirty = w.dirty || w.needFull || o.startsDue(w)
 }
 
--- a/cell/workers.go
+++ b/cell/workers.go
@@ -61,9 +61,9 @@
 	// acks are the ended attempts that the worker still lists, with the journal
 	// position that must be durable before the worker may forget them.
 	acks map[platform.AttemptRef]uint64
-	// strays run on the worker though the table holds them elsewhere or not at
+	// orphans run on the worker though the table holds them elsewhere or not at
 	// all; foreign is the room they hold.
-	strays  []platform.AttemptRef
+	orphans []platform.AttemptRef
 	foreign platform.Resources
 
 	makingRoomFor []*task
--- a/entry/body.go
+++ b/entry/body.go
@@ -12,14 +12,14 @@
 )
 
 // readBody keeps a small body, so that the request can be sent again.
-func (x *exchangeOfOne) readBody() *result.Error {
+func (x *proxyRequest) readBody() *result.Error {
 	limits := x.svc.entry.settings.Limits
 	x.size = x.r.ContentLength
 	if x.size > limits.BodyBytes {
 		return result.New(result.BodyTooLarge, "at most %d bytes", limits.BodyBytes)
 	}
 	idle := config.Ms(x.svc.entry.settings.Timing.CallerIdleMS)
-	body := &patientReader{body: x.r.Body, c: http.NewResponseController(x.w), idle: idle}
+	body := &idleTimeoutReader{body: x.r.Body, c: http.NewResponseController(x.w), idle: idle}
 	limited := http.MaxBytesReader(x.w, body, limits.BodyBytes)
 	kept, err := io.ReadAll(io.LimitReader(limited, int64(limits.ReplayBytes)+1))
 	if err != nil {
@@ -34,16 +34,16 @@
 	return nil
 }
 
-// patientReader reads a caller's body and gives up on a caller that sends
+// idleTimeoutReader reads a caller's body and gives up on a caller that sends
 // nothing for too long.
-type patientReader struct {
+type idleTimeoutReader struct {
 	body io.ReadCloser
 	c    *http.ResponseController
 	idle time.Duration
 }
 
 // Read implements io.Reader.
-func (p *patientReader) Read(b []byte) (int, error) {
+func (p *idleTimeoutReader) Read(b []byte) (int, error) {
 	_ = p.c.SetReadDeadline(time.Now().Add(p.idle))
 	n, err := p.body.Read(b)
 	if errors.Is(err, io.EOF) {
@@ -56,7 +56,7 @@
 }
 
 // Close implements io.Closer.
-func (p *patientReader) Close() error { return p.body.Close() }
+func (p *idleTimeoutReader) Close() error { return p.body.Close() }
 
 func bodyError(err error) *result.Error {
 	var tooLarge *http.MaxBytesError
@@ -66,15 +66,15 @@
 	return result.New(result.BadRequest, "body: %v", err)
 }
 
-// keeper keeps what is written to it, up to a limit.
-type keeper struct {
+// bodyCapture keeps what is written to it, up to a limit.
+type bodyCapture struct {
 	limit   int
 	buf     bytes.Buffer
 	dropped bool
 }
 
 // Write implements io.Writer.
-func (k *keeper) Write(b []byte) (int, error) {
+func (k *bodyCapture) Write(b []byte) (int, error) {
 	if k.dropped || k.buf.Len()+len(b) > k.limit {
 		k.dropped = true
 		k.buf.Reset()
@@ -83,10 +83,10 @@
 	return k.buf.Write(b)
 }
 
-// flushing passes data on at once where the endpoint streams. For a claimed
+// flushWriter passes data on at once where the endpoint streams. For a claimed
 // request a caller that went away doesn't end the reading of the answer, as
 // its outcome has to be recorded.
-type flushing struct {
+type flushWriter struct {
 	w    http.ResponseWriter
 	c    *http.ResponseController
 	live bool
@@ -96,7 +96,7 @@
 }
 
 // Write implements io.Writer.
-func (f *flushing) Write(b []byte) (int, error) {
+func (f *flushWriter) Write(b []byte) (int, error) {
 	if f.err != nil {
 		return len(b), nil
 	}
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -38,8 +38,8 @@
 // maxKey bounds an Idempotency-Key.
 const maxKey = 256
 
-// exchangeOfOne is one caller's request on its way.
-type exchangeOfOne struct {
+// proxyRequest is one caller's request on its way.
+type proxyRequest struct {
 	svc      *service
 	w        http.ResponseWriter
 	r        *http.Request
@@ -60,7 +60,7 @@
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	reqID := xid.New().String()
 	w.Header().Set(HeaderRequestID, reqID)
-	x, err := e.newExchange(w, r, reqID)
+	x, err := e.newProxyRequest(w, r, reqID)
 	if err != nil {
 		e.refuse(w, err)
 		return
@@ -71,7 +71,7 @@
 	x.route()
 }
 
-func (e *Entry) newExchange(w http.ResponseWriter, r *http.Request, reqID string) (*exchangeOfOne, *result.Error) {
+func (e *Entry) newProxyRequest(w http.ResponseWriter, r *http.Request, reqID string) (*proxyRequest, *result.Error) {
 	rev := e.declared.now()
 	name := r.PathValue("service")
 	svc := e.services.get(name)
@@ -84,7 +84,7 @@
 	if r.Header.Get("Upgrade") != "" {
 		return nil, result.New(result.BadRequest, "protocol upgrades are not forwarded")
 	}
-	x := &exchangeOfOne{svc: svc, w: w, r: r, reqID: reqID, id: e.services.nextID.Add(1), rev: rev.number}
+	x := &proxyRequest{svc: svc, w: w, r: r, reqID: reqID, id: e.services.nextID.Add(1), rev: rev.number}
 	prefix := "/v1/services/" + name
 	x.path = strings.TrimPrefix(r.URL.EscapedPath(), prefix)
 	if x.path == "" {
@@ -103,7 +103,7 @@
 }
 
 // bind finds the group that the request counts for.
-func (x *exchangeOfOne) bind(rev *revision) *result.Error {
+func (x *proxyRequest) bind(rev *revision) *result.Error {
 	set, err := labels.ConvertSelectorToLabelsMap(x.r.Header.Get(HeaderLabels))
 	if err != nil {
 		return result.New(result.BadRequest, "%s: %v", HeaderLabels, err)
@@ -119,7 +119,7 @@
 	return nil
 }
 
-func (x *exchangeOfOne) readDeadline() *result.Error {
+func (x *proxyRequest) readDeadline() *result.Error {
 	timeout := x.svc.timeout()
 	if text := x.r.Header.Get(HeaderDeadlineMS); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 32)
@@ -132,7 +132,7 @@
 	return nil
 }
 
-func (x *exchangeOfOne) readKey(spec *config.Service) *result.Error {
+func (x *proxyRequest) readKey(spec *config.Service) *result.Error {
 	key := x.r.Header.Get(HeaderKey)
 	if len(key) > maxKey {
 		return result.New(result.BadRequest, "%s is longer than %d bytes", HeaderKey, maxKey)
@@ -144,7 +144,7 @@
 }
 
 // fingerprint tells a repeated request from another one with the same key.
-func (x *exchangeOfOne) fingerprint() uint64 {
+func (x *proxyRequest) fingerprint() uint64 {
 	h := xxhash.New()
 	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%s\x00%d\x00", x.r.Method, x.path, x.r.URL.RawQuery, x.size)
 	_, _ = h.Write(x.body)
@@ -153,7 +153,7 @@
 
 // claim claims the request's key. It answers the caller itself and returns
 // false unless the request may be sent.
-func (x *exchangeOfOne) claim() bool {
+func (x *proxyRequest) claim() bool {
 	e := x.svc.entry
 	reply := e.claimFor(x.r.Context(), x.svc.name, claim.Request{
 		Key: x.key, Holder: e.settings.ID, RequestID: x.reqID, Fingerprint: x.fingerprint(),
@@ -177,7 +177,7 @@
 }
 
 // replay gives a repeat the first run's answer.
-func (x *exchangeOfOne) replay(out *journalv1.ClaimOutcome) {
+func (x *proxyRequest) replay(out *journalv1.ClaimOutcome) {
 	h := x.w.Header()
 	h.Set(HeaderReplayed, "true")
 	if out.GetBodyDropped() {
@@ -193,7 +193,7 @@
 }
 
 // route follows the router's actions until the request has ended.
-func (x *exchangeOfOne) route() {
+func (x *proxyRequest) route() {
 	e := x.svc.entry
 	actions := x.svc.arrive(router.Request{
 		ID: x.id, Group: x.group, Class: routerClass(x.class), Deadline: x.deadline,
@@ -234,14 +234,14 @@
 	}
 }
 
-func (x *exchangeOfOne) repeatable() bool {
+func (x *proxyRequest) repeatable() bool {
 	spec := x.svc.entry.declared.now().services[x.svc.name]
 	return spec != nil && spec.IsRepeatable(x.r.Method, x.path) && x.rest == nil
 }
 
 // once: a request that is not repeatable and has no key gets one attempt ever;
 // so does one whose body can't be sent twice.
-func (x *exchangeOfOne) once() bool { return x.rest != nil || !x.repeatable() && x.key == "" }
+func (x *proxyRequest) once() bool { return x.rest != nil || !x.repeatable() && x.key == "" }
 
 func routerClass(c config.Class) router.Class {
 	switch c {
@@ -257,7 +257,7 @@
 // ended records the outcome of a claimed request, while the caller gets its
 // answer. The handler must not wait for it: the connection's next request would
 // wait too. A planned stop does.
-func (x *exchangeOfOne) ended(phase journalv1.ClaimPhase, out *journalv1.ClaimOutcome) {
+func (x *proxyRequest) ended(phase journalv1.ClaimPhase, out *journalv1.ClaimOutcome) {
 	if x.key == "" {
 		return
 	}
@@ -267,7 +267,7 @@
 
 // send makes one attempt. It returns true if the request has ended with it,
 // false if the router decides what comes next.
-func (x *exchangeOfOne) send(a router.Action) bool {
+func (x *proxyRequest) send(a router.Action) bool {
 	x.log("send", result.OK, a.Endpoint.ID, a.Attempt)
 	base := x.r.Context()
 	if x.key != "" {
@@ -298,7 +298,7 @@
 }
 
 // outgoing builds the request to an endpoint.
-func (x *exchangeOfOne) outgoing(address string) *http.Request {
+func (x *proxyRequest) outgoing(address string) *http.Request {
 	u := *x.r.URL
 	u.Scheme, u.Host = "http", address
 	u.Path, u.RawPath = "", ""
@@ -318,14 +318,14 @@
 
 // answer passes an endpoint's answer on. A cut answer cuts the connection to
 // the caller, so that it is never taken for a whole one.
-func (x *exchangeOfOne) answer(res attemptResult, began time.Duration) {
+func (x *proxyRequest) answer(res attemptResult, began time.Duration) {
 	h := x.w.Header()
 	copyHeaders(h, res.resp.Header)
 	h.Set(HeaderRequestID, x.reqID)
 	h.Set(HeaderCode, "0")
 	x.w.WriteHeader(res.resp.StatusCode)
-	kept := &keeper{limit: keptBody}
-	out := &flushing{w: x.w, c: http.NewResponseController(x.w), live: res.resp.ContentLength < 0, key: x.key != ""}
+	kept := &bodyCapture{limit: keptBody}
+	out := &flushWriter{w: x.w, c: http.NewResponseController(x.w), live: res.resp.ContentLength < 0, key: x.key != ""}
 	out.idle = config.Ms(x.svc.entry.settings.Timing.CallerIdleMS)
 	_, err := io.Copy(io.MultiWriter(out, kept), res.resp.Body)
 	_ = out.c.SetWriteDeadline(time.Time{}) // net/http keeps it for the connection's next answer
@@ -351,7 +351,7 @@
 }
 
 // log writes the line of one routing decision.
-func (x *exchangeOfOne) log(decision string, code result.Code, endpoint string, attempt int) {
+func (x *proxyRequest) log(decision string, code result.Code, endpoint string, attempt int) {
 	e := x.svc.entry
 	e.log.Info().Str("decision", decision).Str("service", x.svc.name).Str("request", x.reqID).
 		Str("group", x.group).Str("class", string(x.class)).Str("endpoint", endpoint).Int("attempt", attempt).
--- a/router/replay/replay.go
+++ b/router/replay/replay.go
@@ -108,6 +108,7 @@
 	fn  func()
 }
 
+// events is a heap (container/heap) by time, then by order of entry.
 type events []event
 
 func (h events) Len() int { return len(h) }
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -179,51 +179,6 @@
 	return worst
 }
 
-// interferenceFilter keeps tasks off VMs where a service would be slowed down
-// beyond the tolerated factor: the first step of the ladder, avoid.
-type interferenceFilter struct{ model *Interference }
-
-func (interferenceFilter) Name() string { return "interference" }
-
-func (f interferenceFilter) Passes(t *Task, w *Worker) bool {
-	if len(w.Services) == 0 || t.Urgent {
-		return true // an urgent task is as dear as a request
-	}
-	if w.Barred[t.Kind] {
-		return false
-	}
-	if f.model.with(w, t.Kind) <= f.model.params.Tolerated {
-		return true
-	}
-	// A task that adds nothing may run where another kind is to blame.
-	return f.model.harmless(w, t.Kind)
-}
-
-// harmlessCoefficient is the added slow-down below which a kind is not held
-// responsible.
-const harmlessCoefficient = 0.02
-
-func (m *Interference) harmless(w *Worker, kind string) bool {
-	for _, s := range w.Services {
-		if m.Coefficient(s, kind, w.Load) > harmlessCoefficient {
-			return false
-		}
-	}
-	return true
-}
-
-// interferenceScore prefers VMs whose services suffer least.
-type interferenceScore struct{ model *Interference }
-
-func (interferenceScore) Name() string { return "interference" }
-
-func (s interferenceScore) Score(t *Task, w *Worker) float64 {
-	if len(w.Services) == 0 {
-		return 1
-	}
-	return 1 / s.model.with(w, t.Kind)
-}
-
 // History remembers which kinds ran on a worker, so that a late sample is
 // attributed to the time it speaks of.
 type History struct {
--- /dev/null
+++ b/scheduler/score_accelerator.go
@@ -0,0 +1,17 @@
+package scheduler
+
+// acceleratorScore keeps workers with accelerators for tasks that ask for
+// some, and fills started ones first, so that whole sets stay free.
+type acceleratorScore struct{}
+
+func (acceleratorScore) Name() string { return "accelerator" }
+
+func (acceleratorScore) Score(t *Task, w *Worker) float64 {
+	if w.Capacity.Accelerators == 0 {
+		return 1
+	}
+	if t.Ask.Accelerators == 0 {
+		return 0
+	}
+	return 1 - fraction(w.Free.Accelerators-t.Ask.Accelerators, w.Capacity.Accelerators)
+}
