--- a/cell/owner_fuzz_test.go
+++ b/cell/owner_fuzz_test.go
@@ -83,6 +83,7 @@
 		"owner goes on after its lease":     {noSelfFence: true},
 		"start is sent before its commit":   {startEarly: true},
 		"takeover does not wait":            {noWait: true},
+		"owner books twice the room":        {overBooks: true},
 		"end is acknowledged before commit": {ackEarly: true},
 	}
 	const most = 400
--- a/cell/replay/replay.go
+++ b/cell/replay/replay.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"sort"
 	"time"
@@ -22,7 +21,6 @@
 	"leverstile.dev/scheduler"
 	"leverstile.dev/shard"
 	"leverstile.dev/standin"
-	"leverstile.dev/trace"
 )
 
 // Header is the first line of a trace.
@@ -69,12 +67,6 @@
 	Lines []Line
 }
 
-// Read reads a trace.
-func Read(r io.Reader) (*Trace, error) {
-	head, lines, err := trace.Read[Header, Line](r)
-	return &Trace{Header: head, Lines: lines}, err
-}
-
 // Policy is a way to schedule that is compared.
 type Policy struct {
 	Name string
--- a/cell/replay/traces_test.go
+++ b/cell/replay/traces_test.go
@@ -1,12 +1,12 @@
 package replay
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"leverstile.dev/trace"
 )
 
 // Want is the stated outcome of a trace, beside it in testdata.
@@ -44,15 +44,7 @@
 }
 
 func replayOne(t *testing.T, file, name string) {
-	f, err := os.Open(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	trace, err := Read(f)
-	if err != nil {
-		t.Fatal(err)
-	}
+	trace, want := load(t, file)
 	rows := []string{
 		"| policy | slow-down p50 | p95 | p99 | core hours | done | failed | cancelled | open | evictions | urgent start p99 | share error | last done |",
 		"|---|---|---|---|---|---|---|---|---|---|---|---|---|",
@@ -70,7 +62,7 @@
 		rows = append(rows, row(o))
 	}
 	t.Logf("%s\n%s", name, strings.Join(rows, "\n"))
-	check(t, readWant(t, name), outcomes)
+	check(t, want, outcomes)
 }
 
 func row(o Outcome) string {
@@ -111,14 +103,16 @@
 	}
 }
 
-func readWant(t *testing.T, name string) Want {
-	b, err := os.ReadFile(filepath.Join("testdata", name+".want.json"))
+// load reads a trace and its stated outcome.
+func load(t *testing.T, file string) (*Trace, Want) {
+	t.Helper()
+	head, lines, err := trace.ReadFile[Header, Line](file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var w Want
-	if err := json.Unmarshal(b, &w); err != nil {
+	want, err := trace.ReadWant[Want](file)
+	if err != nil {
 		t.Fatal(err)
 	}
-	return w
+	return &Trace{Header: head, Lines: lines}, want
 }
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -41,6 +41,8 @@
 	ackEarly    bool
 	startEarly  bool
 	noWait      bool
+	// overBooks: the owner takes each VM for twice as large as it is.
+	overBooks bool
 }
 
 type node struct {
@@ -132,9 +134,13 @@
 
 func (s *sim) vms() []platform.VM {
 	var out []platform.VM
+	capacity := simCapacity
+	if s.mutated.overBooks {
+		capacity = capacity.Add(simCapacity)
+	}
 	for _, w := range s.workers {
 		if !s.gone[w.ID] {
-			out = append(out, platform.VM{ID: w.ID, State: platform.VMLive, Capacity: simCapacity, Worker: w.ID})
+			out = append(out, platform.VM{ID: w.ID, State: platform.VMLive, Capacity: capacity, Worker: w.ID})
 		}
 	}
 	return out
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,9 +45,8 @@
 	services *services
 	shards   *shards
 
-	draining  atomic.Bool
-	mismatch  atomic.Bool // see fleetMismatch
-	storeSeen atomic.Int64
+	draining atomic.Bool
+	mismatch atomic.Bool // see fleetMismatch
 	// recording are outcomes of claimed requests that are not recorded yet.
 	recording sync.WaitGroup
 	replanCh  chan struct{}
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -240,8 +240,5 @@
 	} else {
 		a.Pairs, _, a.Err = e.store.Range(ctx, op.Prefix)
 	}
-	if a.Err == nil {
-		e.storeSeen.Store(int64(e.clock()))
-	}
 	return a
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -26,7 +26,6 @@
 		pairs, rev, err := e.store.Range(ctx, shard.WatchPrefix)
 		if err == nil {
 			e.takeAll(pairs)
-			e.storeSeen.Store(int64(e.clock()))
 			err = e.store.Watch(ctx, shard.WatchPrefix, rev, func(_ int64, events []kv.Event) {
 				for _, ev := range events {
 					e.take(ev)
--- a/router/replay/replay.go
+++ b/router/replay/replay.go
@@ -6,14 +6,12 @@
 import (
 	"container/heap"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"leverstile.dev/api/result"
 	"leverstile.dev/router"
-	"leverstile.dev/trace"
 )
 
 // Header is the first line of a trace.
@@ -58,12 +56,6 @@
 	Lines []Line
 }
 
-// Read reads a trace.
-func Read(r io.Reader) (*Trace, error) {
-	head, lines, err := trace.Read[Header, Line](r)
-	return &Trace{Header: head, Lines: lines}, err
-}
-
 // Outcome is what a replay measured. Latencies are from the first arrival of a
 // request, repeats by its caller included.
 type Outcome struct {
--- a/router/replay/traces_test.go
+++ b/router/replay/traces_test.go
@@ -1,14 +1,13 @@
 package replay
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"leverstile.dev/router"
+	"leverstile.dev/trace"
 )
 
 // Want is the stated outcome of a trace, beside it in testdata.
@@ -60,7 +59,7 @@
 }
 
 func replayOne(t *testing.T, file, name string) {
-	trace := readTrace(t, file)
+	trace, want := load(t, file)
 	outcomes := map[string]Outcome{}
 	rows := []string{"| policy | p50 ms | p99 ms | p99.9 ms | goodput | refused | unknown | retries/request | overshoot |", "|---|---|---|---|---|---|---|---|---|"}
 	for _, c := range contenders {
@@ -79,7 +78,7 @@
 	oracle := Central(trace)
 	rows = append(rows, row("all-seeing", oracle))
 	t.Logf("%s\n%s", name, strings.Join(rows, "\n"))
-	checkWant(t, readWant(t, name), outcomes, oracle)
+	checkWant(t, want, outcomes, oracle)
 }
 
 func ms(d interface{ Seconds() float64 }) float64 { return d.Seconds() * 1000 }
@@ -125,27 +124,16 @@
 	}
 }
 
-func readTrace(t *testing.T, file string) *Trace {
-	f, err := os.Open(file)
+// load reads a trace and its stated outcome.
+func load(t *testing.T, file string) (*Trace, Want) {
+	t.Helper()
+	head, lines, err := trace.ReadFile[Header, Line](file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
-	trace, err := Read(f)
+	want, err := trace.ReadWant[Want](file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return trace
-}
-
-func readWant(t *testing.T, name string) Want {
-	b, err := os.ReadFile(filepath.Join("testdata", name+".want.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	var w Want
-	if err := json.Unmarshal(b, &w); err != nil {
-		t.Fatal(err)
-	}
-	return w
+	return &Trace{Header: head, Lines: lines}, want
 }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"os"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -13,6 +15,28 @@
 // maxLine bounds a line in bytes.
 const maxLine = 16 << 20
 
+// ReadFile reads the trace in a file.
+func ReadFile[H, L any](name string) (H, []L, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		var head H
+		return head, nil, errors.Trace(err)
+	}
+	defer f.Close()
+	return Read[H, L](f)
+}
+
+// ReadWant reads the stated outcome that stands beside a trace: name.want.json
+// beside name.jsonl.
+func ReadWant[W any](traceFile string) (W, error) {
+	var want W
+	b, err := os.ReadFile(strings.TrimSuffix(traceFile, ".jsonl") + ".want.json")
+	if err != nil {
+		return want, errors.Trace(err)
+	}
+	return want, errors.Annotate(json.Unmarshal(b, &want), traceFile)
+}
+
 // Read returns the header and the lines of a trace. Errors name the line.
 func Read[H, L any](r io.Reader) (H, []L, error) {
 	var head H
