--- a/cell/attempts.go
+++ b/cell/attempts.go
@@ -6,7 +6,7 @@
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/api/result"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // giveUp ends the attempts on a worker whose task leases have ended or whose
@@ -74,14 +74,14 @@
 	o.decide(Decision{What: "done", Task: t.spec.GetId(), Attempt: t.attempt, Worker: workerID, Reason: code.String()})
 }
 
-func (o *Owner) attemptEnded(now time.Duration, w *worker, t *task, r platform.Report) {
+func (o *Owner) attemptEnded(now time.Duration, w *worker, t *task, r fleet.Report) {
 	switch r.State {
-	case platform.AttemptFinished:
+	case fleet.AttemptFinished:
 		w.succeeded()
 		o.finish(now, t, result.OK, r.Detail)
-	case platform.AttemptFailed:
+	case fleet.AttemptFailed:
 		o.attemptFailed(now, w, t, r)
-	case platform.AttemptRefused:
+	case fleet.AttemptRefused:
 		o.counters.Refused++
 		w.notBefore = now + o.params.RetryEvery
 		w.needFull = true
@@ -100,7 +100,7 @@
 	o.endAttempt(now, t, reason, checkpoint, why)
 }
 
-func (o *Owner) attemptFailed(now time.Duration, w *worker, t *task, r platform.Report) {
+func (o *Owner) attemptFailed(now time.Duration, w *worker, t *task, r fleet.Report) {
 	blamed := o.blame(now, w, t)
 	switch {
 	case t.cancel:
--- a/cell/learning.go
+++ b/cell/learning.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 )
 
 // learn takes over a worker's samples. They may be old: each is attributed to
 // what ran at the time that it speaks of.
-func (o *Owner) learn(now time.Duration, w *worker, reply *platform.SyncReply) {
+func (o *Owner) learn(now time.Duration, w *worker, reply *fleet.SyncReply) {
 	for _, u := range reply.Usage {
 		o.sizes.Observe(u.Kind, u.Used)
 	}
@@ -25,7 +25,7 @@
 
 // applyLadder takes one step of the ladder that keeps a service's tail: throttle,
 // then evict, the kind that slows it down most.
-func (o *Owner) applyLadder(now time.Duration, w *worker, s platform.Slowdown) {
+func (o *Owner) applyLadder(now time.Duration, w *worker, s fleet.Slowdown) {
 	if o.model == nil || !o.mayDecide(now) {
 		return
 	}
@@ -56,7 +56,7 @@
 }
 
 // worstKind returns the kind on the worker that adds most to the slow-down.
-func (o *Owner) worstKind(w *worker, s platform.Slowdown) string {
+func (o *Owner) worstKind(w *worker, s fleet.Slowdown) string {
 	worst, most := "", -1.0
 	for kind, n := range w.view.Kinds {
 		added := float64(n) * o.model.Coefficient(s.Service, kind, s.Load)
@@ -84,7 +84,7 @@
 
 // evictWorst evicts the task of the worst kind that loses least, within the
 // budget.
-func (o *Owner) evictWorst(now time.Duration, w *worker, s platform.Slowdown) {
+func (o *Owner) evictWorst(now time.Duration, w *worker, s fleet.Slowdown) {
 	if o.budget < budgetBurst/2 {
 		return // the rest is for urgent tasks
 	}
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -7,7 +7,7 @@
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/api/result"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 	"leverstile.dev/shard"
 )
@@ -77,7 +77,7 @@
 type Sync struct {
 	Worker  string
 	Address string
-	Request *platform.SyncRequest
+	Request *fleet.SyncRequest
 }
 
 // TaskResult is the outcome of one submitted or cancelled task.
@@ -136,9 +136,9 @@
 	ladder  scheduler.LadderParams
 
 	groups     []scheduler.GroupSpec
-	vms        map[string]platform.VM
+	vms        map[string]fleet.VM
 	vmsKnown   bool
-	largest    platform.Resources       // the most of each kind that a VM has
+	largest    fleet.Resources          // the most of each kind that a VM has
 	missing    map[string]time.Duration // since when a VM isn't in the list
 	workers    map[string]*worker
 	order      []*worker // workers by id; nil when out of date
@@ -174,7 +174,7 @@
 		model:   model,
 		sizes:   scheduler.NewEstimator(),
 		ladder:  scheduler.DefaultLadderParams,
-		vms:     map[string]platform.VM{},
+		vms:     map[string]fleet.VM{},
 		missing: map[string]time.Duration{},
 		workers: map[string]*worker{},
 	}
@@ -214,7 +214,7 @@
 
 // SetElsewhere sets what each group holds in other cells, and the capacity of
 // those cells.
-func (o *Owner) SetElsewhere(use map[string]platform.Resources, capacity platform.Resources) {
+func (o *Owner) SetElsewhere(use map[string]fleet.Resources, capacity fleet.Resources) {
 	for _, name := range o.shares.Names() {
 		o.shares.SetElsewhere(name, use[name])
 	}
@@ -222,13 +222,13 @@
 }
 
 // InUse returns what each group holds in this cell.
-func (o *Owner) InUse() map[string]platform.Resources { return o.shares.InUse() }
+func (o *Owner) InUse() map[string]fleet.Resources { return o.shares.InUse() }
 
 // Capacity returns what the cell's workers have for tasks.
-func (o *Owner) Capacity() platform.Resources { return o.totalCapacity() }
+func (o *Owner) Capacity() fleet.Resources { return o.totalCapacity() }
 
-func (o *Owner) totalCapacity() platform.Resources {
-	var sum platform.Resources
+func (o *Owner) totalCapacity() fleet.Resources {
+	var sum fleet.Resources
 	for _, vm := range o.vms {
 		sum = sum.Add(vm.Capacity.Sub(vm.Reserved))
 	}
@@ -383,7 +383,7 @@
 	if w.view.Kinds[t.spec.GetKind()]--; w.view.Kinds[t.spec.GetKind()] <= 0 {
 		delete(w.view.Kinds, t.spec.GetKind())
 	}
-	o.shares.Hold(t.spec.GetGroup(), platform.Resources{}.Sub(t.given))
+	o.shares.Hold(t.spec.GetGroup(), fleet.Resources{}.Sub(t.given))
 }
 
 func (o *Owner) flushReplies() {
--- a/cell/planning.go
+++ b/cell/planning.go
@@ -6,7 +6,7 @@
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/api/result"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 )
 
@@ -90,7 +90,7 @@
 // known, else what was declared. After a failure, which too little memory may
 // have caused, it is the larger of both and more with each one, within the
 // largest VM.
-func (o *Owner) ask(t *task) platform.Resources {
+func (o *Owner) ask(t *task) fleet.Resources {
 	declared := fromProto(t.spec.GetRequest())
 	ask := o.sizes.Ask(t.spec.GetKind(), declared)
 	if t.failures > 0 {
@@ -168,7 +168,7 @@
 	if pl.Worker.Kinds[pl.Task.Kind]--; pl.Worker.Kinds[pl.Task.Kind] <= 0 {
 		delete(pl.Worker.Kinds, pl.Task.Kind)
 	}
-	o.shares.Hold(pl.Task.Group, platform.Resources{}.Sub(pl.Task.Ask))
+	o.shares.Hold(pl.Task.Group, fleet.Resources{}.Sub(pl.Task.Ask))
 }
 
 func (o *Owner) evict(ev scheduler.Eviction) {
--- a/cell/replay/replay.go
+++ b/cell/replay/replay.go
@@ -17,7 +17,7 @@
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/api/result"
 	"leverstile.dev/cell"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 	"leverstile.dev/shard"
 	"leverstile.dev/standin"
@@ -25,12 +25,12 @@
 
 // Header is the first line of a trace.
 type Header struct {
-	Name     string             `json:"name"`
-	Workers  int                `json:"workers"`
-	Rack     int                `json:"rack"`
-	Capacity platform.Resources `json:"capacity"`
-	Reserved platform.Resources `json:"reserved"`
-	Service  string             `json:"service"`
+	Name     string          `json:"name"`
+	Workers  int             `json:"workers"`
+	Rack     int             `json:"rack"`
+	Capacity fleet.Resources `json:"capacity"`
+	Reserved fleet.Resources `json:"reserved"`
+	Service  string          `json:"service"`
 	// Load is the service's load at even distances in time over Seconds.
 	Load    []float64 `json:"load"`
 	Seconds int       `json:"seconds"`
@@ -43,13 +43,13 @@
 // Kind is a kind of task. Slowdown is what one task of it adds to the slow-down
 // of the service on its VM at full load; the scheduler is not told.
 type Kind struct {
-	Name     string             `json:"name"`
-	Group    string             `json:"group"`
-	Declared platform.Resources `json:"declared"`
-	Used     platform.Resources `json:"used"`
-	WorkS    float64            `json:"work_s"`
-	Urgent   bool               `json:"urgent,omitempty"`
-	Slowdown float64            `json:"slowdown,omitempty"`
+	Name     string          `json:"name"`
+	Group    string          `json:"group"`
+	Declared fleet.Resources `json:"declared"`
+	Used     fleet.Resources `json:"used"`
+	WorkS    float64         `json:"work_s"`
+	Urgent   bool            `json:"urgent,omitempty"`
+	Slowdown float64         `json:"slowdown,omitempty"`
 }
 
 // Line is something that happens at AtS.
@@ -171,7 +171,7 @@
 	for i := range p.trace.Workers {
 		w := standin.NewWorker(fmt.Sprintf("vm-%03d", i), p.trace.Capacity.Sub(p.trace.Reserved))
 		w.Guards, w.SampleLag = true, time.Duration(p.trace.LagS)*time.Second
-		w.SlowdownOf = func(kinds map[string]int, now time.Duration) []platform.Slowdown {
+		w.SlowdownOf = func(kinds map[string]int, now time.Duration) []fleet.Slowdown {
 			return p.slowdown(kinds, now-begin)
 		}
 		p.workers = append(p.workers, w)
@@ -204,13 +204,13 @@
 	return nil
 }
 
-func (p *player) vms() []platform.VM {
-	var out []platform.VM
+func (p *player) vms() []fleet.VM {
+	var out []fleet.VM
 	for i, w := range p.workers {
 		if !p.gone[i] {
-			out = append(out, platform.VM{
-				ID: w.ID, State: platform.VMLive, Capacity: p.trace.Capacity, Reserved: p.trace.Reserved, Worker: w.ID,
-				Endpoints: []platform.EndpointAddr{{Service: p.trace.Service, Address: w.ID}},
+			out = append(out, fleet.VM{
+				ID: w.ID, State: fleet.VMLive, Capacity: p.trace.Capacity, Reserved: p.trace.Reserved, Worker: w.ID,
+				Endpoints: []fleet.EndpointAddr{{Service: p.trace.Service, Address: w.ID}},
 			})
 		}
 	}
@@ -228,14 +228,14 @@
 }
 
 // slowdown is the truth that the scheduler has to find out.
-func (p *player) slowdown(kinds map[string]int, at time.Duration) []platform.Slowdown {
+func (p *player) slowdown(kinds map[string]int, at time.Duration) []fleet.Slowdown {
 	load := p.load(at)
 	factor := 1.0
 	for name, n := range kinds {
 		factor += float64(n) * p.kinds[name].Slowdown * load
 	}
 	p.slow = append(p.slow, factor)
-	return []platform.Slowdown{{Service: p.trace.Service, Factor: factor, Load: load}}
+	return []fleet.Slowdown{{Service: p.trace.Service, Factor: factor, Load: load}}
 }
 
 // sample has all workers measure, and notes what groups hold.
@@ -382,7 +382,7 @@
 	p.owner.WorkerAnswer(p.now, s.Worker, s.Request.Term, s.Request.Seq, reply, nil)
 }
 
-func quiet(r *platform.SyncReply) bool {
+func quiet(r *fleet.SyncReply) bool {
 	return len(r.Ended)+len(r.Usage)+len(r.Slowdowns) == 0 && r.Refused == ""
 }
 
@@ -449,7 +449,7 @@
 			if i > 0 && (runs[i-1].Ended == 0 || r.Began < runs[i-1].Ended) {
 				p.out.Overlaps++
 			}
-			if r.State == platform.AttemptFinished {
+			if r.State == fleet.AttemptFinished {
 				var n int
 				_, err := fmt.Sscanf(id[len(id)-5:], "%d", &n)
 				p.err = errors.Trace(err)
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -11,8 +11,8 @@
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/api/result"
+	"leverstile.dev/fleet"
 	"leverstile.dev/kv"
-	"leverstile.dev/platform"
 	"leverstile.dev/scheduler"
 	"leverstile.dev/shard"
 	"leverstile.dev/standin"
@@ -88,7 +88,7 @@
 
 const simCell = "c"
 
-var simCapacity = platform.Resources{CPUMilli: 3000, MemoryMiB: 3000}
+var simCapacity = fleet.Resources{CPUMilli: 3000, MemoryMiB: 3000}
 
 func newSim(pick draw, m mutation) *sim {
 	s := &sim{
@@ -132,15 +132,15 @@
 
 func (s *sim) clock(n *node) time.Duration { return s.now + n.skew }
 
-func (s *sim) vms() []platform.VM {
-	var out []platform.VM
+func (s *sim) vms() []fleet.VM {
+	var out []fleet.VM
 	capacity := simCapacity
 	if s.mutated.overBooks {
 		capacity = capacity.Add(simCapacity)
 	}
 	for _, w := range s.workers {
 		if !s.gone[w.ID] {
-			out = append(out, platform.VM{ID: w.ID, State: platform.VMLive, Capacity: capacity, Worker: w.ID})
+			out = append(out, fleet.VM{ID: w.ID, State: fleet.VMLive, Capacity: capacity, Worker: w.ID})
 		}
 	}
 	return out
@@ -249,7 +249,7 @@
 	c := n.syncs[i]
 	n.syncs = append(n.syncs[:i:i], n.syncs[i+1:]...)
 	life := n.life
-	answer := func(r *platform.SyncReply, err error) {
+	answer := func(r *fleet.SyncReply, err error) {
 		if n.life == life && !n.dead {
 			n.owner.WorkerAnswer(s.clock(n), c.Worker, c.Request.Term, c.Request.Seq, r, err)
 		}
@@ -564,7 +564,7 @@
 // check holds the workers' books against the promises.
 func (s *sim) check() error {
 	byTask := map[string][]standin.Run{}
-	seen := map[platform.AttemptRef]string{}
+	seen := map[fleet.AttemptRef]string{}
 	for _, w := range s.workers {
 		_, held := w.Running(s.now)
 		if !held.Fits(simCapacity) {
@@ -593,7 +593,7 @@
 		if prev.Ended == 0 || r.Began < prev.Ended {
 			return errors.Errorf("task %s runs in two places: %+v and %+v", id, prev, r)
 		}
-		if s.specs[id].GetNotRepeatable() && prev.State != platform.AttemptStopped {
+		if s.specs[id].GetNotRepeatable() && prev.State != fleet.AttemptStopped {
 			return errors.Errorf("task %s is not repeatable and ran again: %+v and %+v", id, prev, r)
 		}
 		if s.specs[id].GetNotRepeatable() && r.Resumed == 0 && prev.Ended > prev.Began {
@@ -648,10 +648,10 @@
 	finished, failed := 0, 0
 	for _, w := range s.workers {
 		for _, r := range w.Runs() {
-			if r.Task == id && r.State == platform.AttemptFinished {
+			if r.Task == id && r.State == fleet.AttemptFinished {
 				finished++
 			}
-			if r.Task == id && r.State == platform.AttemptFailed {
+			if r.Task == id && r.State == fleet.AttemptFailed {
 				failed++
 			}
 		}
--- a/cell/sync.go
+++ b/cell/sync.go
@@ -4,7 +4,7 @@
 	"time"
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // syncWorkers calls the workers that have to be told something or are due for
@@ -43,7 +43,7 @@
 
 func (o *Owner) sync(now time.Duration, w *worker) {
 	w.seq++
-	req := &platform.SyncRequest{
+	req := &fleet.SyncRequest{
 		Cell: o.params.Cell, Term: o.core.Term(), Seq: w.seq, Boot: w.boot, Full: w.needFull,
 	}
 	if w.boot != 0 {
@@ -66,13 +66,13 @@
 // renew sets the lease's end as a reading of the worker's own clock. The
 // reading it counts from was taken before clockAt, so by our clock the lease
 // ends no later than leaseEnd, however late the request arrives.
-func (o *Owner) renew(w *worker, req *platform.SyncRequest) {
+func (o *Owner) renew(w *worker, req *fleet.SyncRequest) {
 	req.LeaseUntilMS = w.clockMS + o.params.TaskLease.Milliseconds()
 	w.leaseEnd = max(w.leaseEnd, w.clockAt+o.params.TaskLease+o.params.ClockMargin)
 }
 
 // fillRequest adds starts, stops and acknowledgements that are due.
-func (o *Owner) fillRequest(now time.Duration, w *worker, req *platform.SyncRequest) {
+func (o *Owner) fillRequest(now time.Duration, w *worker, req *fleet.SyncRequest) {
 	w.starts, w.stops = w.starts[:0], w.stops[:0]
 	for _, t := range o.onWorker(w.id) {
 		switch {
@@ -104,8 +104,8 @@
 	return !t.running && !w.needFull && t.boot == w.boot && committed && o.mayDecide(now)
 }
 
-func startOf(t *task) platform.Start {
-	return platform.Start{
+func startOf(t *task) fleet.Start {
+	return fleet.Start{
 		AttemptRef: t.ref(), Kind: t.spec.GetKind(), Given: t.given,
 		Payload: t.spec.GetPayload(), Checkpoint: t.checkpoint,
 	}
@@ -113,7 +113,7 @@
 
 // WorkerAnswer takes the outcome of a call to a worker. Answers to other calls
 // than the last one are ignored: the last one's says all.
-func (o *Owner) WorkerAnswer(now time.Duration, id string, term, seq uint64, reply *platform.SyncReply, err error) {
+func (o *Owner) WorkerAnswer(now time.Duration, id string, term, seq uint64, reply *fleet.SyncReply, err error) {
 	w := o.workers[id]
 	if !o.wasOwning || term != o.core.Term() || w == nil || seq != w.seq || !w.inFlight {
 		return
@@ -132,7 +132,7 @@
 }
 
 // handleReply takes over what a worker tells in answer to the last call.
-func (o *Owner) handleReply(now time.Duration, w *worker, reply *platform.SyncReply) {
+func (o *Owner) handleReply(now time.Duration, w *worker, reply *fleet.SyncReply) {
 	if w.boot != reply.Boot {
 		o.handleRestart(now, w, reply.Boot)
 	}
@@ -167,16 +167,16 @@
 }
 
 // handleEnded takes the attempts that the worker lists as ended, and returns them.
-func (o *Owner) handleEnded(now time.Duration, w *worker, reports []platform.Report) map[platform.AttemptRef]bool {
-	ended := make(map[platform.AttemptRef]bool, len(reports))
-	acks := make(map[platform.AttemptRef]uint64, len(reports))
+func (o *Owner) handleEnded(now time.Duration, w *worker, reports []fleet.Report) map[fleet.AttemptRef]bool {
+	ended := make(map[fleet.AttemptRef]bool, len(reports))
+	acks := make(map[fleet.AttemptRef]uint64, len(reports))
 	for _, r := range reports {
 		ended[r.AttemptRef] = true
 		t := o.table.onWorker[w.id][r.Task]
 		if t != nil && t.attempt == r.Attempt {
 			o.attemptEnded(now, w, t, r)
 		}
-		if r.State == platform.AttemptRefused {
+		if r.State == fleet.AttemptRefused {
 			continue // the worker doesn't keep it
 		}
 		// An end of an attempt that the table no longer holds was recorded before.
@@ -192,7 +192,7 @@
 }
 
 // markStarted notes that the starts of the answered call have begun.
-func (o *Owner) markStarted(w *worker, ended map[platform.AttemptRef]bool) {
+func (o *Owner) markStarted(w *worker, ended map[fleet.AttemptRef]bool) {
 	for _, ref := range w.starts {
 		t := o.table.onWorker[w.id][ref.Task]
 		if t != nil && t.attempt == ref.Attempt && !ended[ref] {
@@ -227,13 +227,13 @@
 
 // takeList takes over a full list of what runs on the worker. Attempts that
 // the table doesn't hold there are stopped, and their room counts until then.
-func (o *Owner) takeList(w *worker, running []platform.Report) {
+func (o *Owner) takeList(w *worker, running []fleet.Report) {
 	w.needFull = false
 	for _, t := range o.table.onWorker[w.id] {
 		t.running = false
 	}
 	w.view.Free = w.view.Free.Add(w.foreign)
-	w.foreign, w.orphans = platform.Resources{}, nil
+	w.foreign, w.orphans = fleet.Resources{}, nil
 	for _, r := range running {
 		t := o.table.onWorker[w.id][r.Task]
 		if t != nil && t.attempt == r.Attempt {
--- a/cell/table.go
+++ b/cell/table.go
@@ -18,7 +18,7 @@
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/api/result"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // Phase is a task's phase.
@@ -45,7 +45,7 @@
 	attempt    uint32 // number of the current or last attempt
 	worker     string // where the current attempt is
 	boot       uint64 // the incarnation it was started on
-	given      platform.Resources
+	given      fleet.Resources
 	checkpoint []byte
 	cancel     bool
 	code       result.Code
@@ -76,8 +76,8 @@
 	evictingFor bool
 }
 
-func (t *task) ref() platform.AttemptRef {
-	return platform.AttemptRef{Task: t.spec.GetId(), Attempt: t.attempt}
+func (t *task) ref() fleet.AttemptRef {
+	return fleet.AttemptRef{Task: t.spec.GetId(), Attempt: t.attempt}
 }
 
 // table holds the tasks of a cell. It implements shard.Machine.
@@ -315,11 +315,11 @@
 	}
 }
 
-func fromProto(r *journalv1.Resources) platform.Resources {
-	return platform.Resources{CPUMilli: r.GetCpuMilli(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators()}
+func fromProto(r *journalv1.Resources) fleet.Resources {
+	return fleet.Resources{CPUMilli: r.GetCpuMilli(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators()}
 }
 
-func toProto(r platform.Resources) *journalv1.Resources {
+func toProto(r fleet.Resources) *journalv1.Resources {
 	return &journalv1.Resources{CpuMilli: r.CPUMilli, MemoryMib: r.MemoryMiB, Accelerators: r.Accelerators}
 }
 
--- a/cell/workers.go
+++ b/cell/workers.go
@@ -6,7 +6,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 )
 
@@ -56,15 +56,15 @@
 	needFull  bool
 	askedFull bool // the call in flight asks for the full list
 	// starts and stops are what the call in flight asks for.
-	starts, stops []platform.AttemptRef
+	starts, stops []fleet.AttemptRef
 
 	// acks are the ended attempts that the worker still lists, with the journal
 	// position that must be durable before the worker may forget them.
-	acks map[platform.AttemptRef]uint64
+	acks map[fleet.AttemptRef]uint64
 	// orphans run on the worker though the table holds them elsewhere or not at
 	// all; foreign is the room they hold.
-	orphans []platform.AttemptRef
-	foreign platform.Resources
+	orphans []fleet.AttemptRef
+	foreign fleet.Resources
 
 	makingRoomFor []*task
 
@@ -92,7 +92,7 @@
 }
 
 // describe takes over what the platform's list says of a VM.
-func (w *worker) describe(vm platform.VM) {
+func (w *worker) describe(vm fleet.VM) {
 	w.address = vm.Worker
 	capacity := vm.Capacity.Sub(vm.Reserved)
 	held := w.view.Capacity.Sub(w.view.Free)
@@ -111,9 +111,9 @@
 }
 
 // SetVMs takes over the platform's list, as far as it lies in this cell.
-func (o *Owner) SetVMs(now time.Duration, vms []platform.VM) {
+func (o *Owner) SetVMs(now time.Duration, vms []fleet.VM) {
 	o.vmsKnown = true
-	next := make(map[string]platform.VM, len(vms))
+	next := make(map[string]fleet.VM, len(vms))
 	for _, vm := range vms {
 		next[vm.ID] = vm
 		delete(o.missing, vm.ID)
@@ -136,8 +136,8 @@
 	o.dirty = true
 }
 
-func largestOf(vms []platform.VM) platform.Resources {
-	var most platform.Resources
+func largestOf(vms []fleet.VM) fleet.Resources {
+	var most fleet.Resources
 	for _, vm := range vms {
 		c := vm.Capacity.Sub(vm.Reserved)
 		most.CPUMilli = max(most.CPUMilli, c.CPUMilli)
@@ -147,7 +147,7 @@
 	return most
 }
 
-func (o *Owner) noteMissing(now time.Duration, id string, listed map[string]platform.VM) {
+func (o *Owner) noteMissing(now time.Duration, id string, listed map[string]fleet.VM) {
 	if _, ok := listed[id]; ok {
 		return
 	}
@@ -215,14 +215,14 @@
 
 func (o *Owner) refreshUsable(now time.Duration, w *worker) {
 	vm, listed := o.vms[w.id]
-	usable := listed && vm.State == platform.VMLive && w.boot != 0 && !w.lapsed
+	usable := listed && vm.State == fleet.VMLive && w.boot != 0 && !w.lapsed
 	w.liftBars(now)
 	usable = usable && now >= w.quarantineUntil && now < w.leaseEnd
 	if usable != w.view.Usable {
 		w.view.Usable = usable
 		o.dirty = true
 	}
-	if listed && vm.State == platform.VMLeaving {
+	if listed && vm.State == fleet.VMLeaving {
 		o.vacate(now, w)
 	}
 	o.noticeRoom(w)
--- a/cmd/leverstile/demo.go
+++ b/cmd/leverstile/demo.go
@@ -20,7 +20,7 @@
 	"leverstile.dev/api/result"
 	"leverstile.dev/config"
 	"leverstile.dev/entry"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/standin"
 )
 
@@ -119,7 +119,7 @@
 	var err error
 	d.fleet, err = standin.NewFleet(standin.FleetSpec{
 		Places: []string{"north", "south"}, VMs: demoVMs, RackSize: 2,
-		Capacity: platform.Resources{CPUMilli: demoCores * 1000, MemoryMiB: demoCores * 1024},
+		Capacity: fleet.Resources{CPUMilli: demoCores * 1000, MemoryMiB: demoCores * 1024},
 		Service:  "vendline", Slots: 8, ServiceMS: 5, ListLag: 500 * time.Millisecond,
 		KVListen: "127.0.0.1:0", ListListen: "127.0.0.1:0",
 	})
@@ -314,7 +314,7 @@
 	for i := range n {
 		tasks = append(tasks, entry.Task{
 			ID: fmt.Sprintf("%s-%02d", app, i), Kind: app, Labels: map[string]string{"app": app}, Payload: payload,
-			Request: platform.Resources{CPUMilli: 1000, MemoryMiB: 512},
+			Request: fleet.Resources{CPUMilli: 1000, MemoryMiB: 512},
 		})
 	}
 	body, _ := json.Marshal(tasks)
@@ -355,7 +355,7 @@
 	n := 0
 	for _, runs := range d.fleet.Books().Runs {
 		for _, r := range runs {
-			if r.State == platform.AttemptRunning {
+			if r.State == fleet.AttemptRunning {
 				n++
 			}
 		}
--- a/cmd/leverstile/standin.go
+++ b/cmd/leverstile/standin.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/standin"
 )
 
@@ -34,7 +34,7 @@
 
 // Execute implements flags.Commander.
 func (c *standinCommand) Execute([]string) error {
-	capacity := platform.Resources{CPUMilli: c.Cores * 1000, MemoryMiB: c.MemoryGiB * 1024}
+	capacity := fleet.Resources{CPUMilli: c.Cores * 1000, MemoryMiB: c.MemoryGiB * 1024}
 	fleet, err := standin.NewFleet(standin.FleetSpec{
 		Places: strings.Split(c.Places, ","), VMs: c.VMs, RackSize: c.RackSize, Capacity: capacity,
 		Service: c.Service, Slots: c.Slots, ServiceMS: c.ServiceMS,
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -10,7 +10,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	"leverstile.dev/api/result"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 const goodSettings = `{
@@ -82,7 +82,7 @@
 }`
 
 func TestDeclarationMistakes(t *testing.T) {
-	vms := []platform.VM{{ID: "v", Place: "p"}}
+	vms := []fleet.VM{{ID: "v", Place: "p"}}
 	if _, ps := ParseDeclarations([]File{{"f", []byte(goodDeclarations)}}, vms); len(ps) != 0 {
 		t.Fatalf("good declarations: %v", ps)
 	}
@@ -175,7 +175,7 @@
 	f.Add(`{"groups": [{"name": "a", "parent": "a", "share": 1}]}`)
 	f.Add(`{"cells": null, "selectors": [{}]}`)
 	f.Fuzz(func(t *testing.T, text string) {
-		d, ps := ParseDeclarations([]File{{"f", []byte(text)}}, []platform.VM{{ID: "v"}})
+		d, ps := ParseDeclarations([]File{{"f", []byte(text)}}, []fleet.VM{{ID: "v"}})
 		if len(ps.Errors()) > 0 {
 			return
 		}
--- a/config/declarations.go
+++ b/config/declarations.go
@@ -11,7 +11,7 @@
 	"k8s.io/apimachinery/pkg/selection"
 
 	"leverstile.dev/api/result"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // Class is a group's priority class.
@@ -26,11 +26,11 @@
 
 // Group owns a share of the VMs.
 type Group struct {
-	Name   string             `json:"name"`
-	Parent string             `json:"parent,omitempty"`
-	Share  float64            `json:"share"`
-	Class  Class              `json:"class,omitempty"`
-	Quota  platform.Resources `json:"quota,omitzero"`
+	Name   string          `json:"name"`
+	Parent string          `json:"parent,omitempty"`
+	Share  float64         `json:"share"`
+	Class  Class           `json:"class,omitempty"`
+	Quota  fleet.Resources `json:"quota,omitzero"`
 }
 
 // RepeatableRule marks requests that may be sent more than once.
@@ -80,7 +80,7 @@
 // ParseDeclarations reads files as one set and checks it whole. vms may be nil;
 // otherwise selectors that match none of them are warned of. The problems hold
 // errors and warnings; the declarations are valid only without errors.
-func ParseDeclarations(files []File, vms []platform.VM) (*Declarations, Problems) {
+func ParseDeclarations(files []File, vms []fleet.VM) (*Declarations, Problems) {
 	all := &Declarations{}
 	c := &checker{all: all, vms: vms, at: map[string]place{}}
 	var problems Problems
@@ -104,7 +104,7 @@
 
 type checker struct {
 	all  *Declarations
-	vms  []platform.VM
+	vms  []fleet.VM
 	docs []*document
 	at   map[string]place // "groups/name" to where it is declared
 }
@@ -257,7 +257,7 @@
 	return sel
 }
 
-func matchesAny(sel labels.Selector, vms []platform.VM) bool {
+func matchesAny(sel labels.Selector, vms []fleet.VM) bool {
 	for _, vm := range vms {
 		if sel.Matches(VMLabels(vm)) {
 			return true
@@ -267,7 +267,7 @@
 }
 
 // VMLabels are a VM's labels together with "vm", "place" and "rack".
-func VMLabels(vm platform.VM) labels.Set {
+func VMLabels(vm fleet.VM) labels.Set {
 	set := labels.Set{"vm": vm.ID, "place": vm.Place, "rack": vm.Rack}
 	for k, v := range vm.Labels {
 		set[k] = v
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -12,7 +12,7 @@
 	"leverstile.dev/api/result"
 	"leverstile.dev/cell"
 	"leverstile.dev/config"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 )
 
@@ -54,7 +54,7 @@
 }
 
 // update tells the owner what has changed around it.
-func (c *cellRunner) update(ctx context.Context, wanted bool, rev *revision, vms []platform.VM, elsewhere map[string]platform.Resources) {
+func (c *cellRunner) update(ctx context.Context, wanted bool, rev *revision, vms []fleet.VM, elsewhere map[string]fleet.Resources) {
 	c.loop.post(ctx, func() {
 		now := c.entry.clock()
 		c.ctx = ctx
@@ -87,8 +87,8 @@
 }
 
 // capacityElsewhere is the capacity of all VMs with workers but these.
-func (e *Entry) capacityElsewhere(here []platform.VM) platform.Resources {
-	var sum platform.Resources
+func (e *Entry) capacityElsewhere(here []fleet.VM) fleet.Resources {
+	var sum fleet.Resources
 	for _, vm := range e.view.listVMs() {
 		if vm.Worker != "" {
 			sum = sum.Add(vm.Capacity.Sub(vm.Reserved))
@@ -156,7 +156,7 @@
 }
 
 func (c *cellRunner) sync(ctx context.Context, s cell.Sync) {
-	reply, err := c.entry.platform.Sync(ctx, s.Address, s.Request)
+	reply, err := c.entry.fleet.Sync(ctx, s.Address, s.Request)
 	c.loop.post(ctx, func() {
 		c.owner.WorkerAnswer(c.entry.clock(), s.Worker, s.Request.Term, s.Request.Seq, reply, err)
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,9 +24,9 @@
 
 	"leverstile.dev/api/result"
 	"leverstile.dev/config"
+	"leverstile.dev/fleet"
 	"leverstile.dev/kv"
 	"leverstile.dev/membership"
-	"leverstile.dev/platform"
 )
 
 // Entry is one entry process.
@@ -36,7 +36,7 @@
 	set      *metrics.Set
 	clock    Clock
 	store    kv.Store
-	platform *platform.Client
+	fleet    *fleet.Client
 	kvClient *kv.Client
 	lease    *lease
 	view     *view
@@ -85,7 +85,7 @@
 	}
 	e.kvClient = kv.NewClient(urls, config.Ms(s.Store.TimeoutMS), set)
 	e.store = e.kvClient
-	e.platform = platform.NewClient("http://"+s.Platform.VMList, config.Ms(s.Store.TimeoutMS), set)
+	e.fleet = fleet.NewClient("http://"+s.Platform.VMList, config.Ms(s.Store.TimeoutMS), set)
 	self := membership.Entry{ID: s.ID, Address: peers.Addr().String(), Place: s.Place}
 	e.lease = &lease{
 		store: e.store, clock: e.clock, ttl: config.Ms(s.Store.LeaseMS), self: self, dirty: true,
@@ -122,7 +122,7 @@
 	e.addActor(&g, e.services.run)
 	e.addActor(&g, e.shards.run)
 	addServer(&g, e.callers, e.callersLn)
-	addServer(&g, e.peerSrv, &platform.CountListener{
+	addServer(&g, e.peerSrv, &fleet.CountListener{
 		Listener: e.peersLn, Sent: e.set.GetOrCreateCounter(peerSent), Read: e.set.GetOrCreateCounter(peerRead),
 	})
 	done := make(chan struct{})
@@ -131,7 +131,7 @@
 		Str("peers", e.peersLn.Addr().String()).Msg("serving")
 	err := g.Run()
 	e.kvClient.Close()
-	e.platform.Close()
+	e.fleet.Close()
 	e.services.close()
 	return err
 }
@@ -254,7 +254,7 @@
 // pollVMs reads the platform's list of VMs.
 func (e *Entry) pollVMs(ctx context.Context) {
 	for {
-		vms, err := e.platform.VMs(ctx)
+		vms, err := e.fleet.VMs(ctx)
 		if err == nil {
 			e.view.setVMs(e.clock(), vms)
 			e.services.refresh()
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -16,7 +16,7 @@
 
 	"leverstile.dev/api/result"
 	"leverstile.dev/config"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/standin"
 )
 
@@ -62,7 +62,7 @@
 	t.Helper()
 	fleet, err := standin.NewFleet(standin.FleetSpec{
 		Places: []string{"a", "b"}, VMs: vms, RackSize: 2,
-		Capacity: platform.Resources{CPUMilli: 4000, MemoryMiB: 4096},
+		Capacity: fleet.Resources{CPUMilli: 4000, MemoryMiB: 4096},
 		Service:  "svc", Slots: 4, ServiceMS: 5, KVListen: "127.0.0.1:0", ListListen: "127.0.0.1:0",
 	})
 	if err != nil {
@@ -214,6 +214,6 @@
 	payload, _ := json.Marshal(standin.Job{WorkMS: int64(workMS)})
 	return Task{
 		ID: id, Kind: app, Labels: map[string]string{"app": app},
-		Request: platform.Resources{CPUMilli: 1000, MemoryMiB: 512}, Payload: payload,
+		Request: fleet.Resources{CPUMilli: 1000, MemoryMiB: 512}, Payload: payload,
 	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,8 +14,8 @@
 	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
 	"leverstile.dev/api/gen/leverstile/peer/v1/peerv1connect"
 	"leverstile.dev/config"
+	"leverstile.dev/fleet"
 	"leverstile.dev/membership"
-	"leverstile.dev/platform"
 )
 
 // Counters of the traffic with peers, in both roles.
@@ -40,7 +40,7 @@
 		IdleConnTimeout:     time.Minute,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
-			return platform.CountConn(conn, sent, read), err
+			return fleet.CountConn(conn, sent, read), err
 		},
 	}
 	return &peerClients{http: &http.Client{Transport: transport}, byID: map[string]peerv1connect.PeerClient{}}
--- a/entry/services.go
+++ b/entry/services.go
@@ -10,7 +10,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	"leverstile.dev/config"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/router"
 )
 
@@ -130,7 +130,7 @@
 	}
 }
 
-func (svc *service) refresh(now time.Duration, vms []platform.VM, leaving map[string]bool, entries int) {
+func (svc *service) refresh(now time.Duration, vms []fleet.VM, leaving map[string]bool, entries int) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	var list []router.Endpoint
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -9,8 +9,8 @@
 
 	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
 	"leverstile.dev/config"
+	"leverstile.dev/fleet"
 	"leverstile.dev/membership"
-	"leverstile.dev/platform"
 	"leverstile.dev/shard"
 )
 
@@ -134,8 +134,8 @@
 
 // splitVMs sorts the VMs with workers into cells; the first cell that matches
 // gets a VM.
-func splitVMs(rev *revision, vms []platform.VM) map[string][]platform.VM {
-	out := map[string][]platform.VM{}
+func splitVMs(rev *revision, vms []fleet.VM) map[string][]fleet.VM {
+	out := map[string][]fleet.VM{}
 	for _, vm := range vms {
 		if vm.Worker == "" {
 			continue
@@ -153,7 +153,7 @@
 
 // elsewhere sums what each group holds in other cells, by the newest summary
 // of each cell.
-func (s *shards) elsewhere(cell string, now time.Duration) map[string]platform.Resources {
+func (s *shards) elsewhere(cell string, now time.Duration) map[string]fleet.Resources {
 	newest := map[string]*peerv1.GroupUsage{}
 	for _, v := range s.entry.view.peerViews(now) {
 		for _, u := range v.GetUsage() {
@@ -163,10 +163,10 @@
 			}
 		}
 	}
-	sum := map[string]platform.Resources{}
+	sum := map[string]fleet.Resources{}
 	for _, u := range newest {
 		r := u.GetInUse()
-		sum[u.GetGroup()] = sum[u.GetGroup()].Add(platform.Resources{
+		sum[u.GetGroup()] = sum[u.GetGroup()].Add(fleet.Resources{
 			CPUMilli: r.GetCpuMilli(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators(),
 		})
 	}
@@ -176,7 +176,7 @@
 		}
 		for _, u := range c.usage() {
 			r := u.GetInUse()
-			sum[u.GetGroup()] = sum[u.GetGroup()].Add(platform.Resources{
+			sum[u.GetGroup()] = sum[u.GetGroup()].Add(fleet.Resources{
 				CPUMilli: r.GetCpuMilli(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators(),
 			})
 		}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -18,8 +18,8 @@
 	"leverstile.dev/api/result"
 	"leverstile.dev/cell"
 	"leverstile.dev/config"
+	"leverstile.dev/fleet"
 	"leverstile.dev/membership"
-	"leverstile.dev/platform"
 )
 
 const (
@@ -35,14 +35,14 @@
 
 // Task is a task as callers submit it. RunTimeMS is what the caller expects.
 type Task struct {
-	ID            string             `json:"id"`
-	Kind          string             `json:"kind,omitempty"`
-	Labels        map[string]string  `json:"labels,omitempty"`
-	Request       platform.Resources `json:"request"`
-	RunTimeMS     int64              `json:"run_time_ms,omitempty"`
-	VMs           string             `json:"vms,omitempty"`
-	NotRepeatable bool               `json:"not_repeatable,omitempty"`
-	Payload       json.RawMessage    `json:"payload,omitempty"`
+	ID            string            `json:"id"`
+	Kind          string            `json:"kind,omitempty"`
+	Labels        map[string]string `json:"labels,omitempty"`
+	Request       fleet.Resources   `json:"request"`
+	RunTimeMS     int64             `json:"run_time_ms,omitempty"`
+	VMs           string            `json:"vms,omitempty"`
+	NotRepeatable bool              `json:"not_repeatable,omitempty"`
+	Payload       json.RawMessage   `json:"payload,omitempty"`
 }
 
 // TaskAnswer is the outcome of submitting or cancelling one task.
--- a/entry/view.go
+++ b/entry/view.go
@@ -6,8 +6,8 @@
 	"time"
 
 	peerv1 "leverstile.dev/api/gen/leverstile/peer/v1"
+	"leverstile.dev/fleet"
 	"leverstile.dev/membership"
-	"leverstile.dev/platform"
 )
 
 // peerStale is the age at which a peer's last exchange shows nothing any more.
@@ -28,7 +28,7 @@
 	owners map[string]string
 	// drained VMs are those that operators drain.
 	drained map[string]bool
-	vms     []platform.VM
+	vms     []fleet.VM
 	vmsAt   time.Duration
 	// leaving VMs with the time of the last sign of it.
 	leaving map[string]time.Duration
@@ -173,7 +173,7 @@
 		out[vm] = true
 	}
 	for _, vm := range v.vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == fleet.VMLeaving {
 			out[vm.ID] = true
 		}
 	}
@@ -194,13 +194,13 @@
 	return out
 }
 
-func (v *view) setVMs(now time.Duration, vms []platform.VM) {
+func (v *view) setVMs(now time.Duration, vms []fleet.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.vms, v.vmsAt = vms, now
 }
 
-func (v *view) listVMs() []platform.VM {
+func (v *view) listVMs() []fleet.VM {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	return v.vms
--- a/platform/count.go
+++ b/fleet/count.go
@@ -1,4 +1,4 @@
-package platform
+package fleet
 
 import (
 	"net"
--- a/platform/platform.go
+++ b/fleet/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the interface to what the platform runs: workers, which
+// Package fleet is the interface to what the platform runs: workers, which
 // run tasks under leases, and the list of VMs.
-package platform
+package fleet
 
 import (
 	"context"
--- a/measure/cell.go
+++ b/measure/cell.go
@@ -11,7 +11,7 @@
 
 	journalv1 "leverstile.dev/api/gen/leverstile/journal/v1"
 	"leverstile.dev/cell"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/scheduler"
 	"leverstile.dev/shard"
 	"leverstile.dev/standin"
@@ -27,12 +27,12 @@
 	kv      *standin.KVStore
 	owner   *cell.Owner
 	workers map[string]*standin.Worker
-	vms     []platform.VM
+	vms     []fleet.VM
 	ticket  uint64
 	lease   int64
 }
 
-var vmSize = platform.Resources{CPUMilli: 64_000, MemoryMiB: 250 * 1024}
+var vmSize = fleet.Resources{CPUMilli: 64_000, MemoryMiB: 250 * 1024}
 
 func newRig(workers, groups int) (*rig, error) {
 	r := &rig{now: time.Hour, workers: map[string]*standin.Worker{}}
@@ -41,8 +41,8 @@
 	for i := range workers {
 		id := fmt.Sprintf("vm-%05d", i)
 		r.workers[id] = standin.NewWorker(id, vmSize)
-		r.vms = append(r.vms, platform.VM{
-			ID: id, Place: "place", Rack: fmt.Sprint("rack-", i/8), State: platform.VMLive, Capacity: vmSize, Worker: id,
+		r.vms = append(r.vms, fleet.VM{
+			ID: id, Place: "place", Rack: fmt.Sprint("rack-", i/8), State: fleet.VMLive, Capacity: vmSize, Worker: id,
 		})
 	}
 	return r, r.takeOver(groups)
--- a/measure/entries.go
+++ b/measure/entries.go
@@ -15,7 +15,7 @@
 
 	"leverstile.dev/config"
 	"leverstile.dev/entry"
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 	"leverstile.dev/standin"
 )
 
@@ -170,7 +170,7 @@
 	for i := range count {
 		tasks = append(tasks, entry.Task{
 			ID: fmt.Sprintf("task-%05d", i), Kind: "measured", Labels: map[string]string{"app": "x"},
-			Request: platform.Resources{CPUMilli: 1000, MemoryMiB: 1024}, Payload: json.RawMessage(`{"work_ms":500}`),
+			Request: fleet.Resources{CPUMilli: 1000, MemoryMiB: 1024}, Payload: json.RawMessage(`{"work_ms":500}`),
 		})
 	}
 	body, err := json.Marshal(tasks)
@@ -202,7 +202,7 @@
 	n := 0
 	for _, runs := range g.fleet.Books().Runs {
 		for _, run := range runs {
-			if run.State == platform.AttemptFinished {
+			if run.State == fleet.AttemptFinished {
 				n++
 			}
 		}
--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/DataDog/sketches-go/ddsketch"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // Estimator corrects declared sizes by what tasks of the same kind used.
@@ -16,7 +16,7 @@
 	samples     int
 	// cached is the size that the sketches give; it is refreshed with each
 	// refreshEvery samples.
-	cached platform.Resources
+	cached fleet.Resources
 }
 
 const (
@@ -38,7 +38,7 @@
 func NewEstimator() *Estimator { return &Estimator{kinds: map[string]*kindUsage{}} }
 
 // Observe adds a measured use of one task of a kind.
-func (e *Estimator) Observe(kind string, used platform.Resources) {
+func (e *Estimator) Observe(kind string, used fleet.Resources) {
 	k := e.kinds[kind]
 	if k == nil {
 		k = newKindUsage()
@@ -71,12 +71,12 @@
 	if err != nil {
 		return
 	}
-	k.cached = platform.Resources{CPUMilli: int64(cpu * headroom), MemoryMiB: int64(memory * headroom)}
+	k.cached = fleet.Resources{CPUMilli: int64(cpu * headroom), MemoryMiB: int64(memory * headroom)}
 }
 
 // Ask returns the size to plan a task of a kind with. Accelerators are as
 // declared. A kind with few samples gets what was declared.
-func (e *Estimator) Ask(kind string, declared platform.Resources) platform.Resources {
+func (e *Estimator) Ask(kind string, declared fleet.Resources) fleet.Resources {
 	k := e.kinds[kind]
 	if k == nil || k.samples < minSamples {
 		return declared
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -4,7 +4,7 @@
 	"math"
 	"sort"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // Plan places waiting tasks and takes the room for them from the snapshot's
@@ -40,7 +40,7 @@
 }
 
 type askKey struct {
-	ask      platform.Resources
+	ask      fleet.Resources
 	selector string
 	kind     string
 }
@@ -240,7 +240,7 @@
 }
 
 // missing is how much of the ask has no room yet, as parts of the VM.
-func missing(ask platform.Resources, w *Worker) float64 {
+func missing(ask fleet.Resources, w *Worker) float64 {
 	short := ask.Sub(w.Free)
 	return fraction(max(short.CPUMilli, 0), w.Capacity.CPUMilli) +
 		fraction(max(short.MemoryMiB, 0), w.Capacity.MemoryMiB) +
@@ -294,7 +294,7 @@
 
 // cheapest returns tasks on w whose end makes room for ask, those that lose
 // least first, and their loss in seconds.
-func cheapest(ask platform.Resources, w *Worker) ([]*Running, float64, bool) {
+func cheapest(ask fleet.Resources, w *Worker) ([]*Running, float64, bool) {
 	byLoss := append([]*Running(nil), w.Running...)
 	sort.Slice(byLoss, func(i, j int) bool {
 		if byLoss[i].Loss != byLoss[j].Loss {
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -5,14 +5,14 @@
 	"testing"
 	"time"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
-func cores(n int64) platform.Resources {
-	return platform.Resources{CPUMilli: 1000 * n, MemoryMiB: 1024 * n}
+func cores(n int64) fleet.Resources {
+	return fleet.Resources{CPUMilli: 1000 * n, MemoryMiB: 1024 * n}
 }
 
-func newWorker(id string, capacity platform.Resources) *Worker {
+func newWorker(id string, capacity fleet.Resources) *Worker {
 	return &Worker{ID: id, Capacity: capacity, Free: capacity, Usable: true, Kinds: map[string]int{}}
 }
 
@@ -132,7 +132,7 @@
 	var workers []*Worker
 	for i, loss := range []time.Duration{time.Hour, time.Second, time.Minute} {
 		w := newWorker(fmt.Sprint("w", i), cores(2))
-		w.Free = platform.Resources{}
+		w.Free = fleet.Resources{}
 		w.Running = []*Running{{ID: fmt.Sprint("r", i), Given: cores(2), Loss: loss}}
 		workers = append(workers, w)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,7 +8,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // Worker is a VM as the planner sees it. Plan changes Free, Kinds and Running
@@ -20,8 +20,8 @@
 	Labels labels.Set
 	// Capacity is what tasks may be given in all: the VM less what its services
 	// need at their peak. Free is what is left of it.
-	Capacity platform.Resources
-	Free     platform.Resources
+	Capacity fleet.Resources
+	Free     fleet.Resources
 	// Usable is false while no task may be started there.
 	Usable bool
 	// Services run on the same VM under Load (0 to 1 of their peak).
@@ -41,7 +41,7 @@
 type Running struct {
 	ID    string
 	Kind  string
-	Given platform.Resources
+	Given fleet.Resources
 	// Loss is the run time that an eviction would throw away.
 	Loss time.Duration
 }
@@ -51,7 +51,7 @@
 	ID       string
 	Kind     string
 	Group    string
-	Ask      platform.Resources
+	Ask      fleet.Resources
 	Selector labels.Selector
 	Urgent   bool
 	// Waited is the time since the task became runnable.
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // GroupSpec is a group as declared. A group's share counts among the children
@@ -16,7 +16,7 @@
 	Parent string
 	Share  float64
 	// Quota bounds what the group's tasks hold at a time; zero fields don't.
-	Quota platform.Resources
+	Quota fleet.Resources
 }
 
 // Shares keeps each group's use of the fleet and orders groups by weighted
@@ -25,7 +25,7 @@
 type Shares struct {
 	groups map[string]*groupShare
 	root   *groupShare
-	total  platform.Resources
+	total  fleet.Resources
 	// halfLife is the time after which past use counts half.
 	halfLife time.Duration
 	updated  time.Duration
@@ -37,12 +37,12 @@
 	children []*groupShare
 	// inUse is held by this group's own tasks in this cell, elsewhere in the
 	// others. Both exclude children.
-	inUse     platform.Resources
-	elsewhere platform.Resources
+	inUse     fleet.Resources
+	elsewhere fleet.Resources
 	// past is the decayed mean of the dominant share, children included.
 	past float64
 	// subtree is the current use with children, refreshed on each change.
-	subtree platform.Resources
+	subtree fleet.Resources
 }
 
 // DefaultHalfLife is the half-life of past use.
@@ -50,7 +50,7 @@
 
 // NewShares returns the shares of declared groups. total is the fleet's
 // capacity.
-func NewShares(specs []GroupSpec, total platform.Resources, halfLife time.Duration) *Shares {
+func NewShares(specs []GroupSpec, total fleet.Resources, halfLife time.Duration) *Shares {
 	s := &Shares{groups: map[string]*groupShare{}, root: &groupShare{}, total: total, halfLife: halfLife}
 	s.SetGroups(specs)
 	return s
@@ -91,17 +91,17 @@
 	g.parent.children = append(g.parent.children, g)
 }
 
-func (g *groupShare) addSubtree(r platform.Resources) {
+func (g *groupShare) addSubtree(r fleet.Resources) {
 	for p := g; p != nil; p = p.parent {
 		p.subtree = p.subtree.Add(r)
 	}
 }
 
 // SetTotal sets the fleet's capacity.
-func (s *Shares) SetTotal(total platform.Resources) { s.total = total }
+func (s *Shares) SetTotal(total fleet.Resources) { s.total = total }
 
 // Hold adds to (or with negative amounts takes from) what a group holds here.
-func (s *Shares) Hold(group string, r platform.Resources) {
+func (s *Shares) Hold(group string, r fleet.Resources) {
 	g := s.groups[group]
 	if g == nil {
 		g = &groupShare{spec: GroupSpec{Name: group, Share: 1}}
@@ -113,7 +113,7 @@
 }
 
 // SetElsewhere sets what a group holds in all other cells.
-func (s *Shares) SetElsewhere(group string, r platform.Resources) {
+func (s *Shares) SetElsewhere(group string, r fleet.Resources) {
 	if g := s.groups[group]; g != nil {
 		g.addSubtree(r.Sub(g.elsewhere))
 		g.elsewhere = r
@@ -121,8 +121,8 @@
 }
 
 // InUse returns what each group holds in this cell.
-func (s *Shares) InUse() map[string]platform.Resources {
-	out := make(map[string]platform.Resources, len(s.groups))
+func (s *Shares) InUse() map[string]fleet.Resources {
+	out := make(map[string]fleet.Resources, len(s.groups))
 	for name, g := range s.groups {
 		if !g.inUse.IsZero() {
 			out[name] = g.inUse
@@ -145,7 +145,7 @@
 }
 
 // dominant is the largest part of any kind of resource.
-func (s *Shares) dominant(r platform.Resources) float64 {
+func (s *Shares) dominant(r fleet.Resources) float64 {
 	d := fraction(r.CPUMilli, s.total.CPUMilli)
 	d = max(d, fraction(r.MemoryMiB, s.total.MemoryMiB))
 	return max(d, fraction(r.Accelerators, s.total.Accelerators))
@@ -203,7 +203,7 @@
 }
 
 // WithinQuota reports whether a group and all its parents may hold r more.
-func (s *Shares) WithinQuota(group string, r platform.Resources) bool {
+func (s *Shares) WithinQuota(group string, r fleet.Resources) bool {
 	for g := s.groups[group]; g != nil && g != s.root; g = g.parent {
 		if !withinQuota(g.subtree.Add(r), g.spec.Quota) {
 			return false
@@ -214,7 +214,7 @@
 
 // Exceeds reports whether r alone is more than the quota of the group or of
 // one of its parents.
-func (s *Shares) Exceeds(group string, r platform.Resources) bool {
+func (s *Shares) Exceeds(group string, r fleet.Resources) bool {
 	for g := s.groups[group]; g != nil && g != s.root; g = g.parent {
 		if !withinQuota(r, g.spec.Quota) {
 			return true
@@ -223,7 +223,7 @@
 	return false
 }
 
-func withinQuota(r, quota platform.Resources) bool {
+func withinQuota(r, quota fleet.Resources) bool {
 	if quota.CPUMilli > 0 && r.CPUMilli > quota.CPUMilli {
 		return false
 	}
--- a/scheduler/steps_test.go
+++ b/scheduler/steps_test.go
@@ -5,7 +5,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // TestFilters: one line per reason for which a step rejects a worker.
@@ -34,7 +34,7 @@
 		{"not usable", usableFilter{}, Task{}, worker(func(w *Worker) { w.Usable = false }), false},
 		{"room", roomFilter{}, Task{Ask: cores(4)}, worker(none), true},
 		{"no room", roomFilter{}, Task{Ask: cores(5)}, worker(none), false},
-		{"no accelerator", roomFilter{}, Task{Ask: platform.Resources{Accelerators: 1}}, worker(none), false},
+		{"no accelerator", roomFilter{}, Task{Ask: fleet.Resources{Accelerators: 1}}, worker(none), false},
 		{"reserved for another", reservedFilter{}, Task{ID: "a"}, worker(func(w *Worker) { w.reservedFor = "b" }), false},
 		{"reserved for it", reservedFilter{}, Task{ID: "b"}, worker(func(w *Worker) { w.reservedFor = "b" }), true},
 		{"urgent passes a reservation", reservedFilter{}, Task{ID: "a", Urgent: true}, worker(func(w *Worker) { w.reservedFor = "b" }), true},
@@ -69,7 +69,7 @@
 	startedGPU.Capacity.Accelerators, startedGPU.Free.Accelerators = 4, 1
 	busy := newWorker("busy", cores(8))
 	busy.Services, busy.Load = []string{"svc"}, 0.9
-	oneGPU := Task{Ask: platform.Resources{CPUMilli: 1000, Accelerators: 1}}
+	oneGPU := Task{Ask: fleet.Resources{CPUMilli: 1000, Accelerators: 1}}
 	for _, c := range []struct {
 		name          string
 		scorer        Scorer
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -13,12 +13,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // Poll waits until the worker has something new to tell about req, or a newer
 // request arrives, or req's wait has passed, and reports anew.
-func (w *Worker) Poll(ctx context.Context, clock func() time.Duration, req *platform.SyncRequest) *platform.SyncReply {
+func (w *Worker) Poll(ctx context.Context, clock func() time.Duration, req *fleet.SyncRequest) *fleet.SyncReply {
 	reply := w.Sync(clock(), req)
 	if req.WaitMS == 0 || reply.Refused != "" {
 		return reply
@@ -45,14 +45,14 @@
 
 // Report reports for a request that was taken already, unless a newer one has
 // been taken since.
-func (w *Worker) Report(now time.Duration, req *platform.SyncRequest) *platform.SyncReply {
+func (w *Worker) Report(now time.Duration, req *fleet.SyncRequest) *fleet.SyncReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	reply := &platform.SyncReply{Boot: w.boot, ClockMS: w.clock(now).Milliseconds()}
+	reply := &fleet.SyncReply{Boot: w.boot, ClockMS: w.clock(now).Milliseconds()}
 	s := w.cells[req.Cell]
 	if s == nil || s.term != req.Term || s.seq != req.Seq {
-		reply.Refused = platform.RefusedStale
+		reply.Refused = fleet.RefusedStale
 		return reply
 	}
 	w.report(now, s, req, reply)
@@ -185,7 +185,7 @@
 	Endpoints map[string]*Endpoint
 
 	mu      sync.Mutex
-	vms     []platform.VM
+	vms     []fleet.VM
 	lagging []laggingList
 	lag     time.Duration
 	start   time.Time
@@ -194,7 +194,7 @@
 
 type laggingList struct {
 	at  time.Time
-	vms []platform.VM
+	vms []fleet.VM
 }
 
 // FleetSpec describes a Fleet. Each VM has the same size.
@@ -202,8 +202,8 @@
 	Places      []string
 	VMs         int // in all, spread over the places
 	RackSize    int
-	Capacity    platform.Resources
-	Reserved    platform.Resources
+	Capacity    fleet.Resources
+	Reserved    fleet.Resources
 	Service     string
 	Slots       int
 	ServiceMS   int
@@ -252,9 +252,9 @@
 func (f *Fleet) addVM(spec FleetSpec, i int) error {
 	place := spec.Places[i%len(spec.Places)]
 	id := fmt.Sprintf("%s-%03d", place, i)
-	vm := platform.VM{
+	vm := fleet.VM{
 		ID: id, Place: place, Rack: fmt.Sprintf("%s-r%02d", place, i/len(spec.Places)/max(spec.RackSize, 1)),
-		State: platform.VMLive, Capacity: spec.Capacity, Reserved: spec.Reserved,
+		State: fleet.VMLive, Capacity: spec.Capacity, Reserved: spec.Reserved,
 		Labels: map[string]string{"parity": [2]string{"even", "odd"}[i%2]},
 	}
 	w := NewWorker(id, spec.Capacity.Sub(spec.Reserved))
@@ -270,7 +270,7 @@
 		if err != nil {
 			return err
 		}
-		vm.Endpoints = []platform.EndpointAddr{{Service: spec.Service, Address: addr}}
+		vm.Endpoints = []fleet.EndpointAddr{{Service: spec.Service, Address: addr}}
 		f.Endpoints[id] = ep
 	}
 	f.vms = append(f.vms, vm)
@@ -282,7 +282,7 @@
 		if w.Faults().Unreachable {
 			panic(http.ErrAbortHandler)
 		}
-		var req platform.SyncRequest
+		var req fleet.SyncRequest
 		if !readJSON(rw, r, &req) {
 			return
 		}
@@ -294,11 +294,11 @@
 func (f *Fleet) publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lagging = append(f.lagging, laggingList{time.Now(), append([]platform.VM(nil), f.vms...)})
+	f.lagging = append(f.lagging, laggingList{time.Now(), append([]fleet.VM(nil), f.vms...)})
 }
 
 // VMs returns the list as the platform tells it, late by the lag.
-func (f *Fleet) VMs() []platform.VM {
+func (f *Fleet) VMs() []fleet.VM {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.lagging[0].vms
@@ -311,7 +311,7 @@
 }
 
 // SetState changes a VM's state in the list.
-func (f *Fleet) SetState(id string, state platform.VMState) {
+func (f *Fleet) SetState(id string, state fleet.VMState) {
 	f.mu.Lock()
 	for i := range f.vms {
 		if f.vms[i].ID == id {
@@ -325,7 +325,7 @@
 // StopVM ends a VM at once: its worker and endpoint go, and it leaves the list.
 func (f *Fleet) StopVM(id string) {
 	f.mu.Lock()
-	rest := make([]platform.VM, 0, len(f.vms))
+	rest := make([]fleet.VM, 0, len(f.vms))
 	for _, vm := range f.vms {
 		if vm.ID != id {
 			rest = append(rest, vm)
@@ -417,7 +417,7 @@
 // handler serves the VM list and the control of faults.
 func (f *Fleet) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathVMs, f.serveVMs)
+	mux.HandleFunc("GET "+fleet.PathVMs, f.serveVMs)
 	mux.HandleFunc("GET /control/books", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Books()) })
 	mux.HandleFunc("PUT /control/kv", func(w http.ResponseWriter, r *http.Request) {
 		var in KVFaults
@@ -444,7 +444,7 @@
 	})
 	mux.HandleFunc("PUT /control/vms/{vm}", func(w http.ResponseWriter, r *http.Request) {
 		var in struct {
-			State platform.VMState `json:"state"`
+			State fleet.VMState `json:"state"`
 		}
 		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/platform_contract_test.go
+++ b/standin/platform_contract_test.go
@@ -7,21 +7,21 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // TestPlatformContract holds the client and the stand-in to what the platform's
 // interfaces promise: fences of a worker, and a list that is sent when changed.
 func TestPlatformContract(t *testing.T) {
-	fleet, err := NewFleet(FleetSpec{
-		Places: []string{"a"}, VMs: 1, Capacity: platform.Resources{CPUMilli: 2000, MemoryMiB: 2000},
+	sim, err := NewFleet(FleetSpec{
+		Places: []string{"a"}, VMs: 1, Capacity: fleet.Resources{CPUMilli: 2000, MemoryMiB: 2000},
 		KVListen: "127.0.0.1:0", ListListen: "127.0.0.1:0",
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer fleet.Close()
-	c := platform.NewClient("http://"+fleet.Address, 10*time.Second, metrics.NewSet())
+	defer sim.Close()
+	c := fleet.NewClient("http://"+sim.Address, 10*time.Second, metrics.NewSet())
 	defer c.Close()
 	ctx := context.Background()
 	first, err := c.VMs(ctx)
@@ -32,15 +32,15 @@
 	if err != nil || len(again) != 1 || again[0].ID != first[0].ID {
 		t.Fatalf("an unchanged list: %v %v", again, err)
 	}
-	fleet.SetState(first[0].ID, platform.VMLeaving)
-	if changed, err := c.VMs(ctx); err != nil || changed[0].State != platform.VMLeaving {
+	sim.SetState(first[0].ID, fleet.VMLeaving)
+	if changed, err := c.VMs(ctx); err != nil || changed[0].State != fleet.VMLeaving {
 		t.Fatalf("a changed list: %v %v", changed, err)
 	}
 	workerContract(t, ctx, c, first[0].Worker)
 }
 
-func workerContract(t *testing.T, ctx context.Context, c *platform.Client, address string) {
-	sync := func(req platform.SyncRequest) *platform.SyncReply {
+func workerContract(t *testing.T, ctx context.Context, c *fleet.Client, address string) {
+	sync := func(req fleet.SyncRequest) *fleet.SyncReply {
 		t.Helper()
 		req.Cell = "c"
 		reply, err := c.Sync(ctx, address, &req)
@@ -49,23 +49,23 @@
 		}
 		return reply
 	}
-	hello := sync(platform.SyncRequest{Term: 2, Seq: 1, Full: true})
+	hello := sync(fleet.SyncRequest{Term: 2, Seq: 1, Full: true})
 	until := hello.ClockMS + time.Hour.Milliseconds()
-	ref := platform.AttemptRef{Task: "t", Attempt: 1}
-	start := platform.Start{AttemptRef: ref, Given: platform.Resources{CPUMilli: 1000, MemoryMiB: 100}, Payload: []byte(`{"work_ms":3600000}`)}
+	ref := fleet.AttemptRef{Task: "t", Attempt: 1}
+	start := fleet.Start{AttemptRef: ref, Given: fleet.Resources{CPUMilli: 1000, MemoryMiB: 100}, Payload: []byte(`{"work_ms":3600000}`)}
 	cases := []struct {
 		name    string
-		req     platform.SyncRequest
-		refused platform.Refusal
+		req     fleet.SyncRequest
+		refused fleet.Refusal
 		running int
 	}{
-		{"a former term", platform.SyncRequest{Term: 1, Seq: 9, Boot: hello.Boot, LeaseUntilMS: until, Starts: []platform.Start{start}}, platform.RefusedStale, 0},
-		{"a sequence number taken before", platform.SyncRequest{Term: 2, Seq: 1, Boot: hello.Boot, LeaseUntilMS: until, Starts: []platform.Start{start}}, platform.RefusedStale, 0},
-		{"another incarnation", platform.SyncRequest{Term: 2, Seq: 2, Boot: hello.Boot + 1, LeaseUntilMS: until, Starts: []platform.Start{start}, Full: true}, "", 0},
-		{"an expired start", platform.SyncRequest{Term: 2, Seq: 3, Boot: hello.Boot, LeaseUntilMS: 1, Starts: []platform.Start{start}, Full: true}, "", 0},
-		{"a good start", platform.SyncRequest{Term: 2, Seq: 4, Boot: hello.Boot, LeaseUntilMS: until, Starts: []platform.Start{start}, Full: true}, "", 1},
-		{"the same start again", platform.SyncRequest{Term: 2, Seq: 5, Boot: hello.Boot, LeaseUntilMS: until, Starts: []platform.Start{start}, Full: true}, "", 1},
-		{"a stop", platform.SyncRequest{Term: 2, Seq: 6, Boot: hello.Boot, Stops: []platform.AttemptRef{ref}, Full: true}, "", 0},
+		{"a former term", fleet.SyncRequest{Term: 1, Seq: 9, Boot: hello.Boot, LeaseUntilMS: until, Starts: []fleet.Start{start}}, fleet.RefusedStale, 0},
+		{"a sequence number taken before", fleet.SyncRequest{Term: 2, Seq: 1, Boot: hello.Boot, LeaseUntilMS: until, Starts: []fleet.Start{start}}, fleet.RefusedStale, 0},
+		{"another incarnation", fleet.SyncRequest{Term: 2, Seq: 2, Boot: hello.Boot + 1, LeaseUntilMS: until, Starts: []fleet.Start{start}, Full: true}, "", 0},
+		{"an expired start", fleet.SyncRequest{Term: 2, Seq: 3, Boot: hello.Boot, LeaseUntilMS: 1, Starts: []fleet.Start{start}, Full: true}, "", 0},
+		{"a good start", fleet.SyncRequest{Term: 2, Seq: 4, Boot: hello.Boot, LeaseUntilMS: until, Starts: []fleet.Start{start}, Full: true}, "", 1},
+		{"the same start again", fleet.SyncRequest{Term: 2, Seq: 5, Boot: hello.Boot, LeaseUntilMS: until, Starts: []fleet.Start{start}, Full: true}, "", 1},
+		{"a stop", fleet.SyncRequest{Term: 2, Seq: 6, Boot: hello.Boot, Stops: []fleet.AttemptRef{ref}, Full: true}, "", 0},
 	}
 	for _, tc := range cases {
 		reply := sync(tc.req)
@@ -73,10 +73,10 @@
 			t.Errorf("%s: %+v", tc.name, reply)
 		}
 	}
-	if kept := sync(platform.SyncRequest{Term: 2, Seq: 7}); len(kept.Ended) != 1 || kept.Ended[0].State != platform.AttemptStopped {
+	if kept := sync(fleet.SyncRequest{Term: 2, Seq: 7}); len(kept.Ended) != 1 || kept.Ended[0].State != fleet.AttemptStopped {
 		t.Errorf("an end that is not acknowledged: %+v", kept)
 	}
-	if gone := sync(platform.SyncRequest{Term: 2, Seq: 8, Acks: []platform.AttemptRef{ref}}); len(gone.Ended) != 0 {
+	if gone := sync(fleet.SyncRequest{Term: 2, Seq: 8, Acks: []fleet.AttemptRef{ref}}); len(gone.Ended) != 0 {
 		t.Errorf("an acknowledged end: %+v", gone)
 	}
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"leverstile.dev/platform"
+	"leverstile.dev/fleet"
 )
 
 // WorkerFaults are the faults that a Worker shows.
@@ -29,23 +29,23 @@
 // Job is what the payload of a stand-in task says. Work is in milliseconds of
 // run time alone on the VM.
 type Job struct {
-	WorkMS int64              `json:"work_ms"`
-	Used   platform.Resources `json:"used,omitzero"`
-	Fails  bool               `json:"fails,omitempty"`
+	WorkMS int64           `json:"work_ms"`
+	Used   fleet.Resources `json:"used,omitzero"`
+	Fails  bool            `json:"fails,omitempty"`
 }
 
 // Run is one attempt that a worker began, for the books of tests.
 type Run struct {
-	platform.AttemptRef
+	fleet.AttemptRef
 	Worker  string
 	Began   time.Duration
 	Ended   time.Duration // zero while running
-	State   platform.AttemptState
+	State   fleet.AttemptState
 	Resumed int64 // work in ms that the checkpoint brought along
 }
 
 type attempt struct {
-	platform.Start
+	fleet.Start
 	job       Job
 	done      time.Duration // work done before updated
 	updated   time.Duration
@@ -57,8 +57,8 @@
 type session struct {
 	term, seq  uint64
 	leaseUntil time.Duration
-	running    map[platform.AttemptRef]*attempt
-	ended      map[platform.AttemptRef]platform.Report
+	running    map[fleet.AttemptRef]*attempt
+	ended      map[fleet.AttemptRef]fleet.Report
 }
 
 // throttleDivisor is how much slower a throttled attempt runs.
@@ -68,7 +68,7 @@
 // It keeps nothing over a Reboot.
 type Worker struct {
 	ID       string
-	Capacity platform.Resources
+	Capacity fleet.Resources
 	// Guards hold attempts to what they were given: less processor than used
 	// slows an attempt down, less memory ends it with a failure.
 	Guards bool
@@ -83,7 +83,7 @@
 	runs []*Run
 	// SlowdownOf, if set, measures the services on the VM against the kinds
 	// of the tasks that run there.
-	SlowdownOf func(kinds map[string]int, now time.Duration) []platform.Slowdown
+	SlowdownOf func(kinds map[string]int, now time.Duration) []fleet.Slowdown
 	// SampleLag is how late samples of Measure reach the owner.
 	SampleLag time.Duration
 	reports   []delayedReport
@@ -91,12 +91,12 @@
 
 type delayedReport struct {
 	at        time.Duration // when it may be told
-	usage     []platform.Usage
-	slowdowns []platform.Slowdown
+	usage     []fleet.Usage
+	slowdowns []fleet.Slowdown
 }
 
 // NewWorker returns a worker with nothing running.
-func NewWorker(id string, capacity platform.Resources) *Worker {
+func NewWorker(id string, capacity fleet.Resources) *Worker {
 	return &Worker{ID: id, Capacity: capacity, boot: 1, cells: map[string]*session{}, changed: make(chan struct{})}
 }
 
@@ -121,7 +121,7 @@
 	w.advance(now)
 	for _, s := range w.cells {
 		for _, a := range s.running {
-			a.run.Ended, a.run.State = now, platform.AttemptStopped
+			a.run.Ended, a.run.State = now, fleet.AttemptStopped
 		}
 	}
 	w.cells = map[string]*session{}
@@ -141,12 +141,12 @@
 }
 
 // Running returns the attempts that run at now, and the room they hold.
-func (w *Worker) Running(now time.Duration) ([]platform.AttemptRef, platform.Resources) {
+func (w *Worker) Running(now time.Duration) ([]fleet.AttemptRef, fleet.Resources) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	var refs []platform.AttemptRef
-	var held platform.Resources
+	var refs []fleet.AttemptRef
+	var held fleet.Resources
 	for _, s := range w.cells {
 		for ref, a := range s.running {
 			refs = append(refs, ref)
@@ -185,7 +185,7 @@
 }
 
 // endOf returns when an attempt ends if nothing else happens, and how.
-func (w *Worker) endOf(a *attempt, lapses time.Duration) (time.Duration, platform.AttemptState) {
+func (w *Worker) endOf(a *attempt, lapses time.Duration) (time.Duration, fleet.AttemptState) {
 	left := time.Duration(a.job.WorkMS)*time.Millisecond - a.done
 	starved := w.Guards && a.job.Used.MemoryMiB > a.Given.MemoryMiB
 	if starved {
@@ -193,12 +193,12 @@
 	}
 	done := a.updated + time.Duration(float64(max(left, 0))/w.speed(a))
 	if done >= lapses {
-		return max(lapses, a.began), platform.AttemptStopped
+		return max(lapses, a.began), fleet.AttemptStopped
 	}
 	if a.job.Fails || starved || w.faults.FailEverything {
-		return done, platform.AttemptFailed
+		return done, fleet.AttemptFailed
 	}
-	return done, platform.AttemptFinished
+	return done, fleet.AttemptFinished
 }
 
 // speed is how fast an attempt gets on, as a part of its speed alone.
@@ -221,29 +221,29 @@
 	a.updated = now
 }
 
-func (w *Worker) end(s *session, ref platform.AttemptRef, a *attempt, at time.Duration, state platform.AttemptState) {
+func (w *Worker) end(s *session, ref fleet.AttemptRef, a *attempt, at time.Duration, state fleet.AttemptState) {
 	delete(s.running, ref)
 	a.run.Ended, a.run.State = at, state
-	r := platform.Report{AttemptRef: ref, State: state}
-	if state == platform.AttemptStopped {
+	r := fleet.Report{AttemptRef: ref, State: state}
+	if state == fleet.AttemptStopped {
 		r.Checkpoint = strconv.AppendInt(nil, a.done.Milliseconds(), 10)
 	}
 	s.ended[ref] = r
 }
 
 // Sync takes one request at the clock reading now.
-func (w *Worker) Sync(now time.Duration, req *platform.SyncRequest) *platform.SyncReply {
+func (w *Worker) Sync(now time.Duration, req *fleet.SyncRequest) *fleet.SyncReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	reply := &platform.SyncReply{Boot: w.boot, ClockMS: w.clock(now).Milliseconds()}
+	reply := &fleet.SyncReply{Boot: w.boot, ClockMS: w.clock(now).Milliseconds()}
 	s := w.session(req)
 	if s == nil {
-		reply.Refused = platform.RefusedCell
+		reply.Refused = fleet.RefusedCell
 		return reply
 	}
 	if !w.takes(s, req) {
-		reply.Refused = platform.RefusedStale
+		reply.Refused = fleet.RefusedStale
 		return reply
 	}
 	s.term, s.seq = req.Term, req.Seq
@@ -254,7 +254,7 @@
 	return reply
 }
 
-func (w *Worker) session(req *platform.SyncRequest) *session {
+func (w *Worker) session(req *fleet.SyncRequest) *session {
 	if s := w.cells[req.Cell]; s != nil {
 		return s
 	}
@@ -265,30 +265,30 @@
 		}
 	}
 	s := &session{
-		running: map[platform.AttemptRef]*attempt{},
-		ended:   map[platform.AttemptRef]platform.Report{},
+		running: map[fleet.AttemptRef]*attempt{},
+		ended:   map[fleet.AttemptRef]fleet.Report{},
 	}
 	w.cells[req.Cell] = s
 	return s
 }
 
-func (w *Worker) takes(s *session, req *platform.SyncRequest) bool {
+func (w *Worker) takes(s *session, req *fleet.SyncRequest) bool {
 	if req.Term != s.term {
 		return req.Term > s.term || w.faults.NoTermCheck
 	}
 	return req.Seq > s.seq || w.faults.NoSeqCheck
 }
 
-func (w *Worker) obey(now time.Duration, s *session, req *platform.SyncRequest) []platform.Report {
+func (w *Worker) obey(now time.Duration, s *session, req *fleet.SyncRequest) []fleet.Report {
 	for _, ref := range req.Acks {
 		delete(s.ended, ref)
 	}
 	for _, ref := range req.Stops {
 		if a := s.running[ref]; a != nil {
-			w.end(s, ref, a, now, platform.AttemptStopped)
+			w.end(s, ref, a, now, fleet.AttemptStopped)
 		}
 	}
-	throttled := map[platform.AttemptRef]bool{}
+	throttled := map[fleet.AttemptRef]bool{}
 	for _, ref := range req.Throttled {
 		throttled[ref] = true
 	}
@@ -300,10 +300,10 @@
 	if current && until > 0 {
 		s.leaseUntil = max(s.leaseUntil, until)
 	}
-	var refused []platform.Report
+	var refused []fleet.Report
 	for _, st := range req.Starts {
 		if !w.start(now, s, st, current) {
-			refused = append(refused, platform.Report{AttemptRef: st.AttemptRef, State: platform.AttemptRefused})
+			refused = append(refused, fleet.Report{AttemptRef: st.AttemptRef, State: fleet.AttemptRefused})
 		}
 	}
 	return refused
@@ -311,7 +311,7 @@
 
 // start begins an attempt unless it is known already. It returns false if the
 // attempt can't begin: not current, or no room left on the VM.
-func (w *Worker) start(now time.Duration, s *session, st platform.Start, current bool) bool {
+func (w *Worker) start(now time.Duration, s *session, st fleet.Start, current bool) bool {
 	if s.running[st.AttemptRef] != nil {
 		return true
 	}
@@ -328,14 +328,14 @@
 	}
 	resumed, _ := strconv.ParseInt(string(st.Checkpoint), 10, 64)
 	a.done = time.Duration(resumed) * time.Millisecond
-	a.run = &Run{AttemptRef: st.AttemptRef, Worker: w.ID, Began: now, State: platform.AttemptRunning, Resumed: resumed}
+	a.run = &Run{AttemptRef: st.AttemptRef, Worker: w.ID, Began: now, State: fleet.AttemptRunning, Resumed: resumed}
 	w.runs = append(w.runs, a.run)
 	s.running[st.AttemptRef] = a
 	return true
 }
 
-func (w *Worker) held() platform.Resources {
-	var sum platform.Resources
+func (w *Worker) held() fleet.Resources {
+	var sum fleet.Resources
 	for _, s := range w.cells {
 		for _, a := range s.running {
 			sum = sum.Add(a.Given)
@@ -344,11 +344,11 @@
 	return sum
 }
 
-func (w *Worker) report(now time.Duration, s *session, req *platform.SyncRequest, reply *platform.SyncReply) {
+func (w *Worker) report(now time.Duration, s *session, req *fleet.SyncRequest, reply *fleet.SyncReply) {
 	for ref, a := range s.running {
 		reply.RunningHash += ref.Hash()
 		if req.Full {
-			reply.Running = append(reply.Running, platform.Report{AttemptRef: ref, State: platform.AttemptRunning, Given: a.Given})
+			reply.Running = append(reply.Running, fleet.Report{AttemptRef: ref, State: fleet.AttemptRunning, Given: a.Given})
 		}
 	}
 	for _, r := range s.ended {
@@ -359,7 +359,7 @@
 	w.deliver(now, reply)
 }
 
-func (w *Worker) deliver(now time.Duration, reply *platform.SyncReply) {
+func (w *Worker) deliver(now time.Duration, reply *fleet.SyncReply) {
 	var late []delayedReport
 	for _, d := range w.reports {
 		if d.at > now {
@@ -372,7 +372,7 @@
 	w.reports = late
 }
 
-func sortReports(r []platform.Report) {
+func sortReports(r []fleet.Report) {
 	sort.Slice(r, func(i, j int) bool {
 		if r[i].Task != r[j].Task {
 			return r[i].Task < r[j].Task
@@ -399,7 +399,7 @@
 			if used.IsZero() {
 				used = a.Given
 			}
-			d.usage = append(d.usage, platform.Usage{Task: a.Task, Kind: a.Kind, Used: used, AtMS: at})
+			d.usage = append(d.usage, fleet.Usage{Task: a.Task, Kind: a.Kind, Used: used, AtMS: at})
 		}
 	}
 	sort.Slice(d.usage, func(i, j int) bool { return d.usage[i].Task < d.usage[j].Task })
