--- a/cmd/leverstile/demo.go
+++ b/cmd/leverstile/demo.go
@@ -21,6 +21,7 @@
 	"leverstile.dev/config"
 	"leverstile.dev/entry"
 	"leverstile.dev/fleet"
+	"leverstile.dev/logging"
 	"leverstile.dev/standin"
 )
 
@@ -204,7 +205,7 @@
 	s.Timing.ExchangeEveryMS, s.Timing.CommitEveryMS, s.Timing.ClaimCommitEveryMS = 100, 20, 20
 	s.Timing.DrainDelayMS = 500
 	set := metrics.NewSet()
-	logger, _ := entry.NewLogger(d.logs, "info", id, set)
+	logger, _ := logging.New(d.logs, "info", id, set)
 	e := &demoEntry{
 		id: id, addr: callers.Addr().String(), stop: make(chan struct{}), abort: make(chan struct{}),
 		done: make(chan error, 1),
--- a/cmd/leverstile/main.go
+++ b/cmd/leverstile/main.go
@@ -46,6 +46,7 @@
 		{"load", "Put load on a service", "Sends requests at a rate that does not wait for answers, and checks that answers match and keys run once.", &loadCommand{}},
 		{"measure", "Measure the slopes of docs/CAPACITY.md", "Measures bytes, calls and processor time against the stand-ins; takes one to two minutes.", &measureCommand{}},
 		{"serve", "Run an entry process", "Runs an entry process until SIGTERM, which drains it; a second signal ends it at once.", &serveCommand{}},
+		{"node", "Run an entry on the users' platform", "Runs an entry that schedules jobs; the platform's settings file is named by the environment. Runs until SIGTERM, which drains it.", &nodeCommand{}},
 		{"standin", "Run stand-ins of the platform", "Runs stand-ins of the key-value service, workers, endpoints and VM list in one process.", &standinCommand{}},
 		{"demo", "Run the whole path in one process", "Runs three entries against embedded stand-ins through load, eviction, a leaving endpoint and a rolling replacement, and checks the promises.", &demoCommand{}},
 		{"check", "Check settings or declarations offline", "Reads files of settings (with --settings) or declarations and prints every mistake with its place.", &checkCommand{}},
--- /dev/null
+++ b/cmd/leverstile/node.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	oklog "github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"leverstile.dev/api/result"
+	"leverstile.dev/dispatch"
+	"leverstile.dev/logging"
+	"leverstile.dev/node"
+	"leverstile.dev/platform"
+)
+
+// nodeCommand runs an entry on the users' platform.
+type nodeCommand struct {
+	Check    bool   `long:"check" description:"read the settings, print the first mistake and end"`
+	LogLevel string `long:"log-level" default:"info" description:"least level of log lines"`
+}
+
+// Figures of the process.
+const (
+	// drainListen is how long a draining process takes new connections: the
+	// platform stops sending them after two missed readiness checks, which
+	// are a second apart.
+	drainListen = 2500 * time.Millisecond
+	// drainMargin is kept of the time before SIGKILL.
+	drainMargin = 500 * time.Millisecond
+	// headerTimeout and idleTimeout bound customers' connections.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+)
+
+// Execute implements flags.Commander.
+func (c *nodeCommand) Execute([]string) error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return result.New(result.BadSettings, "%v", err)
+	}
+	if c.Check {
+		return nil
+	}
+	set := metrics.NewSet()
+	logger, flush := logging.New(os.Stdout, c.LogLevel, settings.Entry, set)
+	defer flush()
+	return runNode(settings, logger, set)
+}
+
+func runNode(s platform.Settings, logger *log.Logger, set *metrics.Set) error {
+	store := platform.NewStore(s.StoreAddress, set)
+	n := node.New(nodeOptions(s), store, store, platform.NewWorkers(set), logger, set)
+	logger.Info().Str("event", "start").Str("data_centre", s.DataCentre).Msg("")
+
+	var g oklog.Group
+	servers, err := listenAll(s, n, logger, set)
+	if err != nil {
+		return err
+	}
+	for _, srv := range servers {
+		g.Add(srv.serve, srv.interrupt)
+	}
+	addLoop(&g, n.RunConfig)
+	addLoop(&g, n.RunElection)
+	addSignals(&g, s, n, servers, logger)
+	err = g.Run()
+	logger.Info().Str("event", "stop").Err(err).Msg("")
+	return nil
+}
+
+func nodeOptions(s platform.Settings) node.Options {
+	b := s.Bounds
+	return node.Options{
+		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, FreezeSlack: b.FreezeSlack,
+		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		Params: dispatch.Params{
+			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget, AwayNotice: b.AwayNotice,
+			JobKept: b.JobStateKept, Early: b.Early, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
+		},
+	}
+}
+
+// server is one listener with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func listenAll(s platform.Settings, n *node.Node, logger *log.Logger, set *metrics.Set) ([]*server, error) {
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	figures := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	var servers []*server
+	for _, x := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", s.Callers, platform.NewFront(n, logger, set)},
+		{"ready", s.Ready, ready},
+		{"peers", s.Peers, n.PeersHandler()},
+		{"metrics", s.Metrics, figures},
+	} {
+		l, err := net.Listen("tcp", x.address)
+		if err != nil {
+			return nil, result.New(result.BadSettings, "%s: %v", x.name, err)
+		}
+		servers = append(servers, &server{x.name, l, &http.Server{
+			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		}})
+	}
+	return servers, nil
+}
+
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Annotate(err, s.name)
+}
+
+func (s *server) interrupt(error) { _ = s.http.Close() }
+
+// addLoop adds a loop that ends with its context.
+func addLoop(g *oklog.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+// addSignals ends the group some time after SIGTERM: the node turns unready,
+// hands over what it owns, answers what it has read, and goes.
+func addSignals(g *oklog.Group, s platform.Settings, n *node.Node, servers []*server, logger *log.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stop := make(chan struct{})
+	g.Add(func() error {
+		for {
+			select {
+			case sig := <-signals:
+				logger.Info().Str("event", "signal").Str("signal", sig.String()).Msg("")
+				if sig == syscall.SIGHUP {
+					continue // nothing in the settings changes at run time
+				}
+				drain(s, n, servers)
+				return nil
+			case <-stop:
+				return nil
+			}
+		}
+	}, func(error) { close(stop) })
+}
+
+func drain(s platform.Settings, n *node.Node, servers []*server) {
+	end := time.Now().Add(s.Bounds.Grace - drainMargin)
+	n.Drain()
+	for _, srv := range servers {
+		if srv.name == "callers" {
+			srv.http.SetKeepAlivesEnabled(false)
+		}
+	}
+	time.Sleep(min(drainListen, time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	for _, srv := range servers {
+		if srv.name == "callers" {
+			_ = srv.http.Shutdown(ctx)
+		}
+	}
+}
--- a/cmd/leverstile/serve.go
+++ b/cmd/leverstile/serve.go
@@ -10,6 +10,7 @@
 	"leverstile.dev/api/result"
 	"leverstile.dev/config"
 	"leverstile.dev/entry"
+	"leverstile.dev/logging"
 )
 
 type serveCommand struct {
@@ -31,7 +32,7 @@
 		return err
 	}
 	set := metrics.NewSet()
-	logger, flush := entry.NewLogger(os.Stderr, settings.Log.Level, settings.ID, set)
+	logger, flush := logging.New(os.Stderr, settings.Log.Level, settings.ID, set)
 	defer flush()
 	stop, abort := stopSignals()
 	return entry.New(settings, logger, set, callers, peers).Run(stop, abort)
--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Instant is a reading of both clocks of the process. Decisions use Steady;
+// UnixMS only serves times that customers name.
+type Instant struct {
+	Steady time.Duration
+	UnixMS int64
+}
+
+// Params are the figures that decisions rest on.
+type Params struct {
+	// TaskLease is how far ahead leases on what runs at workers are given.
+	TaskLease time.Duration
+	// MaxTaskLease is the longest lease that a worker accepts.
+	MaxTaskLease time.Duration
+	// OverTarget is how long fills may keep a serving task over its target.
+	OverTarget time.Duration
+	// AwayNotice is for how long a task counts as away before a planned stop.
+	AwayNotice time.Duration
+	// JobKept is how long a finished job's record is kept.
+	JobKept time.Duration
+	// Early is how far ahead of its time a timed task may start.
+	Early time.Duration
+	// RemoteFactor is how many times longer a task takes away from its data.
+	RemoteFactor float64
+	// PaceAfter is the age from which a run can be paced.
+	PaceAfter time.Duration
+	// RecoveryWait is how long after a takeover orders of the previous owner
+	// may still be in force at a worker that does not answer.
+	RecoveryWait time.Duration
+}
+
+// Defaults of Params that the platform does not set.
+const (
+	// DefaultTaskLease outlasts the loss of an owner: its lease at the store
+	// (2.5 s), the takeover (about 1 s) and a call to each worker.
+	DefaultTaskLease = 5 * time.Second
+)
+
+// Core holds the jobs and workers of a cell and decides. It has no I/O and no
+// locks; the caller serializes all calls.
+type Core struct {
+	params Params
+	term   uint64
+	// nextRun counts starts; with the term in the upper bits, run numbers
+	// rise over changes of the owner without a record of each start.
+	nextRun uint64
+	// validUntil is when the right to give orders ends; see SetValidUntil.
+	validUntil time.Duration
+	// deposed is set once a worker has told of a higher term.
+	deposed bool
+
+	config  *job.Config
+	queues  map[string]job.Queue // every queue ever seen, newest terms
+	jobs    map[string]*jobState
+	workers map[WorkerID]*worker
+	// unresolved are workers of the previous owner that have not answered
+	// yet: a task in phaseUnknown may run there.
+	unresolved map[WorkerID]time.Duration
+	roster     roster
+	open       []*stepRun // steps with tasks that may start
+	dirty      map[*jobState]struct{}
+	out        []Order
+	trace      func(Decision)
+	model      *interference
+	stats      Stats
+	perfByKey  map[perfKey]*runTimes
+	lastTick   time.Duration
+}
+
+// Stats are counters of what the core decided.
+type Stats struct {
+	Starts, Done, Failed, Stopped, Lapsed, Lost, Refused, Unanswered, Moved, Paced uint64
+}
+
+// Decision is one decision or change of belief, for the log.
+type Decision struct {
+	Event  string
+	Job    string
+	Task   job.TaskID
+	Run    uint64
+	Worker WorkerID
+	Reason string
+	// Age is that of the input which decided, where there is one.
+	Age time.Duration
+}
+
+// runBits is the number of bits of a run number below the term. 2^28 starts in
+// one term are two days at letter 1's peak; terms then fit 24 bits of the 2^53
+// that JSON numbers carry exactly.
+const runBits = 28
+
+// New returns a core for one term. Trace is called for each decision.
+func New(params Params, term uint64, trace func(Decision)) *Core {
+	if params.TaskLease == 0 {
+		params.TaskLease = min(DefaultTaskLease, params.MaxTaskLease)
+	}
+	if trace == nil {
+		trace = func(Decision) {}
+	}
+	return &Core{
+		params: params, term: term,
+		queues: map[string]job.Queue{}, jobs: map[string]*jobState{},
+		workers: map[WorkerID]*worker{}, unresolved: map[WorkerID]time.Duration{},
+		roster: newRoster(), dirty: map[*jobState]struct{}{}, trace: trace,
+		model: newInterference(), perfByKey: map[perfKey]*runTimes{},
+	}
+}
+
+// Term returns the term of the core's orders.
+func (c *Core) Term() uint64 { return c.term }
+
+// Deposed reports whether a worker has told of a higher term.
+func (c *Core) Deposed() bool { return c.deposed }
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats { return c.stats }
+
+// SetValidUntil sets the steady time at which the right to give orders ends.
+// No lease or deadline is given beyond it.
+func (c *Core) SetValidUntil(at time.Duration) { c.validUntil = max(c.validUntil, at) }
+
+// SetConfig puts a version of the configuration into force. A queue that is no
+// longer there keeps its last terms for the jobs that it accepted.
+func (c *Core) SetConfig(config *job.Config) {
+	if c.config != nil && config.Version < c.config.Version {
+		return
+	}
+	c.config = config
+	for _, q := range config.Queues {
+		c.queues[q.Name] = q
+	}
+}
+
+// TakeOrders returns the orders decided since the last call.
+func (c *Core) TakeOrders() []Order {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// Tick lets time pass: it gives up on silent workers, asks again for what was
+// not answered and forgets old jobs.
+func (c *Core) Tick(now Instant) {
+	c.expireUnresolved(now)
+	for _, w := range c.workers {
+		c.tickWorker(w, now)
+	}
+	c.dropOldJobs(now)
+	c.Schedule(now)
+	c.lastTick = now.Steady
+}
+
+// tellTask logs a decision on a task.
+func (c *Core) tellTask(event string, t *task, w *worker, run uint64, reason string) {
+	d := Decision{Event: event, Job: t.step.job.spec.ID, Task: t.id(), Run: run, Reason: reason}
+	if w != nil {
+		d.Worker = w.info.ID
+	}
+	c.trace(d)
+}
--- /dev/null
+++ b/dispatch/ends.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Figures of retries and of workers that fail what they start.
+const (
+	// retryDelay is the pause before a failed task starts again.
+	retryDelay = 100 * time.Millisecond
+	// failStreakLimit ends "failed" in a row, each of another job, mark a
+	// worker as bad: by chance three tasks in a row fail in 1 of 8,000 (the
+	// users' tasks fail in 2% to 5% of their runs).
+	failStreakLimit = 3
+	// avoidMin and avoidMax bound how long a bad worker gets no work; the
+	// time doubles with each relapse.
+	avoidMin = 2 * time.Second
+	avoidMax = 16 * time.Second
+)
+
+// takeEnd takes in the end of a run.
+func (c *Core) takeEnd(w *worker, e *EndedTask, now Instant) {
+	t := c.findTask(e.Task)
+	if t == nil {
+		w.ends = append(w.ends, pendingEnd{number: e.Number})
+		c.trace(Decision{Event: "end_ignored", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Reason: "job is over or unknown"})
+		return
+	}
+	a := t.attempt
+	if a != nil && (a.worker != w || a.run != e.Run) {
+		a = nil
+	}
+	if e.Checkpoint != "" && (a != nil || t.attempt == nil) {
+		t.checkpoint = e.Checkpoint
+		t.step.checkpoint = e.Checkpoint
+	}
+	c.tellTask("run_"+string(e.Kind), t, w, e.Run, "")
+	c.countEnd(w, t, a, e, now)
+	if a != nil {
+		c.release(a, now)
+	}
+	w.ends = append(w.ends, pendingEnd{number: e.Number, job: t.step.job, version: t.step.job.version})
+}
+
+// countEnd draws the consequences of an end for the task and the worker.
+func (c *Core) countEnd(w *worker, t *task, a *attempt, e *EndedTask, now Instant) {
+	switch e.Kind {
+	case EndDone:
+		c.stats.Done++
+		w.failStreak, w.strikes = 0, max(0, w.strikes-1)
+		if a != nil {
+			c.learnRunTime(a, now)
+		}
+		if !t.step.spec.Lasting {
+			c.endedDone(t, a, now)
+		}
+	case EndFailed:
+		c.stats.Failed++
+		c.blameWorker(w, t, now)
+		c.countFailure(t, e.Run, now)
+		t.avoid = w.info.ID
+		t.notBefore = now.Steady + retryDelay
+	case EndStopped:
+		c.stats.Stopped++
+	default:
+		c.stats.Lapsed++
+	}
+}
+
+// endedDone marks the task; a later run of it elsewhere is stopped.
+func (c *Core) endedDone(t *task, a *attempt, now Instant) {
+	other := t.attempt
+	c.taskDone(t, now)
+	if other != nil && other != a {
+		c.stop(other, "an earlier run is done", now)
+	}
+}
+
+// countFailure counts a failed run against the queue's budget. A gang fails as
+// one: its failures are counted at its first task.
+func (c *Core) countFailure(t *task, run uint64, now Instant) {
+	s := t.step
+	if s.spec.Lasting {
+		return
+	}
+	id := t.id()
+	if s.spec.Gang {
+		id.Index = 0
+	}
+	j := s.job
+	if !j.progress.CountFailure(id, run) {
+		return
+	}
+	c.touch(j)
+	limit := c.queues[j.spec.Queue].MaxAttempts
+	if limit > 0 && j.progress.Failures[id.FailureKey()].Count >= limit {
+		c.setFinal(j, job.Failed, "task "+id.String()+" has no attempts left", now)
+	}
+}
+
+// blameWorker counts failures in a row. Gangs and repeats of one task say
+// little of the worker.
+func (c *Core) blameWorker(w *worker, t *task, now Instant) {
+	if t.step.spec.Gang || t.avoid == w.info.ID {
+		return
+	}
+	w.failStreak++
+	if w.failStreak < failStreakLimit {
+		return
+	}
+	w.failStreak = failStreakLimit - 1 // one more failure when it is tried again
+	c.avoidWorker(w, "its tasks fail one after the other", now)
+}
+
+// avoidWorker gives a worker no work for a while, longer at each relapse.
+func (c *Core) avoidWorker(w *worker, reason string, now Instant) {
+	if now.Steady < w.avoidUntil {
+		return
+	}
+	pause := min(avoidMin<<min(w.strikes, 3), avoidMax)
+	w.strikes++
+	w.avoidUntil = now.Steady + pause
+	c.trace(Decision{Event: "worker_avoided", Worker: w.info.ID, Reason: reason, Age: pause})
+}
--- /dev/null
+++ b/dispatch/explain.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import "leverstile.dev/job"
+
+// Explanation tells what is known of a job.
+type Explanation struct {
+	Known bool      `json:"known"`
+	State job.State `json:"state,omitempty"`
+	Queue string    `json:"queue,omitempty"`
+	// Persisted is false while the store lacks the newest progress.
+	Persisted bool       `json:"persisted,omitempty"`
+	Tasks     []TaskInfo `json:"tasks,omitempty"`
+}
+
+// TaskInfo is one task of an Explanation.
+type TaskInfo struct {
+	Task   string   `json:"task"`
+	Phase  string   `json:"phase"`
+	Worker WorkerID `json:"worker,omitempty"`
+	Run    uint64   `json:"run,omitempty"`
+	// WaitsFor is the reason why a task does not run.
+	WaitsFor string `json:"waits_for,omitempty"`
+	Pace     int    `json:"pace,omitempty"`
+	// ReadyMS is for how long it has been ready.
+	ReadyMS int64 `json:"ready_ms,omitempty"`
+}
+
+// Explain tells where a job's tasks run and why others wait.
+func (c *Core) Explain(id string, now Instant) Explanation {
+	j := c.jobs[id]
+	if j == nil {
+		return Explanation{}
+	}
+	e := Explanation{Known: true, State: j.shown, Queue: j.spec.Queue, Persisted: j.persisted == j.version}
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			e.Tasks = append(e.Tasks, c.explainTask(t, now))
+		}
+	}
+	return e
+}
+
+func (c *Core) explainTask(t *task, now Instant) TaskInfo {
+	info := TaskInfo{Task: t.id().String(), Phase: t.phase.String()}
+	if a := t.attempt; a != nil {
+		info.Worker, info.Run, info.Pace = a.worker.info.ID, a.run, a.percent
+		return info
+	}
+	switch t.phase {
+	case phaseWaiting:
+		info.WaitsFor = "an earlier step"
+		if !t.step.due(now) {
+			info.WaitsFor = "its time"
+		}
+	case phaseUnknown:
+		info.WaitsFor = "workers of the previous owner that have not answered"
+	case phaseReady:
+		info.ReadyMS = (now.Steady - t.readySince).Milliseconds()
+		info.WaitsFor = "room"
+	}
+	return info
+}
--- /dev/null
+++ b/dispatch/interference.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+)
+
+// interference learns how much each image that fills raises the tail of each
+// image that serves.
+//
+// The model is linear: a serving task's tail over its target is a base plus
+// the sum over images of a coefficient times that image's processor use on the
+// worker, as a part of the worker's size. The coefficients of a serving image
+// are a Bayesian linear regression over the readings of all workers (recursive
+// least squares), pooled since single readings are rough; old readings fade.
+// Its variance tells a pair that is harmless from one that was not seen yet.
+type interference struct {
+	images map[string]*regression
+}
+
+// Figures of the model. They were chosen by the runs in docs/MEASUREMENTS.md.
+const (
+	// priorBase is the expected tail over target of a task that runs alone:
+	// targets are about five times an undisturbed tail.
+	priorBase    = 0.3
+	priorBaseVar = 0.09
+	// priorPair is the expected effect of a pair that was not seen yet: of
+	// 45 pairs some 10 hurt much, by several times.
+	priorPair    = 0.5
+	priorPairVar = 4.0
+	// readingVar is the variance of a reading that is not explained.
+	readingVar = 0.5
+	// fading lets the variance grow by this factor with each reading, which
+	// is a memory of about 2,000 readings of a serving image.
+	fading = 1.0005
+	// readingCap bounds the effect of one reading.
+	readingCap = 6.0
+	// maxPairs bounds the images that are told apart beside a serving image;
+	// with 8 bytes for each of their pairs, 18 KB a serving image.
+	maxPairs = 48
+)
+
+// regression is that of one serving image. Index 0 is the base.
+type regression struct {
+	index map[string]int
+	mean  []float64
+	cov   [][]float64
+	n     int
+}
+
+// pressure is the processor use of one image on a worker, over the worker's size.
+type pressure struct {
+	image string
+	share float64
+}
+
+func newInterference() *interference { return &interference{images: map[string]*regression{}} }
+
+func (m *interference) regression(image string) *regression {
+	r := m.images[image]
+	if r == nil {
+		r = &regression{index: map[string]int{}}
+		r.grow("", priorBase, priorBaseVar)
+		m.images[image] = r
+	}
+	return r
+}
+
+// grow adds a coefficient.
+func (r *regression) grow(image string, mean, variance float64) {
+	r.index[image] = len(r.mean)
+	r.mean = append(r.mean, mean)
+	for i := range r.cov {
+		r.cov[i] = append(r.cov[i], 0)
+	}
+	row := make([]float64, len(r.mean))
+	row[len(row)-1] = variance
+	r.cov = append(r.cov, row)
+}
+
+// find returns the index of an image's coefficient, or -1 if there is none and
+// no room for one.
+func (r *regression) find(image string) int {
+	if i, ok := r.index[image]; ok {
+		return i
+	}
+	if len(r.mean) > maxPairs {
+		return -1
+	}
+	r.grow(image, priorPair, priorPairVar)
+	return len(r.mean) - 1
+}
+
+// learn takes in one reading: the serving image's tail over its target, beside
+// these pressures.
+func (m *interference) learn(serving string, ratio float64, beside []pressure) {
+	r := m.regression(serving)
+	x := r.vector(beside)
+	r.n++
+	gain, variance, predicted := r.apply(x)
+	variance += readingVar
+	miss := min(ratio, readingCap) - predicted
+	for i := range r.mean {
+		g := gain[i] / variance
+		r.mean[i] = max(r.mean[i]+g*miss, 0)
+		for j := range r.cov[i] {
+			r.cov[i][j] = (r.cov[i][j] - g*gain[j]) * fading
+		}
+		limit := priorPairVar
+		if i == 0 {
+			limit = priorBaseVar
+		}
+		if r.cov[i][i] > limit {
+			r.limit(i, limit)
+		}
+	}
+}
+
+// limit keeps a variance at its prior, so that fading does not let the doubt
+// about pairs that are not met grow without bound.
+func (r *regression) limit(i int, variance float64) {
+	f := math.Sqrt(variance / r.cov[i][i])
+	for j := range r.cov {
+		r.cov[i][j] *= f
+		r.cov[j][i] *= f
+	}
+}
+
+func (r *regression) vector(beside []pressure) []float64 {
+	at := make([]int, len(beside))
+	for k, p := range beside {
+		at[k] = r.find(p.image)
+	}
+	x := make([]float64, len(r.mean))
+	x[0] = 1
+	for k, p := range beside {
+		if at[k] >= 0 {
+			x[at[k]] += p.share
+		}
+	}
+	return x
+}
+
+// apply returns cov·x, x·cov·x and mean·x.
+func (r *regression) apply(x []float64) (gain []float64, variance, predicted float64) {
+	gain = make([]float64, len(x))
+	for i, xi := range x {
+		if xi == 0 {
+			continue
+		}
+		for j := range x {
+			gain[j] += r.cov[i][j] * xi
+		}
+		predicted += r.mean[i] * xi
+	}
+	for i, xi := range x {
+		variance += xi * gain[i]
+	}
+	return gain, variance, predicted
+}
+
+// predict returns the expected tail over target of a serving image beside
+// these pressures, and its standard deviation.
+func (m *interference) predict(serving string, beside []pressure) (mean, deviation float64) {
+	r := m.regression(serving)
+	_, variance, predicted := r.apply(r.vector(beside))
+	return predicted, math.Sqrt(max(variance, 0))
+}
+
+// coefficient returns the expected effect of a pair and its deviation.
+func (m *interference) coefficient(serving, image string) (mean, deviation float64) {
+	r := m.images[serving]
+	if r == nil {
+		return priorPair, math.Sqrt(priorPairVar)
+	}
+	i, ok := r.index[image]
+	if !ok {
+		return priorPair, math.Sqrt(priorPairVar)
+	}
+	return r.mean[i], math.Sqrt(max(r.cov[i][i], 0))
+}
+
+// base returns the expected tail over target of a serving image alone.
+func (m *interference) base(serving string) float64 {
+	if r := m.images[serving]; r != nil {
+		return r.mean[0]
+	}
+	return priorBase
+}
+
+// workerLoad sums what a worker's tasks do to each other. It is rebuilt at
+// each list of the worker and corrected at each start, so that placement needs
+// no walk over tasks.
+type workerLoad struct {
+	serving  []servingLoad
+	fills    []pressure // by image, from readings or, for young runs, demands
+	fillCPU  float64    // thousandths of a core that fills use or ask for
+	otherCPU float64    // of tasks that neither serve nor fill
+}
+
+// servingLoad is a serving image on a worker with the worst recent tail of its
+// tasks there, over target.
+type servingLoad struct {
+	image string
+	worst float64
+	count int
+}
+
+func (l *workerLoad) addFill(image string, cpu float64, size int64) {
+	l.fillCPU += cpu
+	share := cpu / float64(max(size, 1))
+	if i := slices.IndexFunc(l.fills, func(p pressure) bool { return p.image == image }); i >= 0 {
+		l.fills[i].share += share
+		return
+	}
+	l.fills = append(l.fills, pressure{image, share})
+}
+
+func (l *workerLoad) addServing(image string, ratio float64) {
+	if i := slices.IndexFunc(l.serving, func(s servingLoad) bool { return s.image == image }); i >= 0 {
+		l.serving[i].count++
+		l.serving[i].worst = max(l.serving[i].worst, ratio)
+		return
+	}
+	l.serving = append(l.serving, servingLoad{image, ratio, 1})
+}
+
+// rebuild sums the worker's tasks anew.
+func (w *worker) rebuild() {
+	l := workerLoad{serving: w.load.serving[:0], fills: w.load.fills[:0]}
+	for a := range w.attempts {
+		s := a.task.step.spec
+		switch {
+		case s.Fills:
+			l.addFill(s.Image, a.cpu(), w.info.CPUMilli)
+		case s.Lasting && s.TargetMS > 0:
+			l.addServing(s.Image, a.tail.smooth)
+		case !s.Lasting:
+			l.otherCPU += float64(s.CPUMilli)
+		}
+	}
+	w.load = l
+}
+
+// cpu returns the processor time that a fill uses, or asks for while there is
+// no reading.
+func (a *attempt) cpu() float64 {
+	if a.hasUse {
+		return a.usedCPU
+	}
+	return float64(a.task.step.spec.CPUMilli) * float64(a.percent) / fullPace
+}
--- /dev/null
+++ b/dispatch/jobs.go
@@ -0,0 +1,405 @@
+package dispatch
+
+import (
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// jobState is an accepted job.
+type jobState struct {
+	spec     *job.Spec
+	progress job.Progress
+	// steps is nil once the state is final and nothing runs.
+	steps []*stepRun
+	// version counts changes of progress; persisted is the version that the
+	// store has. A state is shown, and an end acknowledged, once persisted.
+	version, persisted uint64
+	shown              job.State
+	begun              bool
+	// cancelled is set by the customer; nothing of the job starts any more.
+	cancelled bool
+	// active is the number of attempts that may be running.
+	active int
+	// idleSince is when the job's last attempt ended, for jobs that have
+	// tasks to run.
+	idleSince time.Duration
+	added     time.Duration
+}
+
+// stepRun is one step of one occurrence of a job.
+type stepRun struct {
+	job        *jobState
+	spec       *job.Step
+	occurrence int
+	index      int
+	tasks      []*task
+	left       int // tasks that are not done
+	after      int // steps of the occurrence that are waited for
+	// ready is the number of tasks in phaseReady; queued is set while the
+	// step is in Core.open.
+	ready  int
+	queued bool
+	// gangRun is the run number of the gang that is active, 0 for none.
+	gangRun uint64
+	perWork map[*worker]int // attempts by worker, only with MaxPerWorker
+	// away counts lasting tasks that are not at work.
+	checkpoint string // of a gang
+}
+
+// phase is where a task is in its life.
+type phase uint8
+
+const (
+	// phaseWaiting: an earlier step is not done, or its time has not come.
+	phaseWaiting phase = iota
+	// phaseUnknown: the previous owner may have started it at a worker that
+	// has not answered yet.
+	phaseUnknown
+	phaseReady
+	phaseStarting
+	phaseRunning
+	phaseStopping
+	phaseDone
+)
+
+func (p phase) String() string {
+	return [...]string{"waiting", "unknown", "ready", "starting", "running", "stopping", "done"}[p]
+}
+
+// task is one task of a step. attempt is set in phaseStarting, phaseRunning and
+// phaseStopping, and only then.
+type task struct {
+	step       *stepRun
+	index      int
+	phase      phase
+	attempt    *attempt
+	checkpoint string
+	// notBefore delays a start after a failure.
+	notBefore time.Duration
+	// avoid is the worker where the last attempt failed.
+	avoid WorkerID
+	// readySince is when the task last became ready.
+	readySince time.Duration
+	// workDone is the share of the work that the checkpoint holds, if known.
+	atWork bool
+}
+
+// attempt is a run that was ordered and may be running.
+type attempt struct {
+	task   *task
+	worker *worker
+	run    uint64
+	// deadline is that of the start order, on the worker's clock: an order
+	// that has not arrived by then is refused.
+	deadline int64
+	// ackClock is the worker's clock at the answer that confirmed the run;
+	// 0 while the start is unanswered. A list read before is older.
+	ackClock int64
+	tries    int
+	sentAt   time.Duration
+	started  time.Duration
+	inFlight bool // an order on this run awaits its answer
+	stopping bool
+	stopAt   time.Duration // when the last stop was sent
+	// percent is the pace wanted, paced the one the worker was told.
+	percent, paced int
+	paceAt         time.Duration
+	usedCPU        float64 // thousandths of a core, from readings
+	hasUse         bool
+	tail           tailWatch
+	ticket         string
+	adopted        bool
+}
+
+func (t *task) id() job.TaskID {
+	return job.TaskID{Job: t.step.job.spec.ID, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
+}
+
+// AddJob takes in a job that the store holds. Progress is nil for a new one.
+// A job that was there before the takeover has tasks that the previous owner
+// may have started.
+func (c *Core) AddJob(spec *job.Spec, progress *job.Progress, before bool, now Instant) {
+	if _, ok := c.jobs[spec.ID]; ok {
+		return
+	}
+	j := &jobState{spec: spec, shown: job.Queued, added: now.Steady, idleSince: now.Steady}
+	j.progress.State = job.Queued
+	c.jobs[spec.ID] = j
+	if progress != nil {
+		j.progress = *progress
+		j.shown = progress.State
+		j.begun = progress.State != job.Queued
+	}
+	if j.progress.State.Final() {
+		return
+	}
+	j.build(before && len(c.unresolved) > 0)
+	for _, s := range j.steps {
+		c.openStep(s, now)
+	}
+	c.finishIfDone(j, now)
+	c.trace(Decision{Event: "job_added", Job: spec.ID, Reason: spec.Queue})
+}
+
+// build makes the steps and tasks.
+func (j *jobState) build(unknown bool) {
+	for occurrence := range j.spec.Times() {
+		first := len(j.steps)
+		for i := range j.spec.Steps {
+			j.steps = append(j.steps, j.buildStep(occurrence, i, unknown))
+		}
+		for _, s := range j.steps[first:] {
+			for _, earlier := range s.spec.After {
+				if j.steps[first+earlier].left > 0 {
+					s.after++
+				}
+			}
+		}
+	}
+}
+
+func (j *jobState) buildStep(occurrence, index int, unknown bool) *stepRun {
+	s := &stepRun{job: j, spec: &j.spec.Steps[index], occurrence: occurrence, index: index}
+	if s.spec.MaxPerWorker > 0 {
+		s.perWork = map[*worker]int{}
+	}
+	block := make([]task, s.spec.Count)
+	s.tasks = make([]*task, s.spec.Count)
+	for i := range s.tasks {
+		t := &block[i]
+		t.step, t.index = s, i
+		s.tasks[i] = t
+		if j.progress.IsDone(t.id()) {
+			t.phase = phaseDone
+			continue
+		}
+		if unknown {
+			t.phase = phaseUnknown
+		}
+		s.left++
+	}
+	return s
+}
+
+// openStep makes the tasks of a step ready if nothing holds them back.
+func (c *Core) openStep(s *stepRun, now Instant) {
+	if s.after > 0 || s.left == 0 || s.job.cancelled {
+		return
+	}
+	if due := s.job.spec.DueMS(s.occurrence); due > now.UnixMS {
+		c.queueStep(s) // looked at again in each pass
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase == phaseWaiting {
+			c.makeReady(t, now)
+		}
+	}
+}
+
+// due reports whether the step's time has come.
+func (s *stepRun) due(now Instant) bool { return s.job.spec.DueMS(s.occurrence) <= now.UnixMS }
+
+// blocked reports whether an earlier step is not done.
+func (s *stepRun) blocked() bool { return s.after > 0 }
+
+func (c *Core) makeReady(t *task, now Instant) {
+	t.phase = phaseReady
+	t.readySince = now.Steady
+	t.step.ready++
+	c.queueStep(t.step)
+}
+
+func (c *Core) queueStep(s *stepRun) {
+	if !s.queued {
+		s.queued = true
+		c.open = append(c.open, s)
+	}
+}
+
+// release ends an attempt: nothing of it runs any more. The task becomes ready
+// again unless it is done or its job is over.
+func (c *Core) release(a *attempt, now Instant) {
+	t, w := a.task, a.worker
+	s := t.step
+	w.remove(a)
+	if s.perWork != nil {
+		s.perWork[w]--
+	}
+	s.job.active--
+	s.job.idleSince = now.Steady
+	t.attempt = nil
+	t.atWork = false
+	if t.phase == phaseDone {
+		return
+	}
+	t.phase = phaseWaiting
+	if s.job.cancelled || s.job.progress.State.Final() {
+		return
+	}
+	if s.spec.Gang {
+		c.gangMemberLeft(s, a.run, now)
+		return
+	}
+	if !s.blocked() {
+		c.makeReady(t, now)
+	}
+}
+
+// gangMemberLeft stops the other members of a run, and makes all tasks ready
+// once none is left.
+func (c *Core) gangMemberLeft(s *stepRun, run uint64, now Instant) {
+	active := false
+	for _, t := range s.tasks {
+		if t.attempt != nil {
+			active = true
+			c.stop(t.attempt, "gang member left", now)
+		}
+	}
+	if active || s.blocked() {
+		return
+	}
+	s.gangRun = 0
+	for _, t := range s.tasks {
+		if t.phase == phaseWaiting {
+			c.makeReady(t, now)
+		}
+	}
+}
+
+// touch marks a job's progress as changed.
+func (c *Core) touch(j *jobState) {
+	j.version++
+	c.dirty[j] = struct{}{}
+}
+
+// markBegun notes that a task of the job was started.
+func (c *Core) markBegun(j *jobState) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	if j.progress.State == job.Queued {
+		j.progress.State = job.Running
+		j.shown = job.Running // needs no record: it promises nothing
+		c.touch(j)
+	}
+}
+
+// taskDone marks a task and, for a gang, all its fellows as done.
+func (c *Core) taskDone(t *task, now Instant) {
+	s := t.step
+	if s.spec.Gang {
+		for _, other := range s.tasks {
+			c.markDone(other)
+		}
+	} else {
+		c.markDone(t)
+	}
+	if s.left > 0 {
+		return
+	}
+	first := s.occurrence * len(s.job.spec.Steps)
+	for _, next := range s.job.steps[first : first+len(s.job.spec.Steps)] {
+		for _, earlier := range next.spec.After {
+			if earlier == s.index {
+				next.after--
+			}
+		}
+		if next.after == 0 && next != s {
+			c.openStep(next, now)
+		}
+	}
+	c.finishIfDone(s.job, now)
+}
+
+func (c *Core) markDone(t *task) {
+	s := t.step
+	if t.phase == phaseDone {
+		return
+	}
+	if t.phase == phaseReady {
+		s.ready--
+	}
+	t.phase = phaseDone
+	s.left--
+	s.job.progress.MarkDone(t.id(), s.spec.Count)
+	c.touch(s.job)
+}
+
+func (c *Core) finishIfDone(j *jobState, now Instant) {
+	for _, s := range j.steps {
+		if s.left > 0 {
+			return
+		}
+	}
+	c.setFinal(j, job.Succeeded, "all tasks done", now)
+}
+
+// setFinal ends a job and stops what still runs of it.
+func (c *Core) setFinal(j *jobState, state job.State, reason string, now Instant) {
+	if j.progress.State.Final() {
+		return
+	}
+	j.progress.State = state
+	j.progress.EndedMS = now.UnixMS
+	c.touch(j)
+	c.trace(Decision{Event: "job_" + string(state), Job: j.spec.ID, Reason: reason})
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.phase == phaseReady {
+				t.phase = phaseWaiting
+				s.ready--
+			}
+			if t.attempt != nil {
+				c.stop(t.attempt, "job "+string(state), now)
+			}
+		}
+	}
+}
+
+// Cancel ends a job that its customer no longer wants.
+func (c *Core) Cancel(id string, now Instant) {
+	j := c.jobs[id]
+	if j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	c.setFinal(j, job.Cancelled, "cancelled by its customer", now)
+}
+
+// dropOldJobs forgets what has been final for long.
+func (c *Core) dropOldJobs(now Instant) {
+	for id, j := range c.jobs {
+		if !j.progress.State.Final() || j.persisted != j.version {
+			continue
+		}
+		if j.active == 0 {
+			j.steps = nil
+		}
+		if now.UnixMS-j.progress.EndedMS > c.params.JobKept.Milliseconds() && j.active == 0 {
+			delete(c.jobs, id)
+		}
+	}
+}
+
+// Status returns the state that may be shown, and whether the job is known.
+func (c *Core) Status(id string) (job.State, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.shown, true
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.spec.Queue == queue && !j.begun && !j.progress.State.Final() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/dispatch/orders.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import "time"
+
+// Figures of orders.
+const (
+	// maxStartTries bounds how often one start is sent; all within its window.
+	maxStartTries = 4
+	// stopRetry is the pause before a stop is sent again whose end is not
+	// listed. Workers take up to 900 ms.
+	stopRetry = 1 * time.Second
+	// fullPace is a task's pace at its start, in percent.
+	fullPace = 100
+	// fullPause is how long a worker gets nothing after it had no room.
+	fullPause = 300 * time.Millisecond
+	// unwellPause is the same after it refused for being unwell.
+	unwellPause = 1 * time.Second
+)
+
+// start orders a run of a task.
+func (c *Core) start(t *task, w *worker, run uint64, checkpoint, ticket string, now Instant) {
+	s := t.step
+	deadline := c.deadlineIn(w, startWindow, now)
+	a := &attempt{
+		task: t, worker: w, run: run, deadline: deadline, tries: 1, sentAt: now.Steady, started: now.Steady,
+		percent: fullPace, paced: fullPace, inFlight: true, ticket: ticket,
+	}
+	t.attempt, t.phase = a, phaseStarting
+	s.ready--
+	s.job.active++
+	if s.perWork != nil {
+		s.perWork[w]++
+	}
+	w.add(a)
+	c.stats.Starts++
+	c.markBegun(s.job)
+	c.sendStart(a, checkpoint)
+}
+
+func (c *Core) newRun() uint64 {
+	c.nextRun++
+	return c.term<<runBits | c.nextRun
+}
+
+func (c *Core) sendStart(a *attempt, checkpoint string) {
+	c.out = append(c.out, Order{
+		Kind: OrderStart, Worker: a.worker.info.ID, Address: a.worker.info.Address, Term: c.term,
+		Task: a.task.id(), Run: a.run, Payload: a.task.step.job.spec.Payload,
+		DeadlineMS: a.deadline, Checkpoint: checkpoint, Ticket: a.ticket,
+	})
+}
+
+// stop orders the end of an attempt; its end will be listed, or the run will
+// be missing in a list.
+func (c *Core) stop(a *attempt, reason string, now Instant) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	a.task.phase = phaseOf(a.task, phaseStopping)
+	c.tellTask("run_stop", a.task, a.worker, a.run, reason)
+	c.sendStop(a, now)
+}
+
+// phaseOf keeps a task done whatever happens to a run of it.
+func phaseOf(t *task, p phase) phase {
+	if t.phase == phaseDone {
+		return phaseDone
+	}
+	return p
+}
+
+func (c *Core) sendStop(a *attempt, now Instant) {
+	a.stopAt = now.Steady
+	c.out = append(c.out, Order{
+		Kind: OrderStop, Worker: a.worker.info.ID, Address: a.worker.info.Address, Term: c.term,
+		Task: a.task.id(), Run: a.run,
+	})
+}
+
+// OrderDone takes in the answer to an order.
+func (c *Core) OrderDone(o Order, ans Answer, now Instant) {
+	w := c.workers[o.Worker]
+	if w == nil {
+		return
+	}
+	switch ans.Outcome {
+	case OutcomeFenced:
+		c.depose(w)
+		return
+	case OutcomeOtherLife:
+		c.lifeOver(w, "another life answers", now)
+		return
+	case OutcomeUnknown:
+		w.unanswered++
+	default:
+		w.unanswered = 0
+		w.noteClock(ans.ClockMS, now)
+	}
+	t := c.findTask(o.Task)
+	if t == nil || t.attempt == nil || t.attempt.worker != w || t.attempt.run != o.Run {
+		return
+	}
+	switch o.Kind {
+	case OrderStart:
+		c.startDone(t.attempt, o, ans, now)
+	case OrderStop:
+		c.stopDone(t.attempt, ans)
+	case OrderPace:
+		c.paceDone(t.attempt, o, ans)
+	}
+}
+
+func (c *Core) startDone(a *attempt, o Order, ans Answer, now Instant) {
+	a.inFlight = false
+	switch ans.Outcome {
+	case OutcomeOK:
+		a.ackClock = max(a.ackClock, ans.ClockMS)
+		if a.task.phase == phaseStarting {
+			a.task.phase = phaseRunning
+			a.started = now.Steady
+		}
+		c.tellTask("run_started", a.task, a.worker, a.run, "")
+	case OutcomeUnknown:
+		c.startUnanswered(a, o, now)
+	default:
+		c.startRefused(a, ans, now)
+	}
+}
+
+// startUnanswered sends the same start again: the worker carries it out once.
+func (c *Core) startUnanswered(a *attempt, o Order, now Instant) {
+	c.stats.Unanswered++
+	again := a.ackClock == 0 && !a.stopping && a.tries < maxStartTries && a.worker.clockNow(now) < a.deadline
+	c.tellTask("start_unanswered", a.task, a.worker, a.run, "")
+	if !again {
+		return // the next list after the deadline tells
+	}
+	a.tries++
+	a.inFlight = true
+	c.out = append(c.out, o)
+}
+
+// startRefused handles an order that did nothing. If an earlier copy of it was
+// left unanswered, that one may still be carried out: a list must tell.
+func (c *Core) startRefused(a *attempt, ans Answer, now Instant) {
+	c.stats.Refused++
+	c.tellTask("start_refused", a.task, a.worker, a.run, ans.Outcome.String())
+	w := a.worker
+	switch ans.Outcome {
+	case OutcomeNoRoom:
+		w.fullUntil = now.Steady + fullPause
+	case OutcomeUnwell:
+		c.avoidWorker(w, "it refuses work", now)
+	case OutcomeInvalid:
+		a.task.notBefore = now.Steady + unwellPause
+		a.task.avoid = w.info.ID
+	case OutcomeNoTicket:
+		c.dropTicket(a)
+	}
+	if a.tries == 1 && a.ackClock == 0 {
+		c.release(a, now)
+	}
+}
+
+// stopDone notes that the worker will refuse a start that is still on its way.
+func (c *Core) stopDone(a *attempt, ans Answer) {
+	if ans.Outcome == OutcomeOK {
+		a.ackClock = max(a.ackClock, ans.ClockMS)
+	}
+}
+
+func (c *Core) paceDone(a *attempt, o Order, ans Answer) {
+	if ans.Outcome == OutcomeOK {
+		a.paced = o.Percent
+		return
+	}
+	a.paced = -1 // not known: sent again
+}
+
+// tickAttempt sends stops again that had no effect yet.
+func (c *Core) tickAttempt(a *attempt, now Instant) {
+	if a.stopping && now.Steady-a.stopAt >= stopRetry {
+		c.sendStop(a, now)
+	}
+}
--- /dev/null
+++ b/dispatch/persist.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"sort"
+
+	"leverstile.dev/job"
+)
+
+// Record is a job's progress to be written.
+type Record struct {
+	Job     string
+	Value   []byte
+	version uint64
+}
+
+// Dirty reports whether progress waits to be written.
+func (c *Core) Dirty() bool { return len(c.dirty) > 0 }
+
+// Records returns the progress of at most limit jobs that the store lacks,
+// those that ended first. The same job is returned again until Persisted.
+func (c *Core) Records(limit int) ([]Record, error) {
+	jobs := make([]*jobState, 0, len(c.dirty))
+	for j := range c.dirty {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if x.progress.State.Final() != y.progress.State.Final() {
+			return x.progress.State.Final()
+		}
+		return x.spec.ID < y.spec.ID
+	})
+	jobs = jobs[:min(limit, len(jobs))]
+	records := make([]Record, len(jobs))
+	for i, j := range jobs {
+		value, err := json.Marshal(&j.progress)
+		if err != nil {
+			return nil, err
+		}
+		records[i] = Record{Job: j.spec.ID, Value: value, version: j.version}
+	}
+	return records, nil
+}
+
+// Persisted tells that the store holds the records. States may now be shown
+// and ends acknowledged.
+func (c *Core) Persisted(records []Record) {
+	for _, r := range records {
+		j := c.jobs[r.Job]
+		if j == nil {
+			continue
+		}
+		j.persisted = max(j.persisted, r.version)
+		if j.persisted == j.version {
+			j.shown = j.progress.State
+			delete(c.dirty, j)
+		}
+	}
+	for _, w := range c.workers {
+		w.advanceSeen()
+	}
+}
+
+// DecodeProgress reads a record's value.
+func DecodeProgress(value []byte) (*job.Progress, error) {
+	p := &job.Progress{}
+	return p, json.Unmarshal(value, p)
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,358 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Figures of placement.
+const (
+	// servingUse is the part of their declared processor time that lasting
+	// tasks use on average.
+	servingUse = 0.55
+	// admitRatio is the tail over target up to which a fill is admitted.
+	admitRatio = 0.9
+	// doubt is the weight of the model's deviation in admission.
+	doubt = 0.3
+	// starvedAfter, a job that has nothing running is placed wherever there
+	// is room, whatever the model says.
+	starvedAfter = 1500 * time.Millisecond
+	// fillOvercommit is how far the expected processor use of a worker may go
+	// over its size by placing fills.
+	fillOvercommit = 1.1
+	// lateFactor times its objective, a job earns nothing for being on time.
+	lateFactor = 3
+)
+
+// rank orders steps: by priority, then jobs that can still be on time by the
+// slack that they have left, then late ones.
+type rank struct {
+	priority int
+	class    int // 0 on time, 1 late, 2 hopeless
+	slack    time.Duration
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.slack, b.slack))
+}
+
+// rankOf returns a step's place in the order.
+func (c *Core) rankOf(s *stepRun, q job.Queue, now Instant) rank {
+	r := rank{priority: q.Priority}
+	j := s.job
+	from := j.spec.AcceptedMS
+	if due := j.spec.DueMS(s.occurrence); due > 0 {
+		from = due
+	}
+	chain := c.chain(j, s.occurrence)
+	whole := time.Duration(float64(c.wholeChain(j))*q.Stretch) + q.TargetLatency
+	waited := time.Duration(now.UnixMS-from) * time.Millisecond
+	r.slack = whole - waited - chain
+	switch {
+	case r.slack >= 0 || s.spec.Lasting:
+	case waited+chain < lateFactor*whole:
+		r.class = 1
+	default:
+		r.class = 2
+	}
+	return r
+}
+
+// wholeChain returns the longest chain of work of the whole job.
+func (c *Core) wholeChain(j *jobState) time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	longest := time.Duration(0)
+	for i := range j.spec.Steps {
+		for _, earlier := range j.spec.Steps[i].After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if i < len(j.steps) && !j.spec.Steps[i].Lasting {
+			ends[i] += c.estimate(j.steps[i])
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// candidate is a step that may start tasks in this pass.
+type candidate struct {
+	step  *stepRun
+	queue job.Queue
+	rank  rank
+}
+
+// Schedule starts what is ready as far as there is room.
+func (c *Core) Schedule(now Instant) {
+	if c.deposed || now.Steady >= c.validUntil {
+		return
+	}
+	list := c.candidates(now)
+	if len(list) == 0 {
+		return
+	}
+	pools := map[string][]*worker{}
+	for _, x := range list {
+		pool, ok := pools[x.queue.Service]
+		if !ok {
+			pool = c.pool(x.queue.Service, now)
+			pools[x.queue.Service] = pool
+		}
+		if x.step.spec.Gang {
+			c.placeGang(x.step, pool, now)
+		} else {
+			c.placeStep(x.step, pool, now)
+		}
+	}
+}
+
+// candidates returns the steps with ready tasks in their order, and forgets
+// those that have none.
+func (c *Core) candidates(now Instant) []candidate {
+	var list []candidate
+	kept := c.open[:0]
+	for _, s := range c.open {
+		if s.job.progress.State.Final() || s.left == 0 {
+			s.queued = false
+			continue
+		}
+		if s.ready == 0 && !s.due(now) {
+			kept = append(kept, s)
+			continue
+		}
+		if s.ready == 0 && s.job.spec.Occurrences > 0 && !s.blocked() {
+			for _, t := range s.tasks {
+				if t.phase == phaseWaiting {
+					t.phase, t.readySince = phaseReady, now.Steady
+					s.ready++
+				}
+			}
+		}
+		if s.ready == 0 {
+			s.queued = false
+			continue
+		}
+		kept = append(kept, s)
+		q, ok := c.queues[s.job.spec.Queue]
+		if ok {
+			list = append(list, candidate{s, q, c.rankOf(s, q, now)})
+		}
+	}
+	c.open = kept
+	slices.SortStableFunc(list, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	return list
+}
+
+// pool returns the workers of a service that take work, in a fixed order.
+func (c *Core) pool(service string, now Instant) []*worker {
+	var pool []*worker
+	for _, w := range c.workers {
+		if w.info.Service == service && w.takesWork(now) && c.roster.stored[w.info.ID] {
+			pool = append(pool, w)
+		}
+	}
+	slices.SortFunc(pool, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return pool
+}
+
+// placeStep starts as many ready tasks of a step as there is room for.
+func (c *Core) placeStep(s *stepRun, pool []*worker, now Instant) {
+	starved := s.job.active == 0 && now.Steady-s.job.idleSince > starvedAfter
+	for _, t := range s.tasks {
+		if t.phase != phaseReady || now.Steady < t.notBefore {
+			continue
+		}
+		w := c.choose(t, pool, starved, now)
+		if w == nil && t.avoid != "" {
+			t.avoid = ""
+			w = c.choose(t, pool, starved, now)
+		}
+		if w == nil {
+			return
+		}
+		c.place(t, w, c.newRun(), now)
+		starved = false
+	}
+}
+
+func (c *Core) place(t *task, w *worker, run uint64, now Instant) {
+	checkpoint := t.checkpoint
+	if t.step.spec.Gang {
+		checkpoint = t.step.checkpoint
+	}
+	c.tellTask("run_placed", t, w, run, checkpoint)
+	c.start(t, w, run, checkpoint, "", now)
+	s := t.step.spec
+	switch {
+	case s.Fills:
+		w.load.addFill(s.Image, float64(s.CPUMilli), w.info.CPUMilli)
+	case s.Lasting && s.TargetMS > 0:
+		w.load.addServing(s.Image, c.model.base(s.Image))
+	case !s.Lasting:
+		w.load.otherCPU += float64(s.CPUMilli)
+	}
+}
+
+// allowed reports whether a worker may run a task of the step at all.
+func (s *stepRun) allowed(w *worker) bool {
+	if s.spec.Requires != "" && !slices.Contains(w.info.Labels, s.spec.Requires) {
+		return false
+	}
+	return s.spec.MaxPerWorker == 0 || s.perWork[w] < s.spec.MaxPerWorker
+}
+
+// choose returns the best worker for a task, or nil.
+func (c *Core) choose(t *task, pool []*worker, starved bool, now Instant) *worker {
+	s := t.step
+	amount := s.amount()
+	var best *worker
+	bestScore := 0.0
+	for _, w := range pool {
+		if w.info.ID == t.avoid || now.Steady < w.fullUntil || !s.allowed(w) || !w.fits(amount) {
+			continue
+		}
+		score, ok := c.score(s, w, starved)
+		if ok && (best == nil || score > bestScore) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// spareCPU is the processor time that a worker's tasks are expected to leave,
+// over the worker's size.
+func (w *worker) spareCPU() float64 {
+	size := float64(max(w.info.CPUMilli, 1))
+	return 1 - (servingUse*float64(w.lastingCPU)+w.load.otherCPU+w.load.fillCPU)/size
+}
+
+// score rates a worker for one more task of the step; more is better.
+func (c *Core) score(s *stepRun, w *worker, starved bool) (float64, bool) {
+	score := 0.0
+	if s.spec.DataRack != "" && s.spec.DataRack != w.info.Rack {
+		score -= c.params.RemoteFactor - 1
+	}
+	switch {
+	case s.spec.Fills:
+		f, ok := c.scoreFill(s, w, starved)
+		return score + f, ok
+	case s.spec.Lasting:
+		return score + c.scoreLasting(s, w), true
+	default:
+		return score + w.spareCPU(), true
+	}
+}
+
+// scoreFill rates a worker by the processor time that it leaves and by what
+// the fill would do to the tails of the tasks there.
+func (c *Core) scoreFill(s *stepRun, w *worker, starved bool) (float64, bool) {
+	size := float64(max(w.info.CPUMilli, 1))
+	add := float64(s.spec.CPUMilli) / size
+	spare := w.spareCPU() - add
+	if spare < 1-fillOvercommit && !starved {
+		return 0, false
+	}
+	worst := 0.0
+	for _, v := range w.load.serving {
+		mean, deviation := c.model.coefficient(v.image, s.spec.Image)
+		expected, _ := c.model.predict(v.image, w.load.fills)
+		expected = max(expected, v.worst) + (mean+doubt*deviation)*add
+		worst = max(worst, expected)
+	}
+	if worst > admitRatio && !starved {
+		return 0, false
+	}
+	return spare - worst, true
+}
+
+// scoreLasting packs lasting tasks onto few workers, each image beside its
+// like, so that other workers are free for fills.
+func (c *Core) scoreLasting(s *stepRun, w *worker) float64 {
+	size := float64(max(w.info.CPUMilli, 1))
+	score := float64(w.used.cpu) / size
+	for _, v := range w.load.serving {
+		if v.image == s.spec.Image {
+			score += 0.5
+			break
+		}
+	}
+	for _, p := range w.load.fills {
+		mean, deviation := c.model.coefficient(s.spec.Image, p.image)
+		score -= (mean + doubt*deviation) * p.share
+	}
+	return score
+}
+
+// placeGang starts all tasks of a gang at once, or none.
+func (c *Core) placeGang(s *stepRun, pool []*worker, now Instant) {
+	if s.ready < s.left || s.gangRun != 0 {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase == phaseReady && now.Steady < t.notBefore {
+			return
+		}
+	}
+	chosen := c.chooseGang(s, pool, now)
+	if chosen == nil {
+		return
+	}
+	s.gangRun = c.newRun()
+	for i, t := range s.tasks {
+		if t.phase == phaseReady {
+			c.place(t, chosen[i], s.gangRun, now)
+		}
+	}
+}
+
+// chooseGang returns a worker for each task of a gang: in one rack if it asks
+// for that and one has room, else anywhere.
+func (c *Core) chooseGang(s *stepRun, pool []*worker, now Instant) []*worker {
+	if s.spec.SameRack {
+		racks := map[string][]*worker{}
+		var names []string
+		for _, w := range pool {
+			if racks[w.info.Rack] == nil {
+				names = append(names, w.info.Rack)
+			}
+			racks[w.info.Rack] = append(racks[w.info.Rack], w)
+		}
+		for _, name := range names {
+			if chosen := c.fitGang(s, racks[name], now); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return c.fitGang(s, pool, now)
+}
+
+// fitGang finds room for all tasks, worker by worker, without changing any.
+func (c *Core) fitGang(s *stepRun, pool []*worker, now Instant) []*worker {
+	amount := s.amount()
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, w := range pool {
+		if now.Steady < w.fullUntil || !s.allowed(w) {
+			continue
+		}
+		taken := resources{}
+		for here := 0; len(chosen) < len(s.tasks); here++ {
+			if s.spec.MaxPerWorker > 0 && s.perWork[w]+here >= s.spec.MaxPerWorker {
+				break
+			}
+			taken = taken.add(amount, 1)
+			if !w.fits(taken) {
+				break
+			}
+			chosen = append(chosen, w)
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		return nil
+	}
+	return chosen
+}
+
+// dropTicket forgets a ticket that a worker refused.
+func (c *Core) dropTicket(a *attempt) { a.ticket = "" }
--- /dev/null
+++ b/job/progress.go
@@ -0,0 +1,83 @@
+package job
+
+import "fmt"
+
+// State is what a caller is told of a job.
+type State string
+
+// States of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Succeeded State = "succeeded"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s == Succeeded || s == Failed || s == Cancelled }
+
+// Progress is the durable part of a job's progress: what a new owner can't
+// learn from the workers, because they were told to forget it.
+type Progress struct {
+	State State `json:"state"`
+	// Done holds a bitmap of finished tasks for each occurrence and step
+	// that has any, under StepKey.
+	Done map[string][]byte `json:"done,omitempty"`
+	// Failures holds the failed attempts of tasks, under OCCURRENCE.STEP.INDEX.
+	Failures map[string]Failures `json:"failures,omitempty"`
+	// EndedMS is when the state became final, milliseconds since 1970.
+	EndedMS int64 `json:"ended_ms,omitempty"`
+}
+
+// Failures counts a task's failed attempts. LastRun is the highest run that is
+// counted, so that an end that a worker lists again is not counted twice.
+type Failures struct {
+	Count   int    `json:"n"`
+	LastRun uint64 `json:"run"`
+}
+
+// StepKey is the key of a step in Progress.Done.
+func StepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
+
+// FailureKey is the key of a task in Progress.Failures.
+func (t TaskID) FailureKey() string { return fmt.Sprintf("%d.%d.%d", t.Occurrence, t.Step, t.Index) }
+
+// MarkDone sets the bit of a finished task and reports whether it was clear.
+func (p *Progress) MarkDone(t TaskID, count int) bool {
+	if p.Done == nil {
+		p.Done = map[string][]byte{}
+	}
+	key := StepKey(t.Occurrence, t.Step)
+	bits := p.Done[key]
+	if bits == nil {
+		bits = make([]byte, (count+7)/8)
+		p.Done[key] = bits
+	}
+	mask := byte(1) << (t.Index % 8)
+	if bits[t.Index/8]&mask != 0 {
+		return false
+	}
+	bits[t.Index/8] |= mask
+	return true
+}
+
+// IsDone reports whether a task's bit is set.
+func (p *Progress) IsDone(t TaskID) bool {
+	bits := p.Done[StepKey(t.Occurrence, t.Step)]
+	return t.Index/8 < len(bits) && bits[t.Index/8]&(1<<(t.Index%8)) != 0
+}
+
+// CountFailure counts a failed run once and reports whether it was new.
+func (p *Progress) CountFailure(t TaskID, run uint64) bool {
+	if p.Failures == nil {
+		p.Failures = map[string]Failures{}
+	}
+	key := t.FailureKey()
+	f := p.Failures[key]
+	if run <= f.LastRun {
+		return false
+	}
+	p.Failures[key] = Failures{Count: f.Count + 1, LastRun: run}
+	return true
+}
--- /dev/null
+++ b/job/spec.go
@@ -0,0 +1,199 @@
+// Package job is the model of batch work: a job has steps, a step has tasks,
+// and a step may wait for earlier ones. It has no I/O.
+package job
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Limits of what a job may ask for. They bound the memory that one request can
+// take at an entry; the users' jobs stay two orders of magnitude below.
+const (
+	MaxSteps        = 256
+	MaxTasks        = 20_000
+	MaxPayloadBytes = 4000
+)
+
+// IDLength is the length of a job id: 64 bits in hexadecimal.
+const IDLength = 16
+
+// Errors that callers tell apart.
+const (
+	// ErrInvalid is a job that can't be accepted as it stands.
+	ErrInvalid = errors.ConstError("invalid job")
+)
+
+// Spec is an accepted job.
+type Spec struct {
+	ID      string `json:"id"`
+	Queue   string `json:"queue"`
+	Payload string `json:"payload,omitempty"`
+	Steps   []Step `json:"steps"`
+	// AcceptedMS is when an entry accepted the job, milliseconds since 1970
+	// by that entry's clock.
+	AcceptedMS int64 `json:"accepted_ms"`
+	// Occurrences above 0 repeats the steps at fixed times.
+	Occurrences int   `json:"occurrences,omitempty"`
+	FirstDueMS  int64 `json:"first_due_ms,omitempty"`
+	IntervalMS  int64 `json:"interval_ms,omitempty"`
+}
+
+// Step is a number of equal tasks.
+type Step struct {
+	Count        int   `json:"count"`
+	CPUMilli     int64 `json:"cpu_milli,omitempty"`
+	MemoryMiB    int64 `json:"memory_mib,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+	// EstimateMS is the submitter's rough guess of one task's run time.
+	EstimateMS int64 `json:"estimate_ms,omitempty"`
+	// After lists steps, counted from 0, that must be done first.
+	After []int `json:"after,omitempty"`
+	// Checkpoints is set if a stopped task can continue where it was.
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Gang tasks work only all together, under one run number.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack gangs are slower when spread over racks.
+	SameRack bool `json:"same_rack,omitempty"`
+	// Requires is a label that the worker must have.
+	Requires string `json:"requires,omitempty"`
+	// DataRack is the rack where the tasks are fastest.
+	DataRack string `json:"data_rack,omitempty"`
+	// MaxPerWorker bounds the step's tasks on one worker; 0 is no bound.
+	MaxPerWorker int `json:"max_per_worker,omitempty"`
+	// Speculative tasks may run in several copies at once.
+	Speculative bool `json:"speculative,omitempty"`
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool `json:"lasting,omitempty"`
+	// Image names the program; tasks of one image behave alike.
+	Image string `json:"image,omitempty"`
+	// TargetMS is the tail latency that a lasting task's own users are
+	// promised; 0 for none.
+	TargetMS int64 `json:"target_ms,omitempty"`
+	// Fills is set if the tasks use only processor time that others leave.
+	Fills bool `json:"fills,omitempty"`
+	// MaxAway is how many tasks of a lasting step may be away at once by
+	// the scheduler's doing; 0 is no bound.
+	MaxAway int `json:"max_away,omitempty"`
+}
+
+// Estimate returns the submitter's guess of a task's run time.
+func (s *Step) Estimate() time.Duration { return time.Duration(s.EstimateMS) * time.Millisecond }
+
+// Times returns how many times the steps run.
+func (s *Spec) Times() int { return max(s.Occurrences, 1) }
+
+// DueMS returns when an occurrence is due, milliseconds since 1970, or 0 for a
+// job that is due at once.
+func (s *Spec) DueMS(occurrence int) int64 {
+	if s.Occurrences == 0 {
+		return 0
+	}
+	return s.FirstDueMS + int64(occurrence)*s.IntervalMS
+}
+
+// Lasting reports whether a step of the job runs until it is cancelled.
+func (s *Spec) Lasting() bool {
+	for i := range s.Steps {
+		if s.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// ValidID reports whether id has the form of a job id.
+func ValidID(id string) bool {
+	if len(id) != IDLength {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// Validate returns ErrInvalid with the first mistake of the job, or nil.
+func (s *Spec) Validate() error {
+	if !ValidID(s.ID) {
+		return errors.Annotatef(ErrInvalid, "id %q is not %d hexadecimal digits", s.ID, IDLength)
+	}
+	if len(s.Payload) > MaxPayloadBytes {
+		return errors.Annotatef(ErrInvalid, "payload of %d bytes, at most %d", len(s.Payload), MaxPayloadBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errors.Annotatef(ErrInvalid, "%d steps, 1 to %d allowed", len(s.Steps), MaxSteps)
+	}
+	if s.Occurrences < 0 || s.IntervalMS < 0 {
+		return errors.Annotatef(ErrInvalid, "negative occurrences or interval")
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return err
+		}
+		tasks += s.Steps[i].Count
+	}
+	if tasks*s.Times() > MaxTasks {
+		return errors.Annotatef(ErrInvalid, "%d tasks, at most %d", tasks*s.Times(), MaxTasks)
+	}
+	return nil
+}
+
+func (s *Step) validate(number int) error {
+	if s.Count <= 0 || s.Count > MaxTasks {
+		return errors.Annotatef(ErrInvalid, "step %d has %d tasks", number, s.Count)
+	}
+	if s.CPUMilli < 0 || s.MemoryMiB < 0 || s.Accelerators < 0 || s.EstimateMS < 0 || s.MaxPerWorker < 0 || s.TargetMS < 0 || s.MaxAway < 0 {
+		return errors.Annotatef(ErrInvalid, "step %d has a negative size", number)
+	}
+	for _, after := range s.After {
+		if after < 0 || after >= number {
+			return errors.Annotatef(ErrInvalid, "step %d waits for step %d, which is not an earlier one", number, after)
+		}
+	}
+	return nil
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	b := make([]byte, 0, len(t.Job)+16)
+	b = append(b, t.Job...)
+	b = strconv.AppendInt(append(b, '.'), int64(t.Occurrence), 10)
+	b = strconv.AppendInt(append(b, '.'), int64(t.Step), 10)
+	b = strconv.AppendInt(append(b, '.'), int64(t.Index), 10)
+	return string(b)
+}
+
+// ParseTaskID reads what String returns.
+func ParseTaskID(s string) (TaskID, error) {
+	var t TaskID
+	rest := s
+	var numbers [3]int
+	for i := 2; i >= 0; i-- {
+		dot := strings.LastIndexByte(rest, '.')
+		if dot < 0 {
+			return t, errors.Errorf("task id %q has too few parts", s)
+		}
+		n, err := strconv.Atoi(rest[dot+1:])
+		if err != nil || n < 0 {
+			return t, errors.Errorf("task id %q has a part that is no number", s)
+		}
+		numbers[i] = n
+		rest = rest[:dot]
+	}
+	return TaskID{Job: rest, Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -13,6 +13,9 @@
 const (
 	// ErrUnavailable: no answer. A write may still have taken effect.
 	ErrUnavailable = errors.ConstError("key-value service unavailable")
+	// ErrNotDone: the service refused the call, or it was never sent.
+	// Nothing was done.
+	ErrNotDone = errors.ConstError("key-value service refused the call")
 	// ErrLeaseNotFound: the lease has lapsed or was revoked.
 	ErrLeaseNotFound = errors.ConstError("lease not found")
 	// ErrCompacted: the watch starts at a revision that is no longer kept.
--- a/entry/log.go
+++ b/logging/logging.go
@@ -1,4 +1,5 @@
-package entry
+// Package logging writes structured log lines without ever blocking.
+package logging
 
 import (
 	"io"
@@ -26,9 +27,9 @@
 	return n, nil
 }
 
-// NewLogger returns a logger that writes JSON lines to out without ever
+// New returns a logger that writes JSON lines to out without ever
 // blocking, and a function that writes out what still waits.
-func NewLogger(out io.Writer, level, entry string, set *metrics.Set) (*log.Logger, func()) {
+func New(out io.Writer, level, entry string, set *metrics.Set) (*log.Logger, func()) {
 	async := &log.AsyncWriter{
 		ChannelSize:   logQueue,
 		DiscardOnFull: true,
--- /dev/null
+++ b/node/backoff.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// backoff is exponential with full jitter in its upper half.
+type backoff struct {
+	least, most time.Duration
+	n           int
+}
+
+func (b *backoff) reset() { b.n = 0 }
+
+// next returns the pause before the next try.
+func (b *backoff) next() time.Duration {
+	d := min(b.least<<min(b.n, 10), b.most)
+	b.n++
+	return d/2 + rand.N(d/2+1)
+}
+
+// sleep waits for d or until ctx ends, and reports whether it waited all of d.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/node/intake.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/job"
+	"leverstile.dev/kv"
+)
+
+// Recorded is what became of a write that a customer asked for.
+type Recorded uint8
+
+// Fates of a write.
+const (
+	// RecordedYes: the store holds it.
+	RecordedYes Recorded = iota
+	// RecordedNo: nothing was sent, or it was refused; it will never take effect.
+	RecordedNo
+	// RecordedUnknown: it may have taken effect, or still may.
+	RecordedUnknown
+	// RecordedNotFound: there is no such job.
+	RecordedNotFound
+)
+
+// Figures of customers' writes.
+const (
+	// writeTry bounds one try, writeBudget all of them: a customer waits 3 s.
+	writeTry    = 1200 * time.Millisecond
+	writeBudget = 2200 * time.Millisecond
+	// refusedBudget bounds the tries of a write that was only refused.
+	refusedBudget = 500 * time.Millisecond
+	writeRetryMin = 20 * time.Millisecond
+	writeRetryMax = 200 * time.Millisecond
+)
+
+// Config returns the configuration in force, nil before the first.
+func (n *Node) Config() *job.Config { return n.config.Load() }
+
+// Submit records a job. Submitting it again is safe.
+func (n *Node) Submit(ctx context.Context, spec *job.Spec) Recorded {
+	began := n.clock()
+	value, err := json.Marshal(spec)
+	if err != nil {
+		n.log.Error().Str("event", "job_unwritable").Str("job", spec.ID).Err(err).Msg("")
+		return RecordedNo
+	}
+	result := n.submitRecord(ctx, spec.ID, value)
+	took := n.clock() - began
+	n.metrics.submit.Update(took.Seconds())
+	n.log.Info().Str("event", "job_submitted").Str("job", spec.ID).Str("queue", spec.Queue).
+		Str("recorded", result.String()).Dur("took", took).Msg("")
+	return result
+}
+
+func (n *Node) submitRecord(ctx context.Context, id string, value []byte) Recorded {
+	if n.store.Down() {
+		return n.relaySubmit(ctx, id, value)
+	}
+	return n.create(ctx, jobPrefix+id, value)
+}
+
+// String returns the name of the fate, as logged.
+func (r Recorded) String() string { return [...]string{"yes", "no", "unknown", "not_found"}[r] }
+
+// create writes a key if it isn't there. One that is there counts as written:
+// the same customer wrote it before.
+func (n *Node) create(ctx context.Context, key string, value []byte) Recorded {
+	began := n.clock()
+	wait := backoff{least: writeRetryMin, most: writeRetryMax}
+	maybe := false
+	for {
+		tctx, cancel := context.WithTimeout(ctx, min(writeTry, writeBudget-(n.clock()-began)))
+		_, err := n.store.Do(tctx, kv.Txn{
+			If:   []kv.Compare{{Key: key, Missing: true}},
+			Then: []kv.Op{kv.Put(key, value, 0)},
+		})
+		cancel()
+		if err == nil {
+			return RecordedYes
+		}
+		if !errors.Is(err, kv.ErrNotDone) {
+			maybe = true
+		}
+		spent := n.clock() - began
+		tired := spent > refusedBudget && !maybe || spent+writeRetryMax > writeBudget || n.store.Down()
+		if tired || !sleep(ctx, wait.next()) {
+			n.log.Warn().Str("event", "write_given_up").Str("key", key).Bool("maybe_done", maybe).Err(err).Dur("took", spent).Msg("")
+			if maybe {
+				return RecordedUnknown
+			}
+			return RecordedNo
+		}
+	}
+}
+
+// Cancel records that a customer no longer wants a job.
+func (n *Node) Cancel(ctx context.Context, id string) Recorded {
+	result := n.cancelRecord(ctx, id)
+	n.log.Info().Str("event", "job_cancel_asked").Str("job", id).Str("recorded", result.String()).Msg("")
+	return result
+}
+
+func (n *Node) cancelRecord(ctx context.Context, id string) Recorded {
+	if n.store.Down() {
+		return n.relayCancel(ctx, id)
+	}
+	_, known, err := n.State(ctx, id)
+	if err != nil {
+		return RecordedNo
+	}
+	if !known {
+		return RecordedNotFound
+	}
+	return n.create(ctx, cancelPrefix+id, []byte("1"))
+}
+
+// State returns a job's state. The owner knows it; without an owner the store
+// tells. An error means that neither answered.
+func (n *Node) State(ctx context.Context, id string) (job.State, bool, error) {
+	if state, ok := n.ownerState(ctx, id); ok {
+		return state, true, nil
+	}
+	p, err := n.store.Get(ctx, progressPrefix+id)
+	if err != nil {
+		return "", false, err
+	}
+	if p != nil {
+		progress, err := dispatch.DecodeProgress(p.Value)
+		return progress.State, err == nil, errors.Trace(err)
+	}
+	p, err = n.store.Get(ctx, jobPrefix+id)
+	if err != nil || p == nil {
+		return "", false, err
+	}
+	return job.Queued, true, nil
+}
+
+// stateOf answers for a job that this node owns.
+func (o *owner) stateOf(id string) (job.State, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Status(id)
+}
+
+func (o *owner) pendingOf(queue string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Pending(queue)
+}
+
+// pendingAge is how old a count of pending jobs may be; customers allow 2 s.
+const pendingAge = 300 * time.Millisecond
+
+// pendingCache keeps counts for a moment. Its lock guards counts.
+type pendingCache struct {
+	mu     sync.Mutex
+	counts map[string]pendingCount
+}
+
+type pendingCount struct {
+	n  int
+	at time.Duration
+}
+
+// Pending returns how many jobs of a queue have not begun, and false if no
+// owner answers.
+func (n *Node) Pending(ctx context.Context, queue string) (int, bool) {
+	n.pending.mu.Lock()
+	c, ok := n.pending.counts[queue]
+	n.pending.mu.Unlock()
+	if ok && n.clock()-c.at < pendingAge {
+		return c.n, true
+	}
+	count, ok := n.ownerPending(ctx, queue)
+	if !ok {
+		return 0, false
+	}
+	n.pending.mu.Lock()
+	defer n.pending.mu.Unlock()
+	if n.pending.counts == nil {
+		n.pending.counts = map[string]pendingCount{}
+	}
+	n.pending.counts[queue] = pendingCount{count, n.clock()}
+	return count, true
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/job"
+)
+
+// Options are the settings of a Node.
+type Options struct {
+	// Entry names this VM; PeerAddress is where other entries reach it.
+	Entry, PeerAddress string
+	Params             dispatch.Params
+	MinLeaseTTL        time.Duration
+	// FreezeSlack is the pause of the process beyond which its lease is
+	// checked before it acts.
+	FreezeSlack time.Duration
+	// ConfigKey is the store's key of the operators' configuration.
+	ConfigKey    string
+	DecodeConfig func([]byte) (*job.Config, error)
+}
+
+// Node is an entry process that schedules jobs.
+type Node struct {
+	opts    Options
+	store   *storeHealth
+	lister  Lister
+	workers Workers
+	log     *log.Logger
+	metrics nodeMetrics
+	start   time.Time
+
+	config   atomic.Pointer[job.Config]
+	current  atomic.Pointer[owner]
+	lead     atomic.Pointer[leadRecord]
+	draining atomic.Bool
+	drained  chan struct{} // closed by Drain
+	peers    *http.Client
+	pending  pendingCache
+}
+
+type nodeMetrics struct {
+	set           *metrics.Set
+	flush         *metrics.Histogram
+	submit        *metrics.Histogram
+	decisions     *metrics.Counter
+	ownerTerm     *metrics.Gauge
+	storeUp       *metrics.Gauge
+	configVersion *metrics.Gauge
+}
+
+// New returns a node. Run starts it.
+func New(opts Options, store Store, lister Lister, workers Workers, logger *log.Logger, set *metrics.Set) *Node {
+	n := &Node{
+		opts: opts, lister: lister, workers: workers, log: logger, start: time.Now(),
+		peers: newPeerClient(), drained: make(chan struct{}),
+	}
+	n.opts.Params.RecoveryWait = dispatch.RecoveryWaitFor(max(ownerTTL, opts.MinLeaseTTL), ownerHorizon)
+	n.store = &storeHealth{Store: store, clock: n.clock, changed: n.storeChanged}
+	n.metrics = nodeMetrics{
+		set:       set,
+		flush:     set.NewHistogram("leverstile_record_write_seconds"),
+		submit:    set.NewHistogram("leverstile_submit_seconds"),
+		decisions: set.NewCounter("leverstile_decisions_total"),
+		storeUp:   set.NewGauge("leverstile_store_up", func() float64 { return boolGauge(n.store.quiet() == 0) }),
+		ownerTerm: set.NewGauge("leverstile_owned_term", func() float64 {
+			if o := n.current.Load(); o != nil {
+				return float64(o.own.lead.Term)
+			}
+			return 0
+		}),
+		configVersion: set.NewGauge("leverstile_config_version", func() float64 {
+			if c := n.config.Load(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+	}
+	n.registerCoreMetrics()
+	return n
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// registerCoreMetrics exposes the counters of the core while this is the owner.
+func (n *Node) registerCoreMetrics() {
+	for name, field := range map[string]func(dispatch.Stats) uint64{
+		"starts": func(s dispatch.Stats) uint64 { return s.Starts }, "done": func(s dispatch.Stats) uint64 { return s.Done },
+		"failed": func(s dispatch.Stats) uint64 { return s.Failed }, "stopped": func(s dispatch.Stats) uint64 { return s.Stopped },
+		"lapsed": func(s dispatch.Stats) uint64 { return s.Lapsed }, "lost": func(s dispatch.Stats) uint64 { return s.Lost },
+		"refused": func(s dispatch.Stats) uint64 { return s.Refused }, "unanswered": func(s dispatch.Stats) uint64 { return s.Unanswered },
+		"moved": func(s dispatch.Stats) uint64 { return s.Moved }, "paced": func(s dispatch.Stats) uint64 { return s.Paced },
+	} {
+		n.metrics.set.NewGauge("leverstile_runs{event=\""+name+"\"}", func() float64 { return float64(field(n.coreStats())) })
+	}
+}
+
+func (n *Node) coreStats() dispatch.Stats {
+	o := n.current.Load()
+	if o == nil {
+		return dispatch.Stats{}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Stats()
+}
+
+// clock is the steady clock of the process.
+func (n *Node) clock() time.Duration { return time.Since(n.start) }
+
+func (n *Node) instant() dispatch.Instant {
+	return dispatch.Instant{Steady: n.clock(), UnixMS: time.Now().UnixMilli()}
+}
+
+// RunElection takes part in the election until ctx ends.
+func (n *Node) RunElection(ctx context.Context) error {
+	return (&election{node: n}).run(ctx)
+}
+
+// Drain makes the node not ready and hands over what it owns. Calls are served
+// on.
+func (n *Node) Drain() {
+	if n.draining.CompareAndSwap(false, true) {
+		close(n.drained)
+	}
+}
+
+// Ready reports whether the platform should send new connections here.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.config.Load() != nil && n.store.quiet() < unreadyQuiet
+}
+
+func (n *Node) setOwner(lead *leadRecord) {
+	before := n.lead.Swap(lead)
+	if lead == nil || (before != nil && before.Session == lead.Session) {
+		return
+	}
+	n.log.Info().Str("event", "owner_seen").Str("owner", lead.Entry).Uint64("term", lead.Term).Msg("")
+}
+
+func (n *Node) storeChanged(up bool, err error) {
+	if up {
+		n.log.Info().Str("event", "store_regained").Msg("")
+		return
+	}
+	n.log.Warn().Str("event", "store_lost").Err(err).Msg("")
+}
+
+// logDecision writes a line for a decision of the core.
+func (n *Node) logDecision(d dispatch.Decision) {
+	n.metrics.decisions.Inc()
+	e := n.log.Info().Str("event", d.Event)
+	if d.Task.Job != "" {
+		e = e.Str("task", d.Task.String())
+	}
+	if d.Job != "" {
+		e = e.Str("job", d.Job)
+	}
+	if d.Run != 0 {
+		e = e.Uint64("run", d.Run)
+	}
+	if d.Worker != "" {
+		e = e.Str("worker", string(d.Worker))
+	}
+	if d.Reason != "" {
+		e = e.Str("reason", d.Reason)
+	}
+	if d.Age != 0 {
+		e = e.Dur("age", d.Age)
+	}
+	e.Msg("")
+}
+
+// endLease gives a lease back; one that can't be reached lapses by itself.
+func (n *Node) endLease(lease int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := n.store.Revoke(ctx, lease); err != nil {
+		n.log.Warn().Str("event", "lease_not_ended").Err(err).Msg("")
+	}
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
+	"leverstile.dev/api/gen/leverstile/jobs/v1/jobsv1connect"
+	"leverstile.dev/job"
+)
+
+// Timeouts of calls between entries, which are half a millisecond apart.
+const (
+	peerDialTimeout = 250 * time.Millisecond
+	peerAskTimeout  = 400 * time.Millisecond
+	// peerWriteTimeout leaves a relayed write its own tries.
+	peerWriteTimeout = writeBudget
+	peerIdle         = 60 * time.Second
+)
+
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdle, DisableCompression: true,
+	}}
+}
+
+// ownerClient returns a client of the owner, nil if it is this node or unknown.
+func (n *Node) ownerClient() jobsv1connect.OwnerClient {
+	lead := n.lead.Load()
+	if lead == nil || lead.Entry == n.opts.Entry {
+		return nil
+	}
+	return jobsv1connect.NewOwnerClient(n.peers, "http://"+lead.Address)
+}
+
+// ownerState asks the owner for a job's state; false if it doesn't know.
+func (n *Node) ownerState(ctx context.Context, id string) (job.State, bool) {
+	if o := n.current.Load(); o != nil {
+		return o.stateOf(id)
+	}
+	client := n.ownerClient()
+	if client == nil {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerAskTimeout)
+	defer cancel()
+	resp, err := client.GetJob(ctx, connect.NewRequest(&jobsv1.GetJobRequest{Id: id}))
+	if err != nil {
+		n.log.Warn().Str("event", "owner_unreached").Str("job", id).Err(err).Msg("")
+		return "", false
+	}
+	return job.State(resp.Msg.GetState()), resp.Msg.GetKnown()
+}
+
+func (n *Node) ownerPending(ctx context.Context, queue string) (int, bool) {
+	if o := n.current.Load(); o != nil {
+		return o.pendingOf(queue), true
+	}
+	client := n.ownerClient()
+	if client == nil {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerAskTimeout)
+	defer cancel()
+	resp, err := client.CountPending(ctx, connect.NewRequest(&jobsv1.CountPendingRequest{Queue: queue}))
+	if err != nil || !resp.Msg.GetOwner() {
+		return 0, false
+	}
+	return int(resp.Msg.GetPending()), true
+}
+
+// relaySubmit has the owner record a job, for an entry that the store does not
+// answer.
+func (n *Node) relaySubmit(ctx context.Context, id string, value []byte) Recorded {
+	client := n.ownerClient()
+	if client == nil {
+		return RecordedNo
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerWriteTimeout)
+	defer cancel()
+	resp, err := client.SubmitJob(ctx, connect.NewRequest(&jobsv1.SubmitJobRequest{Id: id, Record: value}))
+	if err != nil {
+		return relayFailed(err)
+	}
+	return fromWire(resp.Msg.GetRecorded())
+}
+
+func (n *Node) relayCancel(ctx context.Context, id string) Recorded {
+	client := n.ownerClient()
+	if client == nil {
+		return RecordedNo
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerWriteTimeout)
+	defer cancel()
+	resp, err := client.CancelJob(ctx, connect.NewRequest(&jobsv1.CancelJobRequest{Id: id}))
+	if err != nil {
+		return relayFailed(err)
+	}
+	return fromWire(resp.Msg.GetRecorded())
+}
+
+// relayFailed tells a call that was never sent from one without an answer.
+func relayFailed(err error) Recorded {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return RecordedNo
+	}
+	return RecordedUnknown
+}
+
+var recordedWire = map[Recorded]jobsv1.Recorded{
+	RecordedYes: jobsv1.Recorded_RECORDED_YES, RecordedNo: jobsv1.Recorded_RECORDED_NO,
+	RecordedUnknown: jobsv1.Recorded_RECORDED_UNKNOWN, RecordedNotFound: jobsv1.Recorded_RECORDED_NOT_FOUND,
+}
+
+func fromWire(r jobsv1.Recorded) Recorded {
+	for own, wire := range recordedWire {
+		if wire == r {
+			return own
+		}
+	}
+	return RecordedUnknown
+}
+
+// peerServer serves the calls of other entries.
+type peerServer struct{ node *Node }
+
+// PeersHandler returns the handler of other entries' calls.
+func (n *Node) PeersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(jobsv1connect.NewOwnerHandler(&peerServer{n}))
+	return mux
+}
+
+// GetJob implements jobsv1connect.OwnerHandler.
+func (p *peerServer) GetJob(_ context.Context, req *connect.Request[jobsv1.GetJobRequest]) (*connect.Response[jobsv1.GetJobResponse], error) {
+	o := p.node.current.Load()
+	if o == nil {
+		return connect.NewResponse(&jobsv1.GetJobResponse{}), nil
+	}
+	state, known := o.stateOf(req.Msg.GetId())
+	return connect.NewResponse(&jobsv1.GetJobResponse{Owner: true, Known: known, State: string(state)}), nil
+}
+
+// CountPending implements jobsv1connect.OwnerHandler.
+func (p *peerServer) CountPending(_ context.Context, req *connect.Request[jobsv1.CountPendingRequest]) (*connect.Response[jobsv1.CountPendingResponse], error) {
+	o := p.node.current.Load()
+	if o == nil {
+		return connect.NewResponse(&jobsv1.CountPendingResponse{}), nil
+	}
+	return connect.NewResponse(&jobsv1.CountPendingResponse{Owner: true, Pending: int64(o.pendingOf(req.Msg.GetQueue()))}), nil
+}
+
+// SubmitJob implements jobsv1connect.OwnerHandler. It is not relayed further.
+func (p *peerServer) SubmitJob(ctx context.Context, req *connect.Request[jobsv1.SubmitJobRequest]) (*connect.Response[jobsv1.SubmitJobResponse], error) {
+	result := RecordedNo
+	if !p.node.store.Down() {
+		result = p.node.create(ctx, jobPrefix+req.Msg.GetId(), req.Msg.GetRecord())
+	}
+	p.node.log.Info().Str("event", "job_relayed").Str("job", req.Msg.GetId()).Str("recorded", result.String()).Msg("")
+	return connect.NewResponse(&jobsv1.SubmitJobResponse{Recorded: recordedWire[result]}), nil
+}
+
+// CancelJob implements jobsv1connect.OwnerHandler.
+func (p *peerServer) CancelJob(ctx context.Context, req *connect.Request[jobsv1.CancelJobRequest]) (*connect.Response[jobsv1.CancelJobResponse], error) {
+	result := RecordedNo
+	if !p.node.store.Down() {
+		result = p.node.cancelRecord(ctx, req.Msg.GetId())
+	}
+	return connect.NewResponse(&jobsv1.CancelJobResponse{Recorded: recordedWire[result]}), nil
+}
+
+// ExplainJob implements jobsv1connect.OwnerHandler.
+func (p *peerServer) ExplainJob(_ context.Context, req *connect.Request[jobsv1.ExplainJobRequest]) (*connect.Response[jobsv1.ExplainJobResponse], error) {
+	o := p.node.current.Load()
+	if o == nil {
+		return connect.NewResponse(&jobsv1.ExplainJobResponse{}), nil
+	}
+	text, err := o.explain(req.Msg.GetId())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&jobsv1.ExplainJobResponse{Owner: true, Text: text}), nil
+}
--- /dev/null
+++ b/node/store.go
@@ -0,0 +1,146 @@
+// Package node is an entry process that schedules jobs: it accepts them into
+// the store, takes part in the election of the cell's owner, and as owner runs
+// dispatch.Core against the workers. Everything that must last is in the store.
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/kv"
+)
+
+// Store is what a node needs of the platform's store.
+type Store interface {
+	kv.Store
+	// Get reads one key; the pair is nil if it isn't there.
+	Get(ctx context.Context, key string) (*kv.Pair, error)
+}
+
+// Lister reads the platform's list of workers.
+type Lister interface {
+	ListWorkers(ctx context.Context) ([]dispatch.WorkerInfo, error)
+}
+
+// Workers sends orders to workers.
+type Workers interface {
+	Hold(ctx context.Context, h dispatch.HoldOrder) (dispatch.HoldReply, dispatch.Outcome)
+	Send(ctx context.Context, o dispatch.Order) dispatch.Answer
+}
+
+// Keys in the store.
+const (
+	// leadKey holds the owner, under its lease.
+	leadKey = "ls/own/lead"
+	// termKey holds the last term that was given.
+	termKey = "ls/own/term"
+	// chainKey is written with every record of the owner, under the condition
+	// that it is as the owner left it: a write whose answer was lost can't
+	// take effect after a later one.
+	chainKey = "ls/own/chain"
+	// rosterKey holds the workers that may have orders.
+	rosterKey = "ls/own/roster"
+	// intakePrefix holds what entries record for the owner.
+	intakePrefix = "ls/in/"
+	jobPrefix    = intakePrefix + "job/"
+	cancelPrefix = intakePrefix + "cancel/"
+	// progressPrefix holds the progress of jobs, written by the owner.
+	progressPrefix = "ls/progress/"
+	ownPrefix      = "ls/own/"
+)
+
+// storeHealth follows whether the store answers this process. It wraps the
+// store, so that every call counts.
+type storeHealth struct {
+	Store
+	lastOK   atomic.Int64 // steady nanoseconds
+	failures atomic.Int32 // in a row
+	clock    func() time.Duration
+	changed  func(up bool, err error)
+}
+
+// Figures of the store's health.
+const (
+	// downAfter failed calls in a row without a success for downQuiet, the
+	// store counts as down and nothing that needs it is tried by callers.
+	downAfter = 2
+	downQuiet = 400 * time.Millisecond
+	// unreadyQuiet is the same for readiness: shorter outages hit all
+	// entries alike, and turning callers away would not help them.
+	unreadyQuiet = 2500 * time.Millisecond
+)
+
+func (h *storeHealth) note(err error) {
+	if err == nil || errors.Is(err, kv.ErrLeaseNotFound) || errors.Is(err, kv.ErrCompacted) {
+		h.lastOK.Store(int64(h.clock()))
+		if h.failures.Swap(0) >= downAfter {
+			h.changed(true, nil)
+		}
+		return
+	}
+	if h.failures.Add(1) == downAfter {
+		h.changed(false, err)
+	}
+}
+
+// quiet returns for how long the store has not answered, 0 while it does.
+func (h *storeHealth) quiet() time.Duration {
+	if h.failures.Load() < downAfter {
+		return 0
+	}
+	return h.clock() - time.Duration(h.lastOK.Load())
+}
+
+// Down reports whether callers should not wait for the store.
+func (h *storeHealth) Down() bool { return h.quiet() > downQuiet }
+
+// Range implements kv.Store.
+func (h *storeHealth) Range(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	pairs, rev, err := h.Store.Range(ctx, prefix)
+	h.note(err)
+	return pairs, rev, err
+}
+
+// Get implements Store.
+func (h *storeHealth) Get(ctx context.Context, key string) (*kv.Pair, error) {
+	p, err := h.Store.Get(ctx, key)
+	h.note(err)
+	return p, err
+}
+
+// Do implements kv.Store.
+func (h *storeHealth) Do(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	r, err := h.Store.Do(ctx, txn)
+	h.note(err)
+	return r, err
+}
+
+// Grant implements kv.Store.
+func (h *storeHealth) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	lease, err := h.Store.Grant(ctx, ttl)
+	h.note(err)
+	return lease, err
+}
+
+// KeepAlive implements kv.Store.
+func (h *storeHealth) KeepAlive(ctx context.Context, lease int64) error {
+	err := h.Store.KeepAlive(ctx, lease)
+	h.note(err)
+	return err
+}
+
+// Watch implements kv.Store.
+func (h *storeHealth) Watch(ctx context.Context, prefix string, after int64, handle func(int64, []kv.Event)) error {
+	err := h.Store.Watch(ctx, prefix, after, func(rev int64, events []kv.Event) {
+		h.note(nil)
+		handle(rev, events)
+	})
+	if ctx.Err() == nil {
+		h.note(err)
+	}
+	return err
+}
