Take a worker's leases for unknown until they were renewed once

Change: a worker's list under a new term sets the latest lease that the previous owner may have given.

--- /dev/null
+++ b/dispatch/core_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+func simpleJob(id int, tasks ...int) *job.Spec {
+	spec := &job.Spec{ID: fmt.Sprintf("%016x", id), Queue: "q", Payload: "p"}
+	for i, n := range tasks {
+		step := job.Step{Count: n, CPUMilli: 500, MemoryMiB: 500, EstimateMS: 1000}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec
+}
+
+// checkAll fails the test unless every job has ended well.
+func checkAll(t *testing.T, s *sim) {
+	t.Helper()
+	for _, b := range s.oracle.broken {
+		t.Error(b)
+	}
+	for id := range s.specs {
+		state, known := s.owner.core.Status(id)
+		want := state == job.Succeeded || s.cancelled[id] > 0 && state == job.Cancelled
+		if !known || !want {
+			t.Errorf("job %s is %q (known %v)", id, state, known)
+		}
+	}
+	if t.Failed() {
+		for _, line := range s.trace[max(0, len(s.trace)-60):] {
+			t.Log(line)
+		}
+	}
+}
+
+func TestJobRunsThroughItsSteps(t *testing.T) {
+	s := newSim(1, 3)
+	s.run(time.Second)
+	s.submit(simpleJob(1, 5, 3, 1))
+	s.run(30 * time.Second)
+	checkAll(t, s)
+}
+
+// A tick right after a takeover found runs at a worker whose leases the new
+// owner had not given yet, took them for over and started the tasks again
+// (found by: score, umoya-vend trouble-1, scale-1, trouble-2; TWICE).
+func TestTickBetweenAdoptionAndFirstLease(t *testing.T) {
+	core := New(Params{MaxTaskLease: 6 * time.Second}, 2, nil)
+	now := Instant{Steady: time.Second}
+	core.Recover([]RosterEntry{{ID: "w1", Address: "a"}, {ID: "w2", Address: "b"}}, now)
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
+	core.SetWorkers([]WorkerInfo{
+		{ID: "w1", Address: "a", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000},
+		{ID: "w2", Address: "b", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000},
+	}, now)
+	spec := simpleJob(1, 1)
+	core.AddJob(spec, nil, true, now)
+	core.SetValidUntil(time.Minute)
+	listed := []RunningTask{{Task: job.TaskID{Job: spec.ID}, Run: 7, Percent: 100}}
+	core.HoldDone(core.PlanHold("w1", now).Order, HoldReply{ClockMS: 500_000, Running: listed}, OutcomeOK, now)
+	core.HoldDone(core.PlanHold("w2", now).Order, HoldReply{ClockMS: 500_000}, OutcomeOK, now)
+	core.Tick(Instant{Steady: now.Steady + 100*time.Millisecond})
+	for _, o := range core.TakeOrders() {
+		t.Errorf("order %v of run %d at %s", o.Kind, o.Run, o.Worker)
+	}
+}
--- /dev/null
+++ b/dispatch/sim_test.go
@@ -0,0 +1,572 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// simWorker is a stand-in of a worker behind the port: it checks terms,
+// deadlines, run numbers and room, and lists ends until they are forgotten.
+type simWorker struct {
+	sim     *sim
+	info    WorkerInfo
+	rate    float64 // of its clock
+	offset  int64
+	born    time.Duration
+	alive   bool
+	cut     bool // calls to it get lost
+	term    uint64
+	lease   int64
+	running map[job.TaskID]*simRun
+	ended   []EndedTask
+	endedNo uint64
+	highest map[job.TaskID]uint64 // highest run stopped or ended here
+	seen    uint64
+}
+
+type simRun struct {
+	task  job.TaskID
+	run   uint64
+	ends  time.Duration // when its work is done
+	fails bool
+	since time.Duration
+}
+
+func (w *simWorker) clock() int64 {
+	return w.offset + int64(float64((w.sim.now-w.born).Milliseconds())*w.rate)
+}
+
+// advance ends what is over by now.
+func (w *simWorker) advance() {
+	if !w.alive {
+		return
+	}
+	if len(w.running) > 0 && w.clock() >= w.lease {
+		for _, r := range w.sorted() {
+			w.end(r, EndLapsed)
+		}
+	}
+	for _, r := range w.sorted() {
+		if r.ends > w.sim.now {
+			continue
+		}
+		if r.fails {
+			w.end(r, EndFailed)
+		} else {
+			w.end(r, EndDone)
+		}
+	}
+}
+
+func (w *simWorker) sorted() []*simRun {
+	list := make([]*simRun, 0, len(w.running))
+	for _, r := range w.running {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].task.String() < list[j].task.String() })
+	return list
+}
+
+func (w *simWorker) end(r *simRun, kind EndKind) {
+	delete(w.running, r.task)
+	w.endedNo++
+	w.highest[r.task] = max(w.highest[r.task], r.run)
+	w.ended = append(w.ended, EndedTask{Number: w.endedNo, Task: r.task, Run: r.run, Kind: kind})
+	w.sim.oracle.ended(w, r, kind)
+}
+
+// hold carries out a HoldOrder.
+func (w *simWorker) hold(h HoldOrder) (HoldReply, Outcome) {
+	w.advance()
+	if !w.alive || h.Worker != w.info.ID {
+		return HoldReply{}, OutcomeOtherLife
+	}
+	if h.Term < w.term {
+		return HoldReply{}, OutcomeFenced
+	}
+	w.term = h.Term
+	if h.DeadlineMS > 0 {
+		w.lease = max(w.lease, min(h.DeadlineMS, w.clock()+w.sim.params.MaxTaskLease.Milliseconds()))
+	}
+	if h.Seen > w.seen {
+		w.seen = h.Seen
+		w.sim.oracle.forgotten(w, h.Seen)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= w.seen {
+		w.ended = w.ended[1:]
+	}
+	reply := HoldReply{ClockMS: w.clock(), Ended: append([]EndedTask(nil), w.ended...)}
+	for _, r := range w.sorted() {
+		reply.Running = append(reply.Running, RunningTask{Task: r.task, Run: r.run, Percent: fullPace})
+	}
+	return reply, OutcomeOK
+}
+
+// order carries out an Order.
+func (w *simWorker) order(o Order) Answer {
+	w.advance()
+	if !w.alive || o.Worker != w.info.ID {
+		return Answer{Outcome: OutcomeOtherLife}
+	}
+	if o.Term < w.term {
+		return Answer{Outcome: OutcomeFenced, ClockMS: w.clock()}
+	}
+	w.term = o.Term
+	switch o.Kind {
+	case OrderStart:
+		return w.startRun(o)
+	case OrderStop:
+		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
+		if r := w.running[o.Task]; r != nil && r.run <= o.Run {
+			w.end(r, EndStopped)
+		}
+	}
+	return Answer{Outcome: OutcomeOK, ClockMS: w.clock()}
+}
+
+func (w *simWorker) startRun(o Order) Answer {
+	w.lease = max(w.lease, min(o.DeadlineMS, w.clock()+w.sim.params.MaxTaskLease.Milliseconds()))
+	clock := w.clock()
+	if r := w.running[o.Task]; r != nil && r.run == o.Run {
+		return Answer{Outcome: OutcomeOK, ClockMS: clock}
+	}
+	switch {
+	case o.Run <= w.highest[o.Task]:
+		return Answer{Outcome: OutcomeOld, ClockMS: clock}
+	case clock >= o.DeadlineMS:
+		return Answer{Outcome: OutcomeLate, ClockMS: clock}
+	case w.running[o.Task] != nil:
+		return Answer{Outcome: OutcomeOld, ClockMS: clock}
+	}
+	work := time.Duration(200+w.sim.rng.IntN(2500)) * time.Millisecond
+	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.sim.rng.Float64() < w.sim.failShare}
+	w.running[o.Task] = r
+	w.sim.oracle.started(w, r)
+	return Answer{Outcome: OutcomeOK, ClockMS: clock}
+}
+
+// oracle checks the promises from what workers do.
+type oracle struct {
+	sim    *sim
+	broken []string
+	// runs holds where each task runs now.
+	runs map[job.TaskID][]*simWorker
+	// done holds tasks whose end "done" a worker was told to forget; such an
+	// end is durable, whatever happens next.
+	done map[job.TaskID]bool
+	// doneAt holds ends "done" that are listed, by worker and number.
+	doneAt map[*simWorker]map[uint64]job.TaskID
+	// everDone holds tasks that ended done at least once.
+	everDone map[job.TaskID]bool
+	lapsed   map[*simWorker]uint64 // ends before the last lapse
+}
+
+func (o *oracle) fail(format string, args ...any) {
+	o.broken = append(o.broken, fmt.Sprintf("%v: ", o.sim.now)+fmt.Sprintf(format, args...))
+}
+
+func (o *oracle) started(w *simWorker, r *simRun) {
+	if len(o.runs[r.task]) > 0 {
+		o.fail("task %s run %d starts at %s while it runs at %s", r.task, r.run, w.info.ID, o.runs[r.task][0].info.ID)
+	}
+	if o.done[r.task] {
+		o.fail("task %s run %d starts at %s after its end was acknowledged", r.task, r.run, w.info.ID)
+	}
+	spec := o.sim.specs[r.task.Job]
+	for _, earlier := range spec.Steps[r.task.Step].After {
+		for i := range spec.Steps[earlier].Count {
+			if !o.everDone[job.TaskID{Job: r.task.Job, Step: earlier, Index: i}] {
+				o.fail("task %s starts before step %d is done", r.task, earlier)
+			}
+		}
+	}
+	if o.sim.cancelled[r.task.Job] > 0 && o.sim.now > o.sim.cancelled[r.task.Job]+10*time.Second {
+		o.fail("task %s starts long after its job was cancelled", r.task)
+	}
+	o.runs[r.task] = append(o.runs[r.task], w)
+}
+
+func (o *oracle) ended(w *simWorker, r *simRun, kind EndKind) {
+	list := o.runs[r.task][:0]
+	for _, x := range o.runs[r.task] {
+		if x != w {
+			list = append(list, x)
+		}
+	}
+	o.runs[r.task] = list
+	if kind != EndDone {
+		return
+	}
+	o.everDone[r.task] = true
+	if o.doneAt[w] == nil {
+		o.doneAt[w] = map[uint64]job.TaskID{}
+	}
+	o.doneAt[w][w.endedNo] = r.task
+}
+
+func (o *oracle) forgotten(w *simWorker, seen uint64) {
+	for n, t := range o.doneAt[w] {
+		if n <= seen {
+			o.done[t] = true
+			delete(o.doneAt[w], n)
+		}
+	}
+}
+
+// crashed forgets what ran at a worker.
+func (o *oracle) crashed(w *simWorker) {
+	for _, r := range w.running {
+		list := o.runs[r.task][:0]
+		for _, x := range o.runs[r.task] {
+			if x != w {
+				list = append(list, x)
+			}
+		}
+		o.runs[r.task] = list
+	}
+}
+
+// delivery is a call or an answer on its way.
+type delivery struct {
+	at  time.Duration
+	n   int
+	run func()
+}
+
+// simOwner is one process that runs a core.
+type simOwner struct {
+	core      *Core
+	validFrom time.Duration
+	dead      bool
+	paused    bool
+	cutStore  bool
+	polling   map[WorkerID]bool
+	leadEnd   time.Duration // when its lease at the store is over
+	writing   bool
+}
+
+// sim drives owners against workers and a store, with faults, in virtual time.
+type sim struct {
+	rng       *rand.Rand
+	now       time.Duration
+	params    Params
+	workers   []*simWorker
+	lives     int
+	owner     *simOwner
+	old       []*simOwner
+	term      uint64
+	queue     []delivery
+	sent      int
+	oracle    *oracle
+	failShare float64
+	lossShare float64
+	specs     map[string]*job.Spec
+	order     []string
+	cancelled map[string]time.Duration
+	progress  map[string][]byte // the store
+	roster    []byte
+	storeDown bool
+	takeovers int
+	mutate    func(c *Core)
+	adopted   int
+	trace     []string
+}
+
+const (
+	simTTL     = 2500 * time.Millisecond
+	simHorizon = 12 * time.Second
+)
+
+func newSim(seed uint64, workers int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), specs: map[string]*job.Spec{}, progress: map[string][]byte{},
+		cancelled: map[string]time.Duration{},
+		params:    Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
+	}
+	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}}
+	for i := range workers {
+		s.workers = append(s.workers, s.newWorker(i))
+	}
+	return s
+}
+
+func (s *sim) newWorker(place int) *simWorker {
+	s.lives++
+	rate := 1.0
+	if s.rng.IntN(2) == 0 {
+		rate = 0.98
+	}
+	return &simWorker{
+		sim: s, alive: true, rate: rate, offset: int64(s.rng.IntN(1_000_000)) + 1, born: s.now,
+		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), Address: fmt.Sprintf("addr%d", place), Service: "svc", CPUMilli: 4000, MemoryMiB: 8000},
+		running: map[job.TaskID]*simRun{}, highest: map[job.TaskID]uint64{},
+	}
+}
+
+func (s *sim) instant() Instant { return Instant{Steady: s.now, UnixMS: s.now.Milliseconds()} }
+
+func (s *sim) later(d time.Duration, run func()) {
+	s.sent++
+	s.queue = append(s.queue, delivery{s.now + d, s.sent, run})
+}
+
+// call models a call: it may be lost before or after it is carried out, or be
+// carried out seconds later without an answer.
+func (s *sim) call(w *simWorker, do func(w *simWorker), answered func(), lost func()) {
+	travel := time.Duration(1+s.rng.IntN(15)) * time.Millisecond
+	roll := s.rng.Float64()
+	switch {
+	case w == nil || w.cut || roll < s.lossShare:
+		s.later(400*time.Millisecond, lost)
+	case roll < 2*s.lossShare:
+		s.later(travel, func() { do(w) })
+		s.later(400*time.Millisecond, lost)
+	case roll < 3*s.lossShare:
+		s.later(time.Duration(2+s.rng.IntN(10))*time.Second, func() { do(w) })
+		s.later(400*time.Millisecond, lost)
+	default:
+		s.later(travel, func() {
+			if w.cut {
+				s.later(400*time.Millisecond, lost)
+				return
+			}
+			do(w)
+			s.later(time.Duration(1+s.rng.IntN(60))*time.Millisecond, answered)
+		})
+	}
+}
+
+func (s *sim) byAddress(address string) *simWorker {
+	for _, w := range s.workers {
+		if w.info.Address == address {
+			return w
+		}
+	}
+	return nil
+}
+
+// takeover starts a new owner on what the store holds.
+func (s *sim) takeover() {
+	if s.owner != nil {
+		s.old = append(s.old, s.owner)
+		s.takeovers++
+	}
+	s.term++
+	o := &simOwner{polling: map[WorkerID]bool{}, leadEnd: s.now + simTTL}
+	o.core = New(s.params, s.term, func(d Decision) {
+		if d.Event == "run_adopted" {
+			s.adopted++
+		}
+		if len(s.trace) < 20000 {
+			s.trace = append(s.trace, fmt.Sprintf("%v %v", s.now, d))
+		}
+	})
+	if s.mutate != nil {
+		s.mutate(o.core)
+	}
+	list, err := DecodeRoster(s.roster)
+	if err != nil {
+		panic(err)
+	}
+	o.core.Recover(list, s.instant())
+	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 50, Stretch: 2}}})
+	s.list(o)
+	for _, id := range s.order {
+		var p *job.Progress
+		if v, ok := s.progress[id]; ok {
+			if p, err = DecodeProgress(v); err != nil {
+				panic(err)
+			}
+		}
+		o.core.AddJob(s.specs[id], p, true, s.instant())
+	}
+	for id := range s.cancelled {
+		o.core.Cancel(id, s.instant())
+	}
+	o.core.SetValidUntil(s.now + simHorizon)
+	s.owner = o
+}
+
+func (s *sim) list(o *simOwner) {
+	var list []WorkerInfo
+	for _, w := range s.workers {
+		if w.alive {
+			list = append(list, w.info)
+		}
+	}
+	o.core.SetWorkers(list, s.instant())
+}
+
+func (s *sim) submit(spec *job.Spec) {
+	s.specs[spec.ID] = spec
+	s.order = append(s.order, spec.ID)
+	if s.owner != nil {
+		s.owner.core.AddJob(spec, nil, false, s.instant())
+	}
+}
+
+func (s *sim) cancel(id string) {
+	if s.cancelled[id] == 0 {
+		s.cancelled[id] = s.now
+		if s.owner != nil {
+			s.owner.core.Cancel(id, s.instant())
+		}
+	}
+}
+
+// flush writes progress, unless the store is down or another owner has taken
+// over: the store checks that.
+func (s *sim) flush(o *simOwner) {
+	if s.storeDown || o.cutStore || o != s.owner || o.writing {
+		return
+	}
+	records, err := o.core.Records(5)
+	if err != nil {
+		panic(err)
+	}
+	var roster []byte
+	var ids []WorkerID
+	if o.core.RosterStale() {
+		if roster, ids, err = o.core.Roster(); err != nil {
+			panic(err)
+		}
+	}
+	if len(records) == 0 && roster == nil {
+		return
+	}
+	o.writing = true
+	s.later(time.Duration(2+s.rng.IntN(30))*time.Millisecond, func() {
+		if o == s.owner && !s.storeDown {
+			for _, r := range records {
+				s.progress[r.Job] = r.Value
+			}
+			if roster != nil {
+				s.roster = roster
+			}
+			s.later(2*time.Millisecond, func() {
+				o.writing = false
+				if !o.dead {
+					o.core.Persisted(records)
+					if roster != nil {
+						o.core.RosterStored(ids)
+					}
+				}
+			})
+			return
+		}
+		o.writing = false
+	})
+}
+
+// drive lets one owner act.
+func (s *sim) drive(o *simOwner) {
+	if o.dead || o.paused || o.core.Deposed() {
+		return
+	}
+	for _, id := range o.core.Workers() {
+		if !o.polling[id] {
+			s.poll(o, id)
+		}
+	}
+	o.core.Tick(s.instant())
+	s.dispatch(o)
+	s.flush(o)
+}
+
+func (s *sim) dispatch(o *simOwner) {
+	for _, order := range o.core.TakeOrders() {
+		var answer Answer
+		s.call(s.byAddress(order.Address), func(w *simWorker) { answer = w.order(order) },
+			func() { s.answer(o, func() { o.core.OrderDone(order, answer, s.instant()) }) },
+			func() {
+				s.answer(o, func() { o.core.OrderDone(order, Answer{Outcome: OutcomeUnknown}, s.instant()) })
+			})
+	}
+}
+
+func (s *sim) answer(o *simOwner, f func()) {
+	if o.dead {
+		return
+	}
+	if o.paused {
+		s.later(50*time.Millisecond, func() { s.answer(o, f) })
+		return
+	}
+	f()
+	s.dispatch(o)
+}
+
+func (s *sim) poll(o *simOwner, id WorkerID) {
+	plan := o.core.PlanHold(id, s.instant())
+	if !plan.Send {
+		return
+	}
+	o.polling[id] = true
+	var reply HoldReply
+	var outcome Outcome
+	finish := func(reply HoldReply, outcome Outcome) {
+		pause := o.core.HoldDone(plan.Order, reply, outcome, s.instant())
+		s.later(pause+time.Duration(s.rng.IntN(300))*time.Millisecond, func() { o.polling[id] = false })
+	}
+	s.call(s.byAddress(plan.Order.Address), func(w *simWorker) { reply, outcome = w.hold(plan.Order) },
+		func() { s.answer(o, func() { finish(reply, outcome) }) },
+		func() { s.answer(o, func() { finish(HoldReply{}, OutcomeUnknown) }) })
+}
+
+// step advances virtual time by one tick and lets all act.
+func (s *sim) step() {
+	end := s.now + 20*time.Millisecond
+	for {
+		next := -1
+		for i, d := range s.queue {
+			if d.at <= end && (next < 0 || d.at < s.queue[next].at || d.at == s.queue[next].at && d.n < s.queue[next].n) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		d := s.queue[next]
+		s.queue = append(s.queue[:next], s.queue[next+1:]...)
+		s.now = max(s.now, d.at)
+		d.run()
+	}
+	s.now = end
+	for _, w := range s.workers {
+		w.advance()
+	}
+	if s.owner != nil && !s.owner.dead && !s.owner.paused && !s.owner.cutStore && !s.storeDown {
+		s.owner.leadEnd = s.now + simTTL
+		s.owner.core.SetValidUntil(s.now + simHorizon)
+		s.list(s.owner)
+	}
+	if s.owner == nil || !s.storeDown && s.now > s.owner.leadEnd {
+		s.takeover()
+	}
+	for _, o := range append(s.old, s.owner) {
+		s.drive(o)
+	}
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end && len(s.oracle.broken) == 0; {
+		s.step()
+	}
+}
+
+// crash ends a worker's life; another one comes at its address.
+func (s *sim) crash(i int) {
+	w := s.workers[i]
+	if !w.alive {
+		return
+	}
+	w.advance()
+	s.oracle.crashed(w)
+	w.alive = false
+	w.running = map[job.TaskID]*simRun{}
+	s.later(time.Duration(200+s.rng.IntN(4000))*time.Millisecond, func() { s.workers[i] = s.newWorker(i) })
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -282,6 +282,8 @@
 	}
 	if !w.synced {
 		w.synced = true
+		// What runs here may have any lease that the previous owner could give.
+		w.lastDeadline = max(w.lastDeadline, reply.ClockMS+c.params.MaxTaskLease.Milliseconds())
 		c.resolve(w.info.ID, "lists read", now)
 	}
 	w.advanceSeen()
