Count a step's end once when its last end is listed again

Change: an end of a task that is done changes nothing. Test: TestFaults with steps that wait for several others failed before.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -12,8 +12,8 @@
 	spec := &job.Spec{ID: fmt.Sprintf("%016x", id), Queue: "q", Payload: "p"}
 	for i, n := range tasks {
 		step := job.Step{Count: n, CPUMilli: 500, MemoryMiB: 500, EstimateMS: 1000}
-		if i > 0 {
-			step.After = []int{i - 1}
+		for earlier := range i {
+			step.After = append(step.After, earlier)
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -22,7 +22,7 @@
 		s.step()
 		if s.rng.IntN(25) == 0 {
 			id++
-			s.submit(simpleJob(id, 1+s.rng.IntN(4), 1+s.rng.IntN(3)))
+			s.submit(simpleJob(id, 1+s.rng.IntN(4), 1+s.rng.IntN(3), 1+s.rng.IntN(2)))
 		}
 		if s.rng.IntN(100) == 0 {
 			s.fault()
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -289,6 +289,9 @@
 
 // taskDone marks a task and, for a gang, all its fellows as done.
 func (c *Core) taskDone(t *task, now Instant) {
+	if t.phase == phaseDone {
+		return // the end was recorded, but its acknowledgement was lost
+	}
 	s := t.step
 	if s.spec.Gang {
 		for _, other := range s.tasks {
