Let a silent worker's leases end, and move tasks off workers that drain

Ruled out: room (others started), the roster. Change: a worker that did not answer is only asked, without a deadline; tasks move off draining workers, lasting ones as soon as there is room, others if they can't end in time; a finished task's run is no longer told to stop. Tests: TestTasksOfALostWorkerStartAgain and TestDrainingWorkerIsEvacuated failed before.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -71,7 +71,6 @@
 	model      *interference
 	stats      Stats
 	perfByKey  map[perfKey]*runTimes
-	lastTick   time.Duration
 }
 
 // Stats are counters of what the core decided.
@@ -152,9 +151,9 @@
 	for _, w := range c.workers {
 		c.tickWorker(w, now)
 	}
+	c.evacuate(now)
 	c.dropOldJobs(now)
 	c.Schedule(now)
-	c.lastTick = now.Steady
 }
 
 // tellTask logs a decision on a task.
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -71,3 +71,55 @@
 		t.Errorf("order %v of run %d at %s", o.Kind, o.Run, o.Worker)
 	}
 }
+
+// lastingJob is a job of tasks that run until it is cancelled.
+func lastingJob(id, tasks int) *job.Spec {
+	spec := simpleJob(id, tasks)
+	spec.Steps[0].Lasting = true
+	return spec
+}
+
+// runningTasks counts the tasks that the workers of the sim run.
+func (s *sim) runningTasks() int {
+	n := 0
+	for _, w := range s.workers {
+		n += len(w.running)
+	}
+	return n
+}
+
+// A worker that was gone was asked again and again with a new deadline, which
+// it might have taken; so its leases never ended, and its lasting tasks never
+// started again (found by: hunt, umoya-vend mix --seed 183453886928; LOST).
+func TestTasksOfALostWorkerStartAgain(t *testing.T) {
+	s := newSim(3, 3)
+	s.lasting = true
+	s.run(time.Second)
+	s.submit(lastingJob(1, 6))
+	s.run(2 * time.Second)
+	w := s.workers[0]
+	s.oracle.crashed(w)
+	w.alive, w.cut = false, true
+	w.running = map[job.TaskID]*simRun{}
+	s.run(s.params.TaskLease + 2*time.Second)
+	if n := s.runningTasks(); n != 6 {
+		t.Errorf("%d of 6 lasting tasks run after their worker is gone", n)
+	}
+	for _, b := range s.oracle.broken {
+		t.Error(b)
+	}
+}
+
+func TestDrainingWorkerIsEvacuated(t *testing.T) {
+	s := newSim(3, 3)
+	s.lasting = true
+	s.run(time.Second)
+	s.submit(lastingJob(1, 6))
+	s.run(2 * time.Second)
+	w := s.workers[0]
+	w.info.Draining, w.info.Leaving = true, 4*time.Second
+	s.run(3 * time.Second)
+	if len(w.running) != 0 || s.runningTasks() != 6 {
+		t.Errorf("%d of %d tasks still run on a worker that leaves", len(w.running), s.runningTasks())
+	}
+}
--- /dev/null
+++ b/dispatch/evacuate.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Figures of moving tasks off a worker that drains.
+const (
+	// stopLead before a worker leaves, what still runs there is stopped: a
+	// stop takes up to 0.9 s and its end must still be read.
+	stopLead = 1500 * time.Millisecond
+	// evacuatePerTick bounds the lasting tasks that are moved at once, since
+	// the room found for one is taken before the next is looked at only when
+	// it has started there.
+	evacuatePerTick = 4
+)
+
+// noteLeaving takes in how long a draining worker stays. The figure was true
+// when the worker wrote it, so the earliest end that follows from any counts.
+func (c *Core) noteLeaving(w *worker, left time.Duration, now Instant) {
+	at := now.Steady + left
+	if w.leavesAt == 0 || at < w.leavesAt {
+		w.leavesAt = at
+	}
+}
+
+// evacuate moves tasks off workers that are about to leave: lasting tasks as
+// soon as there is room elsewhere, others if they can't end in time. A stop
+// saves a checkpoint, so it comes as late as is safe for those that have one.
+func (c *Core) evacuate(now Instant) {
+	budget := evacuatePerTick
+	for _, w := range c.workersInOrder() {
+		if w.leavesAt == 0 || len(w.attempts) == 0 {
+			continue
+		}
+		left := w.leavesAt - now.Steady
+		for _, a := range w.attemptsInOrder() {
+			if a.stopping || a.task.phase != phaseRunning {
+				continue
+			}
+			s := a.task.step
+			switch {
+			case left < stopLead:
+				c.move(a, "its worker leaves", now)
+			case s.spec.Lasting && budget > 0 && c.hasRoomElsewhere(a.task, now):
+				budget--
+				c.move(a, "its worker drains", now)
+			case !s.spec.Lasting && !s.spec.Checkpoints && c.estimate(s)-(now.Steady-a.started) > left:
+				c.move(a, "it can't end before its worker leaves", now)
+			}
+		}
+	}
+}
+
+// move stops an attempt so that its task starts elsewhere.
+func (c *Core) move(a *attempt, reason string, now Instant) {
+	if a.stopping {
+		return
+	}
+	c.stats.Moved++
+	a.task.avoid = a.worker.info.ID
+	c.stop(a, reason, now)
+}
+
+func (c *Core) hasRoomElsewhere(t *task, now Instant) bool {
+	service := c.queues[t.step.job.spec.Queue].Service
+	return c.choose(t, c.pool(service, now), false, now) != nil
+}
+
+func (c *Core) workersInOrder() []*worker {
+	list := make([]*worker, 0, len(c.workers))
+	for _, w := range c.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return list
+}
+
+func (w *worker) attemptsInOrder() []*attempt {
+	list := make([]*attempt, 0, len(w.attempts))
+	for a := range w.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return cmp.Compare(a.run, b.run) })
+	return list
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -355,7 +355,7 @@
 				t.phase = phaseWaiting
 				s.ready--
 			}
-			if t.attempt != nil {
+			if t.attempt != nil && t.phase != phaseDone {
 				c.stop(t.attempt, "job "+string(state), now)
 			}
 		}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -143,6 +143,9 @@
 		return Answer{Outcome: OutcomeOld, ClockMS: clock}
 	}
 	work := time.Duration(200+w.sim.rng.IntN(2500)) * time.Millisecond
+	if w.sim.lasting {
+		work = time.Hour
+	}
 	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.sim.rng.Float64() < w.sim.failShare}
 	w.running[o.Task] = r
 	w.sim.oracle.started(w, r)
@@ -263,6 +266,7 @@
 	sent      int
 	oracle    *oracle
 	failShare float64
+	lasting   bool // tasks run on until they are stopped
 	lossShare float64
 	specs     map[string]*job.Spec
 	order     []string
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -61,8 +61,7 @@
 	failStreak      int
 	avoidUntil      time.Duration
 	fullUntil       time.Duration
-	drainSeen       time.Duration
-	pacedTo         int
+	leavesAt        time.Duration // a draining worker's last moment, at the latest
 	load            workerLoad
 }
 
@@ -182,8 +181,10 @@
 			c.trace(Decision{Event: "worker_listed", Worker: info.ID, Reason: info.Address})
 			c.replacedBy(w, now)
 		}
+		if info.Draining {
+			c.noteLeaving(w, info.Leaving, now)
+		}
 		if info.Draining && !w.info.Draining {
-			w.drainSeen = now.Steady
 			c.trace(Decision{Event: "worker_draining", Worker: info.ID, Reason: info.Leaving.String()})
 		}
 		w.info, w.listed = info, true
@@ -230,7 +231,9 @@
 		return HoldPlan{Pause: idlePause}
 	}
 	h := HoldOrder{Worker: id, Address: w.info.Address, Term: c.term, Seen: w.seen}
-	if w.synced {
+	// A poll without an answer may still extend the leases. While a worker is
+	// silent it is only asked, so that its leases come to an end.
+	if w.synced && w.holdFails == 0 {
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
 		h.Wait = w.pollWait()
 	}
