Count each failed run of a task, in whatever order workers list them

Change: the record holds the numbers of failed runs. Test: TestFailuresCountInAnyOrder failed before.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -123,3 +123,28 @@
 		t.Errorf("%d of %d tasks still run on a worker that leaves", len(w.running), s.runningTasks())
 	}
 }
+
+// After a takeover, workers list failed runs of one task in any order; a run
+// with a lower number than one already counted was not counted (found by: hunt,
+// aulagrabada-lima mix --seed 583274590646; BUDGET).
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	core := New(Params{MaxTaskLease: 6 * time.Second}, 2, nil)
+	now := Instant{Steady: time.Second}
+	core.Recover([]RosterEntry{{ID: "w1", Address: "a"}, {ID: "w2", Address: "b"}}, now)
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 2}}})
+	core.SetWorkers([]WorkerInfo{
+		{ID: "w1", Address: "a", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000},
+		{ID: "w2", Address: "b", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000},
+	}, now)
+	spec := simpleJob(1, 1)
+	core.AddJob(spec, nil, true, now)
+	core.SetValidUntil(time.Minute)
+	for i, w := range []WorkerID{"w1", "w2"} {
+		ended := []EndedTask{{Number: 1, Task: job.TaskID{Job: spec.ID}, Run: uint64(8 - i), Kind: EndFailed}}
+		core.HoldDone(core.PlanHold(w, now).Order, HoldReply{ClockMS: 500_000, Ended: ended}, OutcomeOK, now)
+	}
+	core.Tick(Instant{Steady: 2 * time.Second})
+	for _, o := range core.TakeOrders() {
+		t.Errorf("order %v after both attempts have failed", o.Kind)
+	}
+}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -95,7 +95,7 @@
 	}
 	c.touch(j)
 	limit := c.queues[j.spec.Queue].MaxAttempts
-	if limit > 0 && j.progress.Failures[id.FailureKey()].Count >= limit {
+	if limit > 0 && j.progress.FailureCount(id) >= limit {
 		c.setFinal(j, job.Failed, "task "+id.String()+" has no attempts left", now)
 	}
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -1,6 +1,9 @@
 package job
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // State is what a caller is told of a job.
 type State string
@@ -24,19 +27,14 @@
 	// Done holds a bitmap of finished tasks for each occurrence and step
 	// that has any, under StepKey.
 	Done map[string][]byte `json:"done,omitempty"`
-	// Failures holds the failed attempts of tasks, under OCCURRENCE.STEP.INDEX.
-	Failures map[string]Failures `json:"failures,omitempty"`
+	// Failures holds the numbers of the failed runs of tasks, under
+	// OCCURRENCE.STEP.INDEX. Workers list an end until it is acknowledged,
+	// and after a takeover in any order, so a mere count would not do.
+	Failures map[string][]uint64 `json:"failures,omitempty"`
 	// EndedMS is when the state became final, milliseconds since 1970.
 	EndedMS int64 `json:"ended_ms,omitempty"`
 }
 
-// Failures counts a task's failed attempts. LastRun is the highest run that is
-// counted, so that an end that a worker lists again is not counted twice.
-type Failures struct {
-	Count   int    `json:"n"`
-	LastRun uint64 `json:"run"`
-}
-
 // StepKey is the key of a step in Progress.Done.
 func StepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
 
@@ -68,16 +66,18 @@
 	return t.Index/8 < len(bits) && bits[t.Index/8]&(1<<(t.Index%8)) != 0
 }
 
-// CountFailure counts a failed run once and reports whether it was new.
+// CountFailure notes a failed run once and reports whether it was new.
 func (p *Progress) CountFailure(t TaskID, run uint64) bool {
 	if p.Failures == nil {
-		p.Failures = map[string]Failures{}
+		p.Failures = map[string][]uint64{}
 	}
 	key := t.FailureKey()
-	f := p.Failures[key]
-	if run <= f.LastRun {
+	if slices.Contains(p.Failures[key], run) {
 		return false
 	}
-	p.Failures[key] = Failures{Count: f.Count + 1, LastRun: run}
+	p.Failures[key] = append(p.Failures[key], run)
 	return true
 }
+
+// FailureCount returns how many runs of a task have failed.
+func (p *Progress) FailureCount(t TaskID) int { return len(p.Failures[t.FailureKey()]) }
