Pace fills by the learnt pairs; admit them by expected tail

Ruled out: queueing (half of the first tasks start within 25 ms) and missing processor time (fills at full pace get what they use). Change: paces from the expected tails, readings only squeeze and halt; admission by expected tail; least open worker first.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -75,6 +75,7 @@
 	out       []Order
 	trace     func(Decision)
 	model     *interference
+	demand    fillDemand
 	stats     Stats
 	perfByKey map[perfKey]*runTimes
 }
@@ -114,7 +115,7 @@
 		queues: map[string]job.Queue{}, jobs: map[string]*jobState{},
 		workers: map[WorkerID]*worker{}, unresolved: map[WorkerID]time.Duration{},
 		roster: newRoster(), dirty: map[*jobState]struct{}{}, trace: trace,
-		model: newInterference(), perfByKey: map[perfKey]*runTimes{},
+		model: newInterference(), demand: fillDemand{}, perfByKey: map[perfKey]*runTimes{},
 	}
 }
 
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -250,11 +250,14 @@
 	w.load = l
 }
 
-// cpu returns the processor time that a fill uses, or asks for while there is
-// no reading.
-func (a *attempt) cpu() float64 {
+// demand returns the processor time that a fill uses at its full pace, or asks
+// for while there is no reading.
+func (a *attempt) demand() float64 {
 	if a.hasUse {
-		return a.usedCPU
+		return a.fullCPU
 	}
-	return float64(a.task.step.spec.CPUMilli) * float64(a.percent) / fullPace
+	return float64(a.task.step.spec.CPUMilli)
 }
+
+// cpu returns the processor time that a fill uses at its present pace.
+func (a *attempt) cpu() float64 { return a.demand() * float64(max(a.paced, 0)) / fullPace }
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -105,7 +105,7 @@
 	// percent is the pace wanted, paced the one the worker was told.
 	percent, paced int
 	paceAt         time.Duration
-	usedCPU        float64 // thousandths of a core, from readings
+	fullCPU        float64 // thousandths of a core at full pace, from readings
 	hasUse         bool
 	tail           tailWatch
 	ticket         string
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"sort"
+	"strconv"
 	"time"
 )
 
@@ -10,44 +10,47 @@
 	// overRatio of the target, a reading counts as over: the rules count from
 	// 1, readings are rough.
 	overRatio = 1.0
-	// cutRatio is the ratio from which fills that hurt are slowed at once.
-	cutRatio = 1.15
-	// calmRatio is the ratio below which slowed fills are let go again.
-	calmRatio = 0.8
 	// clearRatio ends a stretch over the target with a single reading.
 	clearRatio = 0.75
-	// cutFactor and liftStep change a pace, in percent.
-	cutFactor = 0.5
-	liftStep  = 50
-	// haltShare of the time allowed over the target, all fills beside are
-	// halted: the rest is for the age of readings and the order's way.
-	haltShare = 0.4
-	// leastPace is the pace below which a fill is halted.
-	leastPace = 13
-	// tailSmoothing is the weight of a new reading in the smoothed tail.
-	tailSmoothing = 0.4
-	// cpuSmoothing is the same for processor use.
-	cpuSmoothing = 0.5
+	// paceRatio is the expected tail over target that paces aim at.
+	paceRatio = 0.8
+	// squeezeAfter over its target, the fills that hurt a task are slowed
+	// further; haltAfter they are halted, and haltAllAfter all fills beside.
+	// Each is a part of the time allowed over the target; the rest is for the
+	// age of readings and the order's way.
+	squeezeAfter = 0.1
+	haltAfter    = 0.25
+	haltAllAfter = 0.45
+	// squeezeFactor is applied with each reading over the target, squeezeEase
+	// with each that is not.
+	squeezeFactor = 0.6
+	squeezeEase   = 1.5
 	// culpritRise is the expected part in a tail from which a fill is slowed
 	// down or moved: less than that is not worth its delay.
-	culpritRise = 0.08
-	// blameAll over its target for so long, all fills beside a task are slowed
-	// down, since the model does not know the culprit.
-	blameAll = 900 * time.Millisecond
+	culpritRise = 0.06
+	// moveRise is the same for a move, if its pace would be below movePace.
+	moveRise = 0.08
+	movePace = 60
 	// moveAge is how long a run must have worked before it is moved, and
 	// movesAtOnce how many of a worker are moved at one reading.
 	moveAge     = 400 * time.Millisecond
 	movesAtOnce = 3
 	// firstReadings of a task that serves are from its start and say little.
 	firstReadings = 1 * time.Second
+	// paceStep is the grain of paces, in percent: a finer one costs orders.
+	paceStep = 20
+	// cpuSmoothing is the weight of a new reading of processor use.
+	cpuSmoothing = 0.5
 	// youngRun is the age below which a fill's reading says little yet.
 	youngRun = 700 * time.Millisecond
+	// leastPaceRead is the pace below which a reading of processor use says
+	// little of what the fill would use at its full pace.
+	leastPaceRead = 40
 )
 
 // tailWatch follows the tail of a serving task over its target.
 type tailWatch struct {
 	ratio   float64
-	smooth  float64
 	at      time.Duration
 	over    bool
 	since   time.Duration
@@ -56,12 +59,8 @@
 }
 
 func (t *tailWatch) take(ratio float64, now time.Duration) {
-	if !t.hasRead {
-		t.smooth = ratio
-	}
 	t.hasRead = true
 	t.ratio, t.at = ratio, now
-	t.smooth += tailSmoothing * (ratio - t.smooth)
 	switch {
 	case ratio > overRatio && !t.over:
 		t.over, t.since, t.below = true, now, 0
@@ -95,14 +94,15 @@
 		a.tail.take(float64(row.Reading)/float64(s.TargetMS), now.Steady)
 		return
 	}
-	if now.Steady-a.started < youngRun {
+	if now.Steady-a.started < youngRun || a.paced < leastPaceRead {
 		return
 	}
+	full := float64(row.Reading) * fullPace / float64(a.paced)
 	if !a.hasUse {
-		a.usedCPU, a.hasUse = float64(row.Reading), true
+		a.fullCPU, a.hasUse = full, true
 		return
 	}
-	a.usedCPU += cpuSmoothing * (float64(row.Reading) - a.usedCPU)
+	a.fullCPU += cpuSmoothing * (full - a.fullCPU)
 }
 
 // observe draws the consequences of a fresh list: it teaches the model, and
@@ -118,96 +118,113 @@
 	c.pace(w, now)
 }
 
-// pace sets the speed of the worker's fills by the tails beside them.
+// pace sets the speed of the worker's fills: by the model, so that tails stay
+// below their targets, and by the readings where the model is wrong.
 func (c *Core) pace(w *worker, now Instant) {
-	var worst *attempt
-	longest := time.Duration(0)
+	over := w.longestOver(now)
+	limit := func(share float64) time.Duration {
+		return time.Duration(float64(c.params.OverTarget) * share)
+	}
+	switch {
+	case over > 0 && over >= limit(squeezeAfter):
+		w.squeeze = max(w.squeeze*squeezeFactor, 0.05)
+	case over == 0:
+		w.squeeze = min(w.squeeze*squeezeEase, 1)
+	}
+	scales := c.headroom(w)
+	moves := 0
 	for _, a := range w.attempts {
-		if !a.tail.hasRead || a.task.step.spec.TargetMS == 0 {
+		if !a.task.step.spec.Fills || a.stopping {
 			continue
 		}
-		if worst == nil || a.tail.ratio > worst.tail.ratio {
-			worst = a
+		percent, rise := c.paceOf(w, a, scales)
+		switch {
+		case over >= limit(haltAllAfter), over >= limit(haltAfter) && rise >= culpritRise:
+			percent = 0
 		}
-		longest = max(longest, a.tail.overFor(now.Steady))
-	}
-	if worst == nil {
-		c.liftAll(w, fullPace, now)
-		return
-	}
-	switch halt := time.Duration(float64(c.params.OverTarget) * haltShare); {
-	case longest >= halt:
-		c.halt(w, longest, now)
-	case worst.tail.ratio > cutRatio:
-		c.cut(w, worst, now)
-	case worst.tail.ratio < calmRatio && worst.tail.smooth < overRatio:
-		c.liftAll(w, liftStep, now)
+		if percent < movePace && rise >= moveRise && moves < movesAtOnce && c.movable(a, now) {
+			moves++
+			c.move(a, "it hurts tasks that serve", now)
+			continue
+		}
+		c.setPace(w, a, percent, over)
 	}
 	c.sendPaces(w, now)
 }
 
-// halt stops all work of fills beside a task that was over its target too long.
-func (c *Core) halt(w *worker, over time.Duration, now Instant) {
+// longestOver returns for how long a task of the worker has been over its target.
+func (w *worker) longestOver(now Instant) time.Duration {
+	longest := time.Duration(0)
 	for _, a := range w.attempts {
-		if a.task.step.spec.Fills && a.percent > 0 {
-			a.percent = 0
-			c.stats.Paced++
-			c.trace(Decision{Event: "fill_halted", Job: a.task.step.job.spec.ID, Task: a.task.id(), Run: a.run, Worker: w.info.ID, Reason: "a task is over its target", Age: over})
+		if a.tail.hasRead {
+			longest = max(longest, a.tail.overFor(now.Steady))
 		}
 	}
+	return longest
 }
 
-// culprit is a fill with its expected part in a tail.
-type culprit struct {
-	a    *attempt
-	part float64
+// servingScale is the pace, from 0 to 1, of fills that hurt a serving image, at
+// which its tail is expected to stay within paceRatio.
+type servingScale struct {
+	image string
+	scale float64
 }
 
-// cut moves or slows down those fills that by the model raise the worst tail
-// most.
-func (c *Core) cut(w *worker, worst *attempt, now Instant) {
-	image := worst.task.step.spec.Image
-	blind := worst.tail.overFor(now.Steady) >= blameAll
-	need := worst.tail.ratio - calmRatio
-	moves := 0
-	for _, x := range c.culprits(w, image) {
-		if need <= 0 || x.part < culpritRise && !blind {
-			return
-		}
-		need -= x.part
-		if moves < movesAtOnce && x.part >= culpritRise && c.movable(x.a, now) {
-			moves++
-			c.move(x.a, "it hurts "+image, now)
-			continue
+// headroom returns a scale for each serving image of the worker.
+func (c *Core) headroom(w *worker) []servingScale {
+	scales := make([]servingScale, 0, len(w.load.serving))
+	for _, v := range w.load.serving {
+		room := paceRatio - c.model.base(v.image)
+		wanted := 0.0
+		for _, a := range w.attempts {
+			if !a.task.step.spec.Fills || a.stopping {
+				continue
+			}
+			if rise := c.rise(w, a, v.image); rise >= culpritRise {
+				wanted += rise
+			} else {
+				room -= rise
+			}
 		}
-		next := int(float64(x.a.percent) * cutFactor)
-		if next < leastPace {
-			next = 0
+		scale := 1.0
+		if wanted > 0 {
+			scale = min(max(room, 0)/wanted, 1)
 		}
-		x.a.percent = next
-		c.stats.Paced++
-		c.trace(Decision{Event: "fill_slowed", Job: x.a.task.step.job.spec.ID, Task: x.a.task.id(), Run: x.a.run, Worker: w.info.ID, Reason: image})
+		scales = append(scales, servingScale{v.image, scale * w.squeeze})
 	}
+	return scales
 }
 
-// culprits returns the worker's fills by their expected part in an image's
-// tail, the largest first.
-func (c *Core) culprits(w *worker, image string) []culprit {
-	var list []culprit
-	for _, a := range w.attempts {
-		if !a.task.step.spec.Fills || a.percent == 0 || a.stopping {
-			continue
+// rise returns the expected part of a fill, at its full pace, in the tail over
+// target of a serving image beside it.
+func (c *Core) rise(w *worker, a *attempt, serving string) float64 {
+	mean, _ := c.model.coefficient(serving, a.task.step.spec.Image)
+	return mean * a.demand() / float64(max(w.info.CPUMilli, 1))
+}
+
+// paceOf returns the pace of a fill, in percent, and its largest expected part
+// in a tail.
+func (c *Core) paceOf(w *worker, a *attempt, scales []servingScale) (percent int, rise float64) {
+	scale := 1.0
+	for _, v := range scales {
+		r := c.rise(w, a, v.image)
+		rise = max(rise, r)
+		if r >= culpritRise {
+			scale = min(scale, v.scale)
 		}
-		mean, _ := c.model.coefficient(image, a.task.step.spec.Image)
-		list = append(list, culprit{a, mean * a.cpu() / float64(max(w.info.CPUMilli, 1))})
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].part != list[j].part {
-			return list[i].part > list[j].part
-		}
-		return list[i].a.run < list[j].a.run
-	})
-	return list
+	return int(scale*fullPace) / paceStep * paceStep, rise
+}
+
+func (c *Core) setPace(w *worker, a *attempt, percent int, over time.Duration) {
+	if a.percent == percent {
+		return
+	}
+	if percent < a.percent {
+		c.stats.Paced++
+		c.trace(Decision{Event: "fill_slowed", Job: a.task.step.job.spec.ID, Task: a.task.id(), Run: a.run, Worker: w.info.ID, Reason: strconv.Itoa(percent), Age: over})
+	}
+	a.percent = percent
 }
 
 // movable reports whether a fill can go on elsewhere without losing work.
@@ -216,15 +233,6 @@
 		now.Steady-a.started > moveAge && c.hasRoomElsewhere(a.task, now)
 }
 
-func (c *Core) liftAll(w *worker, step int, now Instant) {
-	for _, a := range w.attempts {
-		if a.task.step.spec.Fills && a.percent < fullPace {
-			a.percent = min(a.percent+step, fullPace)
-		}
-	}
-	c.sendPaces(w, now)
-}
-
 // sendPaces tells the worker of paces that it does not know.
 func (c *Core) sendPaces(w *worker, now Instant) {
 	for _, a := range w.attempts {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,10 +16,14 @@
 	// admitRatio is the expected tail over target up to which a fill is
 	// admitted. Undisturbed tasks are at 0.45 with a hundredth of their
 	// readings over 1, so this leaves few readings over the target.
-	admitRatio = 0.65
+	admitRatio = 0.75
 	// doubt is the weight of the model's deviation in admission: of a pair
 	// that was not seen yet one or two fills are tried on a worker.
 	doubt = 0.3
+	// enoughSpare processor time, more of it makes no worker better for a fill.
+	enoughSpare = 1.0
+	// openWeight is the weight of a worker's openness to other images.
+	openWeight = 0.5
 	// harmWeight is the weight of an expected rise of a tail, against spare
 	// processor time, in the choice of a worker for a fill.
 	harmWeight = 2.0
@@ -29,6 +33,9 @@
 	// starvedAfter, a job that has nothing running is placed wherever there
 	// is room, whatever the model says.
 	starvedAfter = 1500 * time.Millisecond
+	// starvedUse is the part of a pool's declared room in use below which this
+	// holds. In a fuller pool a job may wait for a place where it does no harm.
+	starvedUse = 0.6
 	// fillOvercommit is how far the expected processor use of a worker may go
 	// over its size by placing fills.
 	fillOvercommit = 1.1
@@ -104,6 +111,7 @@
 	if len(list) == 0 {
 		return
 	}
+	c.rateOpenness()
 	pools := map[string][]*worker{}
 	for _, x := range list {
 		pool, ok := pools[x.queue.Service]
@@ -170,7 +178,7 @@
 
 // placeStep starts as many ready tasks of a step as there is room for.
 func (c *Core) placeStep(s *stepRun, pool []*worker, now Instant) {
-	starved := s.job.active == 0 && now.Steady-s.job.idleSince > starvedAfter
+	starved := s.job.active == 0 && now.Steady-s.job.idleSince > starvedAfter && poolUse(pool) < starvedUse
 	for _, t := range s.tasks {
 		if t.phase != phaseReady || now.Steady < t.notBefore {
 			continue
@@ -188,16 +196,27 @@
 	}
 }
 
+// poolUse returns the part of the workers' processors that is taken.
+func poolUse(pool []*worker) float64 {
+	var used, size int64
+	for _, w := range pool {
+		used += w.used.cpu
+		size += w.info.CPUMilli
+	}
+	return float64(used) / float64(max(size, 1))
+}
+
 func (c *Core) place(t *task, w *worker, run uint64, now Instant) {
 	checkpoint := t.checkpoint
 	if t.step.spec.Gang {
 		checkpoint = t.step.checkpoint
 	}
-	c.tellTask("run_placed", t, w, run, checkpoint)
+	c.tellTask("run_placed", t, w, run, t.step.spec.Image)
 	c.start(t, w, run, checkpoint, "", now)
 	s := t.step.spec
 	switch {
 	case s.Fills:
+		c.demand.note(s.Image, 1)
 		w.load.addFill(s.Image, float64(s.CPUMilli), w.info.CPUMilli)
 	case s.Lasting && s.TargetMS > 0:
 		w.load.addServing(s.Image)
@@ -274,7 +293,7 @@
 		}
 		harm = max(harm, rise)
 	}
-	return spare - harmWeight*harm, true
+	return min(spare, enoughSpare) - harmWeight*harm - openWeight*w.openness, true
 }
 
 // scoreLasting packs lasting tasks, each image beside its like only, so that
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -64,6 +64,8 @@
 	overReason      string        // why its life is over, while that is put off
 	leavesAt        time.Duration // a draining worker's last moment, at the latest
 	load            workerLoad
+	openness        float64 // see rateOpenness
+	squeeze         float64 // further scale of paces, from 0 to 1
 }
 
 // resources is an amount that tasks take of a worker.
@@ -84,7 +86,7 @@
 }
 
 func newWorker(info WorkerInfo) *worker {
-	return &worker{info: info, foreign: map[job.TaskID]foreignRun{}}
+	return &worker{info: info, squeeze: 1, foreign: map[job.TaskID]foreignRun{}}
 }
 
 // amount returns what a task of the step takes of a worker's room.
