Follow the load of each serving task; count a reading of 0.85 of the target as over

The readings' dips below 1 ended the watch each time, and the model knew only images. Ruled out: late orders (all paces were in force within 0.3 s). Change: a task's load is its readings over the expected ones and scales what fills may add; readings from 0.85 count.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -209,10 +209,10 @@
 	otherCPU float64    // of tasks that neither serve nor fill
 }
 
-// servingLoad is a serving image on a worker with the number of its tasks.
+// servingLoad is a serving image on a worker with the highest load of its tasks.
 type servingLoad struct {
 	image string
-	count int
+	load  float64
 }
 
 func (l *workerLoad) addFill(image string, cpu float64, size int64) {
@@ -225,12 +225,12 @@
 	l.fills = append(l.fills, pressure{image, share})
 }
 
-func (l *workerLoad) addServing(image string) {
+func (l *workerLoad) addServing(image string, load float64) {
 	if i := slices.IndexFunc(l.serving, func(s servingLoad) bool { return s.image == image }); i >= 0 {
-		l.serving[i].count++
+		l.serving[i].load = max(l.serving[i].load, load)
 		return
 	}
-	l.serving = append(l.serving, servingLoad{image, 1})
+	l.serving = append(l.serving, servingLoad{image, load})
 }
 
 // rebuild sums the worker's tasks anew.
@@ -242,7 +242,7 @@
 		case s.Fills:
 			l.addFill(s.Image, a.cpu(), w.info.CPUMilli)
 		case s.Lasting && s.TargetMS > 0:
-			l.addServing(s.Image)
+			l.addServing(s.Image, max(a.tail.load, leastLoad))
 		case !s.Lasting:
 			l.otherCPU += float64(s.CPUMilli)
 		}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -7,11 +7,16 @@
 
 // Figures of pacing. A reading is over half a second and half a second old.
 const (
-	// overRatio of the target, a reading counts as over: the rules count from
-	// 1, readings are rough.
-	overRatio = 1.0
+	// overRatio of the target, a reading counts as over. Readings are rough: a
+	// task that was over its target for 4 s read 0.86 to 1.2 meanwhile.
+	overRatio = 0.85
 	// clearRatio ends a stretch over the target with a single reading.
-	clearRatio = 0.75
+	clearRatio = 0.7
+	// loadSmoothing is the weight of a new reading in a task's load, and
+	// leastLoad and mostLoad its bounds: loads swing by half in 14 to 20 s.
+	loadSmoothing = 0.3
+	leastLoad     = 0.7
+	mostLoad      = 2.5
 	// paceRatio is the expected tail over target that paces aim at.
 	paceRatio = 0.8
 	// squeezeAfter over its target, the fills that hurt a task are slowed
@@ -50,15 +55,20 @@
 
 // tailWatch follows the tail of a serving task over its target.
 type tailWatch struct {
-	ratio   float64
-	at      time.Duration
-	over    bool
-	since   time.Duration
-	below   int // readings in a row that were not over
+	ratio float64
+	at    time.Duration
+	over  bool
+	since time.Duration
+	below int // readings in a row that were not over
+	// load is the task's own load, by its readings over the expected ones.
+	load    float64
 	hasRead bool
 }
 
 func (t *tailWatch) take(ratio float64, now time.Duration) {
+	if !t.hasRead {
+		t.load = 1
+	}
 	t.hasRead = true
 	t.ratio, t.at = ratio, now
 	switch {
@@ -112,12 +122,21 @@
 	for _, a := range w.attempts {
 		s := a.task.step.spec
 		if s.Lasting && s.TargetMS > 0 && a.tail.at == now.Steady && a.tail.hasRead && now.Steady-a.started > firstReadings {
+			a.noteLoad(c.model.expect(s.Image, w.load.fills))
 			c.model.learn(s.Image, a.tail.ratio, w.load.fills)
 		}
 	}
 	c.pace(w, now)
 }
 
+// noteLoad compares the newest reading with the expected one: what is left is
+// the load of the task itself, by which what runs beside it counts more or less.
+func (a *attempt) noteLoad(expected float64) {
+	factor := a.tail.ratio / max(expected, 0.05)
+	a.tail.load += loadSmoothing * (factor - a.tail.load)
+	a.tail.load = min(max(a.tail.load, leastLoad), mostLoad)
+}
+
 // pace sets the speed of the worker's fills: by the model, so that tails stay
 // below their targets, and by the readings where the model is wrong.
 func (c *Core) pace(w *worker, now Instant) {
@@ -174,7 +193,7 @@
 func (c *Core) headroom(w *worker) []servingScale {
 	scales := make([]servingScale, 0, len(w.load.serving))
 	for _, v := range w.load.serving {
-		room := paceRatio - c.model.base(v.image)
+		room := paceRatio/v.load - c.model.base(v.image)
 		wanted := 0.0
 		for _, a := range w.attempts {
 			if !a.task.step.spec.Fills || a.stopping {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,7 +16,7 @@
 	// admitRatio is the expected tail over target up to which a fill is
 	// admitted. Undisturbed tasks are at 0.45 with a hundredth of their
 	// readings over 1, so this leaves few readings over the target.
-	admitRatio = 0.75
+	admitRatio = 0.7
 	// doubt is the weight of the model's deviation in admission: of a pair
 	// that was not seen yet one or two fills are tried on a worker.
 	doubt = 0.3
@@ -38,7 +38,7 @@
 	starvedUse = 0.6
 	// fillOvercommit is how far the expected processor use of a worker may go
 	// over its size by placing fills.
-	fillOvercommit = 1.1
+	fillOvercommit = 1.0
 	// harmlessRise of a tail over its target does not keep a fill out.
 	harmlessRise = 0.03
 	// lateFactor times its objective, a job earns nothing for being on time.
@@ -219,7 +219,7 @@
 		c.demand.note(s.Image, 1)
 		w.load.addFill(s.Image, float64(s.CPUMilli), w.info.CPUMilli)
 	case s.Lasting && s.TargetMS > 0:
-		w.load.addServing(s.Image)
+		w.load.addServing(s.Image, 1)
 	case !s.Lasting:
 		w.load.otherCPU += float64(s.CPUMilli)
 	}
@@ -287,8 +287,8 @@
 	harm := 0.0
 	for _, v := range w.load.serving {
 		mean, deviation := c.model.coefficient(v.image, s.spec.Image)
-		rise := (mean + doubt*deviation) * add
-		if c.model.expect(v.image, w.load.fills)+rise > admitRatio && rise > harmlessRise && !starved {
+		rise := (mean + doubt*deviation) * add * v.load
+		if c.model.expect(v.image, w.load.fills)*v.load+rise > admitRatio && rise > harmlessRise && !starved {
 			return 0, false
 		}
 		harm = max(harm, rise)
