Put off what an owner hears or concludes while its lease is not sure

The next owner took a job that came right after its takeover for one that nobody had started, while the previous owner, whose lease had lapsed unnoticed, heard of it by its watch and started it too at workers that had not seen the new term. Change: jobs heard of under an unsure lease wait for its renewal; cancels wait for their job; a task whose end was concluded, not listed, starts only under a sure lease.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -70,7 +70,9 @@
 	// unknown is set while tasks in phaseUnknown wait for settleUnknown.
 	unknown   bool
 	roster    roster
-	open      []*stepRun // steps with tasks that may start
+	open      []*stepRun      // steps with tasks that may start
+	deferred  []*job.Spec     // jobs that came while the lease was not sure
+	cancelled map[string]bool // jobs that were cancelled before they came
 	dirty     map[*jobState]struct{}
 	out       []Order
 	trace     func(Decision)
@@ -112,7 +114,7 @@
 	}
 	return &Core{
 		params: params, term: term,
-		queues: map[string]job.Queue{}, jobs: map[string]*jobState{},
+		queues: map[string]job.Queue{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{},
 		workers: map[WorkerID]*worker{}, unresolved: map[WorkerID]time.Duration{},
 		roster: newRoster(), dirty: map[*jobState]struct{}{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, perfByKey: map[perfKey]*runTimes{},
@@ -133,9 +135,12 @@
 // after it.
 func (c *Core) Renewed(sent time.Duration) {
 	c.validUntil = max(c.validUntil, sent+c.params.OwnerHorizon)
-	c.certainUntil = max(c.certainUntil, sent+c.params.OwnerTTL)
+	c.certainUntil = max(c.certainUntil, sent+c.params.OwnerTTL-leaseMargin)
 }
 
+// leaseMargin is kept of the owner's lease, for the rates of two clocks.
+const leaseMargin = 100 * time.Millisecond
+
 // certain reports whether no other owner can have taken over yet.
 func (c *Core) certain(now Instant) bool { return now.Steady < c.certainUntil }
 
@@ -161,6 +166,7 @@
 // Tick lets time pass: it gives up on silent workers, asks again for what was
 // not answered and forgets old jobs.
 func (c *Core) Tick(now Instant) {
+	c.addDeferred(now)
 	c.expireUnresolved(now)
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -81,7 +81,10 @@
 	avoid WorkerID
 	// readySince is when the task last became ready.
 	readySince time.Duration
-	// workDone is the share of the work that the checkpoint holds, if known.
+	// concluded is set if no list told how the last attempt ended. Such a task
+	// starts again only under a sure lease: the next owner may know its end.
+	concluded bool
+	// atWork is set while a lasting task is past its start.
 	atWork bool
 }
 
@@ -123,6 +126,12 @@
 	if _, ok := c.jobs[spec.ID]; ok {
 		return
 	}
+	if !before && !c.certain(now) {
+		// Another owner may be there, and take this for a job that nobody
+		// else can have started.
+		c.deferred = append(c.deferred, spec)
+		return
+	}
 	j := &jobState{spec: spec, shown: job.Queued, added: now.Steady, idleSince: now.Steady}
 	j.progress.State = job.Queued
 	c.jobs[spec.ID] = j
@@ -140,6 +149,22 @@
 	}
 	c.finishIfDone(j, now)
 	c.trace(Decision{Event: "job_added", Job: spec.ID, Reason: spec.Queue})
+	if c.cancelled[spec.ID] {
+		delete(c.cancelled, spec.ID)
+		c.Cancel(spec.ID, now)
+	}
+}
+
+// addDeferred takes in the jobs that came while the lease was not sure.
+func (c *Core) addDeferred(now Instant) {
+	if len(c.deferred) == 0 || !c.certain(now) {
+		return
+	}
+	list := c.deferred
+	c.deferred = nil
+	for _, spec := range list {
+		c.AddJob(spec, nil, false, now)
+	}
 }
 
 // build makes the steps and tasks.
@@ -365,7 +390,11 @@
 // Cancel ends a job that its customer no longer wants.
 func (c *Core) Cancel(id string, now Instant) {
 	j := c.jobs[id]
-	if j == nil || j.cancelled {
+	if j == nil {
+		c.cancelled[id] = true // its job is put off, or comes later
+		return
+	}
+	if j.cancelled {
 		return
 	}
 	j.cancelled = true
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -25,7 +25,7 @@
 		task: t, worker: w, run: run, deadline: deadline, tries: 1, sentAt: now.Steady, started: now.Steady,
 		percent: fullPace, paced: fullPace, inFlight: true, ticket: ticket,
 	}
-	t.attempt, t.phase = a, phaseStarting
+	t.attempt, t.phase, t.concluded = a, phaseStarting, false
 	s.ready--
 	s.job.active++
 	if s.perWork != nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -180,7 +180,7 @@
 func (c *Core) placeStep(s *stepRun, pool []*worker, now Instant) {
 	starved := s.job.active == 0 && now.Steady-s.job.idleSince > starvedAfter && poolUse(pool) < starvedUse
 	for _, t := range s.tasks {
-		if t.phase != phaseReady || now.Steady < t.notBefore {
+		if t.phase != phaseReady || now.Steady < t.notBefore || t.concluded && !c.certain(now) {
 			continue
 		}
 		w := c.choose(t, pool, starved, now)
@@ -317,7 +317,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if t.phase == phaseReady && now.Steady < t.notBefore {
+		if t.phase == phaseReady && (now.Steady < t.notBefore || t.concluded && !c.certain(now)) {
 			return
 		}
 	}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -134,6 +134,7 @@
 			for _, t := range s.tasks {
 				if t.phase == phaseUnknown {
 					t.phase = phaseWaiting
+					t.concluded = true
 				}
 			}
 			if s.spec.Gang && s.gangRun != 0 {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -517,6 +517,7 @@
 	for _, a := range slices.Clone(w.attempts) {
 		c.stats.Lost++
 		c.tellTask("run_lost", a.task, w, a.run, reason)
+		a.task.concluded = true
 		c.release(a, now)
 	}
 	w.synced = false // what it lists next must be read before it is used
