Remove the records of jobs that ended long ago

Cause: records of finished jobs stayed in the store for ever, and a takeover reads them all. Change: 30 s after its state need no longer be readable, a job's three keys go, eight jobs a write, under the owner's conditions. Test: TestRecordsOfOldJobsAreRemoved.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -35,6 +35,8 @@
 	drainListen = 2500 * time.Millisecond
 	// drainMargin is kept of the time before SIGKILL.
 	drainMargin = 500 * time.Millisecond
+	// jobKeptMargin is kept beyond the time that states must be readable.
+	jobKeptMargin = 30 * time.Second
 	// headerTimeout and idleTimeout bound customers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -83,7 +85,7 @@
 		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		Params: dispatch.Params{
 			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget, AwayNotice: b.AwayNotice,
-			JobKept: b.JobStateKept, Early: b.Early, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
+			JobKept: b.JobStateKept + jobKeptMargin, Early: b.Early, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
 		},
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -72,6 +72,7 @@
 	roster    roster
 	open      []*stepRun      // steps with tasks that may start
 	learntAt  time.Duration   // when it was last recorded what was learnt
+	expired   []string        // jobs whose records can be removed
 	deferred  []*job.Spec     // jobs that came while the lease was not sure
 	cancelled map[string]bool // jobs that were cancelled before they came
 	dirty     map[*jobState]struct{}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -412,6 +412,7 @@
 		}
 		if now.UnixMS-j.progress.EndedMS > c.params.JobKept.Milliseconds() && j.active == 0 {
 			delete(c.jobs, id)
+			c.expired = append(c.expired, id)
 		}
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -36,6 +36,7 @@
 	mu      sync.Mutex
 	running map[string]int
 	doubled []string
+	jobKept time.Duration
 }
 
 type testNode struct {
@@ -47,7 +48,7 @@
 }
 
 func newCell(t *testing.T, nodes, workers int) *cell {
-	c := &cell{t: t, store: wiretest.NewStore(), running: map[string]int{}}
+	c := &cell{t: t, store: wiretest.NewStore(), running: map[string]int{}, jobKept: time.Minute}
 	t.Cleanup(c.close)
 	c.store.Put("op/config", fmt.Appendf(nil, configText, 1))
 	for i := range workers {
@@ -82,7 +83,7 @@
 	n := node.New(node.Options{
 		Entry: name, PeerAddress: l.Addr().String(), ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		FreezeSlack: 5 * time.Second, // a loaded machine is no freeze
-		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: time.Minute, RemoteFactor: 1},
+		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1},
 	}, store, store, platform.NewWorkers(set), logger, set)
 	tn := &testNode{node: n, peers: &http.Server{Handler: n.PeersHandler()}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -356,3 +357,14 @@
 		return version() == 12
 	})
 }
+
+func TestRecordsOfOldJobsAreRemoved(t *testing.T) {
+	c := newCell(t, 0, 1)
+	c.jobKept = 10 * time.Millisecond
+	c.nodes = append(c.nodes, c.startNode("entry-0"))
+	c.submit(0, id(1), twoSteps)
+	c.await("removal", func() bool {
+		status, _, _ := c.call(0, "GET", id(1), "")
+		return status == http.StatusGone && len(c.store.Keys("ls/in/"))+len(c.store.Keys("ls/progress/")) == 0
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,12 @@
 	// flushRecords is the most records in one write: the store takes 32
 	// entries, of which two are conditions and three other keys.
 	flushRecords = 27
+	// idleFlush is the pause after which a flush is tried without news: for what
+	// was learnt, and for records to be removed.
+	idleFlush = 3 * time.Second
+	// removeJobs is the most finished jobs whose three records are removed in
+	// one write.
+	removeJobs = 8
 	// flushTimeout bounds one write; a slow store takes 400 ms.
 	flushTimeout = 1500 * time.Millisecond
 	// loadRetry is the longest pause between tries to read the store at
@@ -488,6 +495,7 @@
 		case <-o.ctx.Done():
 			return
 		case <-o.flushNow:
+		case <-time.After(idleFlush):
 		}
 		if o.flush(o.ctx) {
 			wait.reset()
@@ -527,10 +535,10 @@
 		return false
 	}
 	if len(records) == 0 && roster == nil && learnt == nil {
-		return true
+		return o.removeExpired(ctx)
 	}
 	began := o.node.clock()
-	ok := o.write(ctx, records, roster, learnt)
+	ok := o.write(ctx, recordOps(records, roster, learnt))
 	o.node.metrics.flush.UpdateDuration(time.Now().Add(began - o.node.clock()))
 	if !ok {
 		return false
@@ -547,28 +555,52 @@
 	return true
 }
 
-// write makes one transaction, under the condition that this is still the
-// owner and that no other write of its own came between.
-func (o *owner) write(ctx context.Context, records []dispatch.Record, roster, learnt []byte) bool {
-	txn := kv.Txn{
-		If:   []kv.Compare{{Key: leadKey, ModRevision: o.own.leadRev}, {Key: chainKey, ModRevision: o.own.chainRev}},
-		Then: []kv.Op{kv.Put(chainKey, []byte(o.own.lead.Session), 0)},
+// removeExpired removes the records of jobs that ended long ago.
+func (o *owner) removeExpired(ctx context.Context) bool {
+	o.mu.Lock()
+	ids := slices.Clone(o.core.Expired(removeJobs))
+	o.mu.Unlock()
+	if len(ids) == 0 {
+		return true
+	}
+	var ops []kv.Op
+	for _, id := range ids {
+		ops = append(ops, kv.Delete(jobPrefix+id), kv.Delete(cancelPrefix+id), kv.Delete(progressPrefix+id))
+	}
+	if !o.write(ctx, ops) {
+		return false
 	}
+	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.Removed(len(ids)) })
+	return true
+}
+
+func recordOps(records []dispatch.Record, roster, learnt []byte) []kv.Op {
+	var ops []kv.Op
 	if roster != nil {
-		txn.Then = append(txn.Then, kv.Put(rosterKey, roster, 0))
+		ops = append(ops, kv.Put(rosterKey, roster, 0))
 	}
 	if learnt != nil {
-		txn.Then = append(txn.Then, kv.Put(learntKey, learnt, 0))
+		ops = append(ops, kv.Put(learntKey, learnt, 0))
 	}
 	for _, r := range records {
-		txn.Then = append(txn.Then, kv.Put(progressPrefix+r.Job, r.Value, 0))
+		ops = append(ops, kv.Put(progressPrefix+r.Job, r.Value, 0))
+	}
+	return ops
+}
+
+// write makes one transaction, under the condition that this is still the
+// owner and that no other write of its own came between.
+func (o *owner) write(ctx context.Context, ops []kv.Op) bool {
+	txn := kv.Txn{
+		If:   []kv.Compare{{Key: leadKey, ModRevision: o.own.leadRev}, {Key: chainKey, ModRevision: o.own.chainRev}},
+		Then: append([]kv.Op{kv.Put(chainKey, []byte(o.own.lead.Session), 0)}, ops...),
 	}
 	wctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	res, err := o.node.store.Do(wctx, txn)
 	if err != nil {
 		if ctx.Err() == nil {
-			o.node.log.Warn().Str("event", "flush_failed").Int("records", len(records)).Err(err).Msg("")
+			o.node.log.Warn().Str("event", "flush_failed").Int("operations", len(ops)).Err(err).Msg("")
 		}
 		return false
 	}
