--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -23,8 +24,10 @@
 
 // nodeCommand runs an entry on the users' platform.
 type nodeCommand struct {
-	Check    bool   `long:"check" description:"read the settings, print the first mistake and end"`
-	LogLevel string `long:"log-level" default:"info" description:"least level of log lines"`
+	Check bool `long:"check" description:"read the settings, print the first mistake and end"`
+	// MetricsPort is the one that the deploy file names.
+	MetricsPort uint16 `long:"metrics-port" default:"7721" description:"port of the counters"`
+	LogLevel    string `long:"log-level" default:"info" description:"least level of log lines"`
 }
 
 // Figures of the process.
@@ -54,10 +57,10 @@
 	set := metrics.NewSet()
 	logger, flush := logging.New(os.Stdout, c.LogLevel, settings.Entry, set)
 	defer flush()
-	return runNode(settings, logger, set)
+	return runNode(settings, c.MetricsPort, logger, set)
 }
 
-func runNode(s platform.Settings, logger *log.Logger, set *metrics.Set) error {
+func runNode(s platform.Settings, metricsPort uint16, logger *log.Logger, set *metrics.Set) error {
 	store := platform.NewStore(s.StoreAddress, set)
 	n := node.New(nodeOptions(s), store, store, platform.NewWorkers(set), logger, set)
 	logger.Info().Str("event", "start").Str("data_centre", s.DataCentre).Msg("")
@@ -67,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if figures := listenMetrics(s.IP, metricsPort, logger, set); figures != nil {
+		servers = append(servers, figures)
+	}
 	for _, srv := range servers {
 		g.Add(srv.serve, srv.interrupt)
 	}
@@ -103,7 +109,6 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	figures := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
 	var servers []*server
 	for _, x := range []struct {
 		name, address string
@@ -112,7 +117,6 @@
 		{"callers", s.Callers, platform.NewFront(n, logger, set)},
 		{"ready", s.Ready, ready},
 		{"peers", s.Peers, n.PeersHandler()},
-		{"metrics", s.Metrics, figures},
 	} {
 		l, err := net.Listen("tcp", x.address)
 		if err != nil {
@@ -125,6 +129,18 @@
 	return servers, nil
 }
 
+// listenMetrics returns the server of the counters. Without it the node works
+// on: jobs matter more.
+func listenMetrics(ip string, port uint16, logger *log.Logger, set *metrics.Set) *server {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(int(port))))
+	if err != nil {
+		logger.Error().Str("event", "metrics_not_served").Err(err).Msg("")
+		return nil
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	return &server{"metrics", l, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
+}
+
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/cmd/leverstile/trace.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"leverstile.dev/api/result"
+)
+
+// traceCommand follows a job through the logs of all entries.
+type traceCommand struct {
+	Job  string `long:"job" required:"true" value-name:"ID" description:"id of the job"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"log files of the entries; standard input without one"`
+	} `positional-args:"true"`
+}
+
+// logLine is what trace reads of a log line.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Entry    string    `json:"entry"`
+	Event    string    `json:"event"`
+	Job      string    `json:"job"`
+	Task     string    `json:"task"`
+	Run      uint64    `json:"run"`
+	Worker   string    `json:"worker"`
+	Reason   string    `json:"reason"`
+	Key      string    `json:"key"`
+	Recorded string    `json:"recorded"`
+	Error    string    `json:"error"`
+	Status   int       `json:"status"`
+}
+
+// surroundings are events that explain a job's fate without naming it.
+var surroundings = map[string]bool{
+	"store_lost": true, "store_regained": true, "owner_begin": true, "owner_end": true, "owner_loaded": true,
+	"recovery_begun": true, "recovery_done": true, "owner_suspended": true, "owner_resumed": true, "lease_lost": true,
+	"deposed": true, "config_in_force": true, "signal": true, "start": true, "stop": true,
+}
+
+// Execute implements flags.Commander.
+func (c *traceCommand) Execute([]string) error {
+	t := tracer{job: c.Job, out: os.Stdout}
+	if len(c.Args.Files) == 0 {
+		if err := t.read(os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return result.New(result.BadRequest, "%v", err)
+		}
+		err = t.read(f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return err
+		}
+	}
+	return t.summary()
+}
+
+// tracer prints the lines of a job and counts what became of its runs.
+type tracer struct {
+	job     string
+	out     io.Writer
+	first   time.Time
+	last    time.Time
+	events  map[string]int
+	workers map[string]bool
+}
+
+// longestLine bounds a log line.
+const longestLine = 1 << 20
+
+func (t *tracer) read(in io.Reader) error {
+	scan := bufio.NewScanner(in)
+	scan.Buffer(nil, longestLine)
+	for scan.Scan() {
+		text := scan.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal([]byte(text[start:]), &l) != nil {
+			continue // not a line of ours
+		}
+		t.take(&l)
+	}
+	return scan.Err()
+}
+
+func (t *tracer) take(l *logLine) {
+	mine := l.Job == t.job || strings.HasSuffix(l.Key, "/"+t.job)
+	if !mine && (!surroundings[l.Event] || t.first.IsZero()) {
+		return
+	}
+	if mine {
+		t.note(l)
+	}
+	mark := "  "
+	if !mine {
+		mark = "~ "
+	}
+	_, _ = fmt.Fprintf(t.out, "%s%s %-18s %-16s %s\n", mark, l.Time.Format("15:04:05.000"), l.Entry, l.Event, l.detail())
+}
+
+func (t *tracer) note(l *logLine) {
+	if t.first.IsZero() {
+		t.first, t.events, t.workers = l.Time, map[string]int{}, map[string]bool{}
+	}
+	t.last = l.Time
+	t.events[l.Event]++
+	if l.Worker != "" {
+		t.workers[l.Worker] = true
+	}
+}
+
+func (l *logLine) detail() string {
+	var parts []string
+	for _, p := range []struct{ name, value string }{
+		{"task", l.Task}, {"worker", l.Worker}, {"recorded", l.Recorded}, {"reason", l.Reason}, {"error", l.Error},
+	} {
+		if p.value != "" {
+			parts = append(parts, p.name+"="+p.value)
+		}
+	}
+	if l.Status != 0 {
+		parts = append(parts, fmt.Sprintf("status=%d", l.Status))
+	}
+	return strings.Join(parts, " ")
+}
+
+// summary prints what became of the job's runs.
+func (t *tracer) summary() error {
+	if t.first.IsZero() {
+		return result.New(result.UnknownTask, "no line names job %s", t.job)
+	}
+	_, err := fmt.Fprintf(t.out, "job %s: %.3f s from its first line to its last; on %d workers; started %d, done %d, failed %d, stopped %d, lost %d, slowed %d, waited %d times\n",
+		t.job, t.last.Sub(t.first).Seconds(), len(t.workers), t.events["run_started"], t.events["run_done"], t.events["run_failed"],
+		t.events["run_stopped"], t.events["run_lost"], t.events["fill_slowed"], t.events["step_waits"])
+	return err
+}
--- /dev/null
+++ b/cmd/leverstile/trace_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const traceLog = `{"time":"2026-01-01T10:00:00.000Z","entry":"e1","event":"store_lost"}
+not a log line
+12.0 e1 {"time":"2026-01-01T10:00:01.000Z","entry":"e1","event":"job_submitted","job":"aa","recorded":"yes"}
+{"time":"2026-01-01T10:00:01.500Z","entry":"e2","event":"owner_begin","term":2}
+{"time":"2026-01-01T10:00:02.000Z","entry":"e2","event":"run_started","job":"aa","task":"aa.0.0.0","worker":"w1"}
+{"time":"2026-01-01T10:00:02.000Z","entry":"e2","event":"run_started","job":"bb","task":"bb.0.0.0","worker":"w1"}
+{"time":"2026-01-01T10:00:04.000Z","entry":"e2","event":"run_done","job":"aa","task":"aa.0.0.0","worker":"w1"}
+`
+
+func TestTraceFollowsOneJob(t *testing.T) {
+	var out bytes.Buffer
+	tr := tracer{job: "aa", out: &out}
+	if err := tr.read(strings.NewReader(traceLog)); err != nil {
+		t.Fatal(err)
+	}
+	if err := tr.summary(); err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	for _, want := range []string{"recorded=yes", "~ 10:00:01.500", "3.000 s from its first line", "started 1, done 1, failed 0"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in:\n%s", want, text)
+		}
+	}
+	for _, other := range []string{"bb", "store_lost"} {
+		if strings.Contains(text, other) {
+			t.Errorf("%q stands in:\n%s", other, text)
+		}
+	}
+	if err := (&tracer{job: "cc", out: &out}).summary(); err == nil {
+		t.Error("a job that no line names is no error")
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -41,10 +41,10 @@
 	ready  int
 	queued bool
 	// gangRun is the run number of the gang that is active, 0 for none.
-	gangRun uint64
-	perWork map[*worker]int // attempts by worker, only with MaxPerWorker
-	// away counts lasting tasks that are not at work.
-	checkpoint string // of a gang
+	gangRun     uint64
+	perWork     map[*worker]int // attempts by worker, only with MaxPerWorker
+	checkpoint  string          // of a gang
+	toldWaiting time.Duration
 }
 
 // phase is where a task is in its life.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -41,6 +41,8 @@
 	fillOvercommit = 1.0
 	// harmlessRise of a tail over its target does not keep a fill out.
 	harmlessRise = 0.03
+	// waitingPause is the pause between two log lines on a step that waits.
+	waitingPause = time.Second
 	// lateFactor times its objective, a job earns nothing for being on time.
 	lateFactor = 3
 )
@@ -189,6 +191,7 @@
 			w = c.choose(t, pool, starved, now)
 		}
 		if w == nil {
+			c.tellWaiting(s, pool, now)
 			return
 		}
 		c.place(t, w, c.newRun(), now)
@@ -196,6 +199,23 @@
 	}
 }
 
+// tellWaiting logs, now and then, why ready tasks of a step do not start.
+func (c *Core) tellWaiting(s *stepRun, pool []*worker, now Instant) {
+	if now.Steady < s.toldWaiting+waitingPause {
+		return
+	}
+	s.toldWaiting = now.Steady
+	reason := "no worker takes work"
+	for _, w := range pool {
+		reason = "no worker has room"
+		if s.allowed(w) && w.fits(s.amount()) {
+			reason = "it would hurt the tasks on each worker with room, or has no processor time there"
+			break
+		}
+	}
+	c.trace(Decision{Event: "step_waits", Job: s.job.spec.ID, Reason: reason, Age: now.Steady - s.job.idleSince})
+}
+
 // poolUse returns the part of the workers' processors that is taken.
 func poolUse(pool []*worker) float64 {
 	var used, size int64
