--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// benchCore is a core with workers that all serve lasting tasks.
+func benchCore(b *testing.B, workers int) *Core {
+	b.Helper()
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour, JobKept: time.Hour}, 1, nil)
+	core.Renewed(0)
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, MaxAttempts: 3}}})
+	var list []WorkerInfo
+	for i := range workers {
+		list = append(list, WorkerInfo{ID: WorkerID(fmt.Sprintf("w%05d", i)), Address: fmt.Sprint(i), Service: "svc", CPUMilli: 16000, MemoryMiB: 64000})
+	}
+	now := Instant{Steady: time.Second}
+	core.SetWorkers(list, now)
+	_, ids, err := core.Roster()
+	if err != nil {
+		b.Fatal(err)
+	}
+	core.RosterStored(ids)
+	for i, info := range list {
+		core.HoldDone(HoldOrder{Worker: info.ID}, HoldReply{ClockMS: 1000}, OutcomeOK, now)
+		spec := lastingJob(i, 4)
+		spec.Steps[0].CPUMilli, spec.Steps[0].MemoryMiB = 3200, 6400
+		spec.Steps[0].Image, spec.Steps[0].TargetMS = fmt.Sprintf("serve%d", i%5), 50
+		core.AddJob(spec, nil, false, now)
+	}
+	core.Schedule(now)
+	core.TakeOrders()
+	return core
+}
+
+// BenchmarkStart is a task of a filling job from hand-in to its recorded end.
+func BenchmarkStart(b *testing.B) {
+	for _, workers := range []int{66, 490, 2000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			core := benchCore(b, workers)
+			now := Instant{Steady: 2 * time.Second}
+			number := map[WorkerID]uint64{}
+			const tasks = 8
+			b.ResetTimer()
+			for n := 0; n < b.N; n += tasks {
+				now.Steady += 10 * time.Millisecond
+				core.Renewed(now.Steady)
+				spec := simpleJob(1_000_000+n, tasks)
+				spec.Steps[0].Fills, spec.Steps[0].Image = true, fmt.Sprintf("fill%d", n/tasks%9)
+				core.AddJob(spec, nil, false, now)
+				core.Schedule(now)
+				for _, o := range core.TakeOrders() {
+					if o.Kind != OrderStart {
+						continue
+					}
+					core.OrderDone(o, Answer{ClockMS: 1000 + int64(n)}, now)
+					number[o.Worker]++
+					ended := []EndedTask{{Number: number[o.Worker], Task: o.Task, Run: o.Run, Kind: EndDone}}
+					w := core.workers[o.Worker]
+					core.takeEnds(w, ended, now)
+					w.rebuild()
+				}
+				records, err := core.Records(27)
+				if err != nil {
+					b.Fatal(err)
+				}
+				core.Persisted(records)
+			}
+		})
+	}
+}
+
+// BenchmarkList is a worker's list of its running tasks, with readings.
+func BenchmarkList(b *testing.B) {
+	core := benchCore(b, 66)
+	now := Instant{Steady: 2 * time.Second}
+	w := core.workers["w00000"]
+	reply := HoldReply{ClockMS: 2000}
+	for _, a := range w.attempts {
+		reply.Running = append(reply.Running, RunningTask{Task: a.task.id(), Run: a.run, Percent: 100, Reading: 20, HasReading: true})
+	}
+	b.ReportMetric(float64(len(reply.Running)), "tasks")
+	for b.Loop() {
+		now.Steady += 10 * time.Millisecond
+		reply.ClockMS += 10
+		core.HoldDone(HoldOrder{Worker: w.info.ID}, reply, OutcomeOK, now)
+	}
+}
