--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does with bytes.
+type mode int
+
+const (
+	passing   mode = iota
+	delaying       // each chunk comes late
+	silent         // nothing comes through, in either direction
+	deafOne        // requests go through, answers do not
+	resetting      // connections are reset, new ones too
+)
+
+// proxy stands between one process and the store. Its lock guards mode and conns.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	mode     mode
+	conns    map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m == resetting {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+func (p *proxy) now() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.now() == resetting {
+			reset(c)
+			continue
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	up, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(c)
+		return
+	}
+	p.mu.Lock()
+	p.conns[c] = true
+	p.mu.Unlock()
+	go p.copy(up, c, false)
+	p.copy(c, up, true)
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+}
+
+// copy moves bytes as the mode says; held bytes are lost when the connection ends.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			if err != io.EOF {
+				reset(to)
+			}
+			return
+		}
+		for {
+			m := p.now()
+			if m == silent || m == deafOne && answers {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			if m == delaying {
+				time.Sleep(time.Duration(50+rand.IntN(250)) * time.Millisecond)
+			}
+			break
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
