Stop fills for more urgent tasks that only lack memory; tell which resource a step waits for

Kept: preemption for memory, with TestUrgentTasksTakeMemoryOfFills; the reason names the resource. Tried and dropped: tight fits for urgent tasks and no small leftovers beside lasting ones. What binds: room declared by lasting tasks; moving them to close gaps is not built.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -227,3 +227,34 @@
 		t.Errorf("%d of %d jobs were ever written", len(written), jobs)
 	}
 }
+
+// A more urgent task that only lacks memory takes the place of fills, which go
+// on elsewhere with their checkpoints.
+func TestUrgentTasksTakeMemoryOfFills(t *testing.T) {
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Minute, OwnerHorizon: time.Minute, JobKept: time.Hour}, 1, nil)
+	now := Instant{Steady: time.Second}
+	core.Renewed(0)
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}, {Name: "patient", Service: "svc", Priority: 2}}})
+	core.SetWorkers([]WorkerInfo{{ID: "w", Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 1000}}, now)
+	core.RosterStored([]WorkerID{"w"})
+	core.HoldDone(core.PlanHold("w", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
+	fills := simpleJob(1, 2)
+	fills.Queue = "patient"
+	fills.Steps[0].Fills, fills.Steps[0].Checkpoints = true, true
+	core.AddJob(fills, nil, false, now)
+	core.Schedule(now)
+	for _, o := range core.TakeOrders() {
+		core.OrderDone(o, Answer{ClockMS: 1001}, now)
+	}
+	core.AddJob(simpleJob(2, 1), nil, false, now)
+	core.Schedule(now)
+	stops := 0
+	for _, o := range core.TakeOrders() {
+		if o.Kind == OrderStop && o.Task.Job == fills.ID {
+			stops++
+		}
+	}
+	if stops != 1 {
+		t.Errorf("%d fills were stopped for one task, want 1", stops)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -45,6 +45,7 @@
 	perWork     map[*worker]int // attempts by worker, only with MaxPerWorker
 	checkpoint  string          // of a gang
 	toldWaiting time.Duration
+	preempted   time.Duration // when room was last made for it
 }
 
 // phase is where a task is in its life.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -191,6 +191,7 @@
 			w = c.choose(t, pool, starved, now)
 		}
 		if w == nil {
+			c.preempt(s, c.queues[s.job.spec.Queue].Priority, pool, now)
 			c.tellWaiting(s, pool, now)
 			return
 		}
@@ -205,12 +206,18 @@
 		return
 	}
 	s.toldWaiting = now.Steady
-	reason := "no worker takes work"
+	reason, fits := "no worker takes work", false
 	for _, w := range pool {
-		reason = "no worker has room"
-		if s.allowed(w) && w.fits(s.amount()) {
+		amount := s.amount()
+		switch {
+		case !s.allowed(w):
+		case w.fits(amount):
 			reason = "it would hurt the tasks on each worker with room, or has no processor time there"
-			break
+			fits = true
+		case w.fits(resources{cpu: amount.cpu}) && !fits:
+			reason = "no worker has the memory"
+		case reason == "no worker takes work":
+			reason = "no worker has the processors"
 		}
 	}
 	c.trace(Decision{Event: "step_waits", Job: s.job.spec.ID, Reason: reason, Age: now.Steady - s.job.idleSince})
