--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -258,3 +258,47 @@
 		t.Errorf("%d fills were stopped for one task, want 1", stops)
 	}
 }
+
+// Rough readings of a task that is over its target dip below it; the fills
+// beside it must be halted all the same before the time allowed is over (found
+// by: quiet-1 --seed 11 of aulagrabada-lima; HARM).
+func TestReadingsThatDipDoNotEndTheWatch(t *testing.T) {
+	const allowed = 4 * time.Second
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour, OverTarget: allowed}, 1, nil)
+	core.Renewed(0)
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
+	core.SetWorkers([]WorkerInfo{{ID: "w", Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 9000}}, Instant{})
+	core.RosterStored([]WorkerID{"w"})
+	now := Instant{Steady: time.Second}
+	core.HoldDone(core.PlanHold("w", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
+	serving, fill := lastingJob(1, 1), simpleJob(2, 1)
+	serving.Steps[0].TargetMS, serving.Steps[0].Image = 100, "web"
+	fill.Steps[0].Fills, fill.Steps[0].Image = true, "noisy"
+	core.AddJob(serving, nil, false, now)
+	core.AddJob(fill, nil, false, now)
+	core.Schedule(now)
+	var rows []RunningTask
+	for _, o := range core.TakeOrders() {
+		core.OrderDone(o, Answer{ClockMS: 1001}, now)
+		rows = append(rows, RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace, HasReading: true})
+	}
+	began := now.Steady
+	for i := 0; now.Steady-began < allowed*3/4; i++ {
+		now.Steady += holdWaitWatched
+		reply := HoldReply{ClockMS: 1001 + now.Steady.Milliseconds(), Running: rows}
+		for k := range rows {
+			rows[k].Reading = 500 // a fill's processor use
+			if rows[k].Task.Job == serving.ID {
+				rows[k].Reading = []int64{91, 88, 107, 92, 94, 113}[i%6]
+			}
+		}
+		core.HoldDone(HoldOrder{Worker: "w"}, reply, OutcomeOK, now)
+		for _, o := range core.TakeOrders() {
+			core.OrderDone(o, Answer{ClockMS: reply.ClockMS}, now)
+			if o.Kind == OrderPace && o.Percent == 0 {
+				return
+			}
+		}
+	}
+	t.Errorf("the fill works on after %v", now.Steady-began)
+}
