--- /dev/null
+++ b/dispatch/lists.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Figures of workers' lists.
+const (
+	// maxEndsListed is the most ends in one answer.
+	maxEndsListed = 500
+	// foreignRetry is the pause between stops of a run that should not be there.
+	foreignRetry = 500 * time.Millisecond
+)
+
+// takeEnds takes in ends in their order, each once.
+func (c *Core) takeEnds(w *worker, ends []EndedTask, now Instant) {
+	slices.SortFunc(ends, func(a, b EndedTask) int { return int(a.Number) - int(b.Number) })
+	for i := range ends {
+		if e := &ends[i]; e.Number > w.processed {
+			w.processed = e.Number
+			c.takeEnd(w, e, now)
+		}
+	}
+}
+
+// advanceSeen moves the mark up to which ends may be forgotten over those
+// whose effect the store holds.
+func (w *worker) advanceSeen() {
+	for len(w.ends) > 0 {
+		e := w.ends[0]
+		if e.job != nil && e.job.persisted < e.version {
+			return
+		}
+		w.seen = e.number
+		w.ends = w.ends[1:]
+	}
+}
+
+// takeRunning compares the worker's list with what is expected there.
+func (c *Core) takeRunning(w *worker, reply HoldReply, now Instant) {
+	listed := make(map[*attempt]bool, len(reply.Running))
+	seenForeign := map[job.TaskID]bool{}
+	for i := range reply.Running {
+		row := &reply.Running[i]
+		t := c.findTask(row.Task)
+		a := c.matchRow(w, t, row, now)
+		if a == nil {
+			c.stopForeign(w, t, row, now)
+			seenForeign[row.Task] = true
+			continue
+		}
+		listed[a] = true
+		c.confirm(a, row, reply.ClockMS, now)
+	}
+	for id := range w.foreign {
+		if !seenForeign[id] {
+			delete(w.foreign, id)
+		}
+	}
+	for _, a := range slices.Clone(w.attempts) {
+		if !listed[a] {
+			c.missing(a, reply, now)
+		}
+	}
+	c.observe(w, now)
+}
+
+func (c *Core) findTask(id job.TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil || id.Occurrence >= j.spec.Times() || id.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	at := id.Occurrence*len(j.spec.Steps) + id.Step
+	if at >= len(j.steps) || id.Index >= len(j.steps[at].tasks) {
+		return nil
+	}
+	return j.steps[at].tasks[id.Index]
+}
+
+// matchRow returns the attempt that a row speaks of. A run that the previous
+// owner started is adopted.
+func (c *Core) matchRow(w *worker, t *task, row *RunningTask, now Instant) *attempt {
+	if t == nil {
+		return nil
+	}
+	if a := t.attempt; a != nil {
+		if a.worker == w && a.run == row.Run {
+			return a
+		}
+		return nil
+	}
+	// A gang's members share a run; a lone survivor of an older run is stopped.
+	adoptable := !w.synced && t.phase != phaseDone && !t.step.job.progress.State.Final() &&
+		(!t.step.spec.Gang || t.step.gangRun == 0 || t.step.gangRun == row.Run)
+	if !adoptable {
+		return nil
+	}
+	if t.phase == phaseReady {
+		t.step.ready--
+	}
+	a := &attempt{task: t, worker: w, run: row.Run, percent: fullPace, paced: fullPace, sentAt: now.Steady, started: now.Steady, adopted: true}
+	t.attempt, t.phase = a, phaseRunning
+	t.step.job.active++
+	c.markBegun(t.step.job)
+	if t.step.perWork != nil {
+		t.step.perWork[w]++
+	}
+	if t.step.spec.Gang {
+		t.step.gangRun = row.Run
+	}
+	w.add(a)
+	c.tellTask("run_adopted", t, w, row.Run, "listed at takeover")
+	return a
+}
+
+// confirm takes in what a row tells of an attempt.
+func (c *Core) confirm(a *attempt, row *RunningTask, clock int64, now Instant) {
+	t := a.task
+	if a.ackClock == 0 {
+		a.ackClock = clock
+	}
+	if t.phase == phaseStarting {
+		t.phase = phaseRunning
+		a.started = now.Steady
+	}
+	if row.Checkpoint != "" {
+		t.checkpoint = row.Checkpoint
+		t.step.checkpoint = row.Checkpoint
+	}
+	c.read(a, row, now)
+}
+
+// missing handles an attempt that a list lacks, and whose end was not told.
+func (c *Core) missing(a *attempt, reply HoldReply, now Instant) {
+	if a.ackClock == 0 && reply.ClockMS <= a.deadline {
+		return // the start order may still arrive
+	}
+	if a.ackClock > 0 && reply.ClockMS <= a.ackClock {
+		return // the list is older than the run
+	}
+	if len(reply.Ended) >= maxEndsListed {
+		return // its end may not have had room in the answer
+	}
+	reason := "not listed after its start's deadline"
+	if a.ackClock > 0 {
+		reason = "no longer listed"
+	}
+	c.stats.Unanswered++
+	c.tellTask("run_missing", a.task, a.worker, a.run, reason)
+	c.release(a, now)
+}
+
+func (c *Core) stopForeign(w *worker, t *task, row *RunningTask, now Instant) {
+	f := w.foreign[row.Task]
+	if f.run != row.Run {
+		f = foreignRun{run: row.Run, askAt: now.Steady}
+		c.trace(Decision{Event: "run_unexpected", Job: row.Task.Job, Task: row.Task, Run: row.Run, Worker: w.info.ID, Reason: "stopped"})
+	}
+	if t != nil {
+		f.amount = t.step.amount()
+	}
+	if now.Steady >= f.askAt {
+		f.askAt = now.Steady + foreignRetry
+		c.out = append(c.out, Order{Kind: OrderStop, Worker: w.info.ID, Address: w.info.Address, Term: c.term, Task: row.Task, Run: row.Run})
+	}
+	w.foreign[row.Task] = f
+}
--- /dev/null
+++ b/dispatch/polls.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import "time"
+
+// HoldPlan says what to do next for a worker: send Order if Send is set, and
+// come back after Pause otherwise.
+type HoldPlan struct {
+	Order HoldOrder
+	Send  bool
+	Pause time.Duration
+	// Gone is set once the worker needs no more polls ever.
+	Gone bool
+}
+
+// idlePause is how often a worker without tasks is looked at again by the
+// loop; nothing is sent.
+const idlePause = 500 * time.Millisecond
+
+// PlanHold returns the next poll of a worker.
+func (c *Core) PlanHold(id WorkerID, now Instant) HoldPlan {
+	w := c.workers[id]
+	if w == nil {
+		return HoldPlan{Gone: true}
+	}
+	if w.overReason != "" {
+		return HoldPlan{Pause: idlePause}
+	}
+	if w.synced && len(w.attempts) == 0 && len(w.foreign) == 0 && len(w.ends) == 0 {
+		return HoldPlan{Pause: idlePause}
+	}
+	h := HoldOrder{Worker: id, Address: w.info.Address, Term: c.term, Seen: w.seen}
+	// A poll without an answer may still extend the leases. While a worker is
+	// silent it is only asked, so that its leases come to an end.
+	if w.synced && w.holdFails == 0 {
+		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
+		h.Wait = w.pollWait()
+	}
+	return HoldPlan{Order: h, Send: true}
+}
+
+func (w *worker) pollWait() time.Duration {
+	if len(w.ends) > 0 {
+		return 0
+	}
+	serves, fills := false, false
+	for _, a := range w.attempts {
+		s := a.task.step.spec
+		serves = serves || (s.Lasting && s.TargetMS > 0)
+		fills = fills || s.Fills
+	}
+	if serves && fills {
+		return holdWaitWatched
+	}
+	return holdWait
+}
+
+// HoldDone takes in the answer to a poll and returns how long to wait before
+// the next one.
+func (c *Core) HoldDone(order HoldOrder, reply HoldReply, outcome Outcome, now Instant) time.Duration {
+	w := c.workers[order.Worker]
+	if w == nil {
+		return 0
+	}
+	switch outcome {
+	case OutcomeOK:
+	case OutcomeFenced:
+		c.depose(w)
+		return holdRetryMax
+	case OutcomeOtherLife:
+		c.lifeOver(w, "another life answers", now)
+		return 0
+	default:
+		return c.holdFailed(w, outcome)
+	}
+	if w.holdFails >= suspectAfter {
+		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
+	}
+	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
+	fresh := w.noteClock(reply.ClockMS, now)
+	c.takeEnds(w, reply.Ended, now)
+	if fresh {
+		c.takeRunning(w, reply, now)
+	}
+	if !w.synced {
+		w.synced = true
+		// What runs here may have any lease that the previous owner could give.
+		w.lastDeadline = max(w.lastDeadline, reply.ClockMS+c.params.MaxTaskLease.Milliseconds())
+		c.resolve(w.info.ID, "lists read", now)
+	}
+	w.advanceSeen()
+	if len(w.ends) > 0 {
+		return holdGapUnsaved
+	}
+	return 0
+}
+
+func (c *Core) depose(w *worker) {
+	if !c.deposed {
+		c.trace(Decision{Event: "deposed", Worker: w.info.ID, Reason: "the worker has seen a higher term"})
+	}
+	c.deposed = true
+}
+
+func (c *Core) holdFailed(w *worker, outcome Outcome) time.Duration {
+	w.holdFails++
+	w.unanswered++
+	if w.holdFails == suspectAfter {
+		c.trace(Decision{Event: "worker_unreached", Worker: w.info.ID, Reason: outcome.String()})
+	}
+	return min(holdRetryMin<<min(w.holdFails, 4), holdRetryMax)
+}
--- /dev/null
+++ b/dispatch/silence.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import "slices"
+
+// tickWorker gives up on a worker that is silent for longer than its leases.
+func (c *Core) tickWorker(w *worker, now Instant) {
+	if w.overReason != "" {
+		c.lifeOver(w, w.overReason, now)
+		return
+	}
+	for _, a := range w.attempts {
+		c.tickAttempt(a, now)
+	}
+	// An owner that may have been replaced must not conclude anything from
+	// time alone: the next one may know how these runs ended.
+	if len(w.attempts) > 0 && w.clock > 0 && c.certain(now) && w.surelyPast(w.lastDeadline, now) {
+		c.lose(w, "its leases are over", now)
+	}
+	if !w.listed && len(w.attempts) == 0 && len(w.ends) == 0 && w.holdFails >= suspectAfter {
+		if _, wait := c.unresolved[w.info.ID]; !wait {
+			c.forget(w, "not listed, silent and without tasks")
+		}
+	}
+}
+
+// lose releases all attempts at a worker: none of them can be running.
+func (c *Core) lose(w *worker, reason string, now Instant) {
+	for _, a := range slices.Clone(w.attempts) {
+		c.stats.Lost++
+		c.tellTask("run_lost", a.task, w, a.run, reason)
+		a.task.concluded = true
+		c.release(a, now)
+	}
+	w.synced = false // what it lists next must be read before it is used
+}
+
+// lifeOver handles the proof that a life of a worker has ended. An owner that
+// may have been replaced puts off the conclusion: the next one may have read how
+// the runs there ended before that life was over.
+func (c *Core) lifeOver(w *worker, reason string, now Instant) {
+	if !c.certain(now) {
+		w.overReason = reason
+		return
+	}
+	c.lose(w, reason, now)
+	c.resolve(w.info.ID, reason, now)
+	c.forget(w, reason)
+}
+
+func (c *Core) forget(w *worker, reason string) {
+	delete(c.workers, w.info.ID)
+	c.roster.drop(w.info.ID)
+	c.trace(Decision{Event: "worker_forgotten", Worker: w.info.ID, Reason: reason})
+}
+
+// Workers returns the ids of all workers to poll.
+func (c *Core) Workers() []WorkerID {
+	ids := make([]WorkerID, 0, len(c.workers))
+	for id := range c.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/node/contact.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"leverstile.dev/dispatch"
+)
+
+// Figures of the contact with workers.
+const (
+	// freezeMargin is added to the platform's slack for late timers before a
+	// pause counts as a freeze.
+	freezeMargin = 200 * time.Millisecond
+)
+
+func (o *owner) syncPollers() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := map[dispatch.WorkerID]bool{}
+	for _, id := range o.core.Workers() {
+		known[id] = true
+		if o.polled[id] == nil {
+			ctx, cancel := context.WithCancel(o.ctx)
+			o.polled[id] = cancel
+			o.running.Go(func() { o.pollLoop(ctx, id) })
+		}
+	}
+	for id, cancel := range o.polled {
+		if !known[id] {
+			cancel()
+			delete(o.polled, id)
+		}
+	}
+}
+
+// pollLoop keeps the leases at one worker and reads its lists.
+func (o *owner) pollLoop(ctx context.Context, id dispatch.WorkerID) {
+	for ctx.Err() == nil {
+		var plan dispatch.HoldPlan
+		o.locked(func(c *dispatch.Core, now dispatch.Instant) { plan = c.PlanHold(id, now) })
+		if plan.Gone {
+			return
+		}
+		if !plan.Send {
+			sleep(ctx, plan.Pause)
+			continue
+		}
+		if !o.mayAct(ctx) {
+			return
+		}
+		reply, outcome := o.node.workers.Hold(ctx, plan.Order)
+		if ctx.Err() != nil {
+			return
+		}
+		var pause time.Duration
+		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
+			pause = c.HoldDone(plan.Order, reply, outcome, now)
+		})
+		signal(o.wake)
+		sleep(ctx, pause)
+	}
+}
+
+// send makes one call to a worker and takes in the answer.
+func (o *owner) send(order dispatch.Order) {
+	answer := dispatch.Answer{Outcome: dispatch.OutcomeUnknown}
+	if o.mayAct(o.ctx) {
+		answer = o.node.workers.Send(o.ctx, order)
+	}
+	if o.ctx.Err() != nil {
+		return
+	}
+	o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.OrderDone(order, answer, now) })
+	if order.Kind == dispatch.OrderStart && answer.Outcome != dispatch.OutcomeOK {
+		signal(o.wake)
+	}
+}
+
+// mayAct waits while the owner is suspended after a freeze; it reports false
+// once the ownership has ended.
+func (o *owner) mayAct(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		o.noticeFreeze()
+		suspended := o.suspended
+		o.mu.Unlock()
+		if !suspended {
+			return true
+		}
+		sleep(ctx, tickPause/4)
+	}
+	return false
+}
+
+// noticeFreeze suspends orders if the process did not run for a while: the
+// lease may be over. The next renewal resumes them.
+func (o *owner) noticeFreeze() {
+	now := o.node.clock()
+	if pause := now - o.lastAlive; pause > tickPause+o.node.opts.FreezeSlack+freezeMargin && !o.suspended {
+		o.suspended = true
+		o.node.log.Warn().Str("event", "owner_suspended").Dur("pause", pause).Msg("")
+	}
+	o.lastAlive = max(o.lastAlive, now)
+}
--- /dev/null
+++ b/node/feed.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/kv"
+)
+
+// Figures of what the owner follows.
+const (
+	// listPause is the pause between reads of the list of workers. A worker
+	// that drains must get no new work within 2 s.
+	listPause = 700 * time.Millisecond
+)
+
+// intakeLoop takes in jobs and cancellations as entries record them.
+func (o *owner) intakeLoop(rev int64) {
+	wait := backoff{least: loadRetryMin, most: loadRetryMax}
+	for o.ctx.Err() == nil {
+		err := o.node.store.Watch(o.ctx, intakePrefix, rev, func(at int64, events []kv.Event) {
+			rev = at
+			wait.reset()
+			o.takeIn(events)
+		})
+		if o.ctx.Err() != nil {
+			return
+		}
+		if !errors.Is(err, kv.ErrCompacted) {
+			o.node.log.Warn().Str("event", "intake_watch_failed").Err(err).Msg("")
+			sleep(o.ctx, wait.next())
+			continue
+		}
+		o.node.log.Warn().Str("event", "intake_history_lost").Int64("revision", rev).Msg("")
+		pairs, at, err := o.node.store.Range(o.ctx, intakePrefix)
+		if err != nil {
+			sleep(o.ctx, wait.next())
+			continue
+		}
+		events := make([]kv.Event, len(pairs))
+		for i := range pairs {
+			events[i].Pair = pairs[i]
+		}
+		rev = at
+		o.takeIn(events)
+	}
+}
+
+func (o *owner) takeIn(events []kv.Event) {
+	if len(events) == 0 {
+		return
+	}
+	o.locked(func(c *dispatch.Core, now dispatch.Instant) {
+		for _, ev := range events {
+			if ev.Deleted {
+				continue
+			}
+			if strings.HasPrefix(ev.Pair.Key, jobPrefix) {
+				spec, err := decodeSpec(ev.Pair)
+				if err != nil {
+					o.node.log.Error().Str("event", "job_unreadable").Str("key", ev.Pair.Key).Err(err).Msg("")
+					continue
+				}
+				c.AddJob(spec, nil, false, now)
+			}
+		}
+		for _, ev := range events {
+			if id, ok := strings.CutPrefix(ev.Pair.Key, cancelPrefix); ok && !ev.Deleted {
+				c.Cancel(id, now)
+			}
+		}
+	})
+	signal(o.wake)
+}
+
+// listLoop reads the list of workers, and keeps one poller a worker.
+func (o *owner) listLoop() {
+	o.syncPollers()
+	for sleep(o.ctx, listPause) {
+		list, err := o.node.lister.ListWorkers(o.ctx)
+		o.node.store.note(err)
+		if err != nil {
+			if o.ctx.Err() == nil {
+				o.node.log.Warn().Str("event", "list_failed").Err(err).Msg("")
+			}
+			continue
+		}
+		config := o.node.config.Load()
+		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
+			c.SetWorkers(list, now)
+			c.SetConfig(config)
+		})
+		o.syncPollers()
+	}
+}
--- /dev/null
+++ b/node/load.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/job"
+	"leverstile.dev/kv"
+)
+
+// Bounds of the back-off of reads of the store.
+const (
+	// loadRetry is the longest pause between tries to read the store at
+	// takeover.
+	loadRetryMin = 50 * time.Millisecond
+	loadRetryMax = 500 * time.Millisecond
+)
+
+// load builds the core from the store. It returns the revision from which the
+// intake is watched.
+func (o *owner) load() (int64, error) {
+	wait := backoff{least: loadRetryMin, most: loadRetryMax}
+	for {
+		rev, err := o.loadOnce()
+		if err == nil {
+			return rev, nil
+		}
+		o.node.log.Warn().Str("event", "load_failed").Err(err).Msg("")
+		if !sleep(o.ctx, wait.next()) {
+			return 0, errNotOwner
+		}
+	}
+}
+
+func (o *owner) loadOnce() (int64, error) {
+	n := o.node
+	began := n.clock()
+	config := n.config.Load()
+	if config == nil {
+		return 0, errors.New("no configuration yet")
+	}
+	own, _, err := n.store.Range(o.ctx, ownPrefix)
+	if err != nil {
+		return 0, err
+	}
+	progress, _, err := n.store.Range(o.ctx, progressPrefix)
+	if err != nil {
+		return 0, err
+	}
+	intake, rev, err := n.store.Range(o.ctx, intakePrefix)
+	if err != nil {
+		return 0, err
+	}
+	workers, err := n.lister.ListWorkers(o.ctx)
+	if err != nil {
+		return 0, err
+	}
+	core := dispatch.New(n.opts.Params, o.own.lead.Term, n.logDecision)
+	now := n.instant()
+	if err := n.takeOver(core, own, now); err != nil {
+		return 0, err
+	}
+	core.SetConfig(config)
+	core.SetWorkers(workers, now)
+	if err := loadJobs(core, progress, intake, now); err != nil {
+		return 0, err
+	}
+	o.mu.Lock()
+	o.core = core
+	core.Renewed(o.own.renewed)
+	o.mu.Unlock()
+	n.log.Info().Str("event", "owner_loaded").Int("intake", len(intake)).Int("workers", len(workers)).
+		Int("unresolved", core.Recovering()).Dur("took", n.clock()-began).Msg("")
+	return rev, nil
+}
+
+// takeOver reads what the previous owner left beside the jobs.
+func (n *Node) takeOver(core *dispatch.Core, own []kv.Pair, now dispatch.Instant) error {
+	for _, p := range own {
+		switch p.Key {
+		case rosterKey:
+			list, err := dispatch.DecodeRoster(p.Value)
+			if err != nil {
+				return errors.Annotate(err, rosterKey)
+			}
+			core.Recover(list, now)
+		case learntKey:
+			if err := core.TakeLearnt(p.Value); err != nil {
+				// It only saves time: the new owner learns again.
+				n.log.Warn().Str("event", "learnt_unreadable").Err(err).Msg("")
+			}
+		}
+	}
+	return nil
+}
+
+func loadJobs(core *dispatch.Core, progress, intake []kv.Pair, now dispatch.Instant) error {
+	done := make(map[string]*job.Progress, len(progress))
+	for _, p := range progress {
+		r, err := dispatch.DecodeProgress(p.Value)
+		if err != nil {
+			return errors.Annotate(err, p.Key)
+		}
+		done[strings.TrimPrefix(p.Key, progressPrefix)] = r
+	}
+	for _, p := range intake {
+		if id, ok := strings.CutPrefix(p.Key, jobPrefix); ok {
+			spec, err := decodeSpec(p)
+			if err != nil {
+				return err
+			}
+			core.AddJob(spec, done[id], true, now)
+		}
+	}
+	for _, p := range intake {
+		if id, ok := strings.CutPrefix(p.Key, cancelPrefix); ok {
+			core.Cancel(id, now)
+		}
+	}
+	return nil
+}
+
+func decodeSpec(p kv.Pair) (*job.Spec, error) {
+	spec := &job.Spec{}
+	return spec, errors.Annotate(json.Unmarshal(p.Value, spec), p.Key)
+}
--- /dev/null
+++ b/node/record.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/kv"
+)
+
+// Figures of the writes of progress.
+const (
+	// flushPause gathers changes of progress into one write.
+	flushPause = 40 * time.Millisecond
+	// flushPauseBehind is the same while more jobs wait than one write takes:
+	// at most 70 writes a second, of 400 that the store takes.
+	flushPauseBehind = 10 * time.Millisecond
+	// flushRecords is the most records in one write: the store takes 32
+	// entries, of which two are conditions and three other keys.
+	flushRecords = 27
+	// idleFlush is the pause after which a flush is tried without news: for what
+	// was learnt, and for records to be removed.
+	idleFlush = 3 * time.Second
+	// removeJobs is the most finished jobs whose three records are removed in
+	// one write.
+	removeJobs = 8
+	// flushTimeout bounds one write; a slow store takes 400 ms.
+	flushTimeout = 1500 * time.Millisecond
+)
+
+// flushLoop writes progress and the roster.
+func (o *owner) flushLoop() {
+	wait := backoff{least: 2 * flushPause, most: time.Second}
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.flushNow:
+		case <-time.After(idleFlush):
+		}
+		written := o.flush(o.ctx)
+		o.mu.Lock()
+		again := o.core.Dirty() || o.core.RosterStale()
+		behind := o.core.Backlog() >= flushRecords
+		o.mu.Unlock()
+		switch {
+		case !written:
+			sleep(o.ctx, wait.next())
+		case behind:
+			wait.reset()
+			sleep(o.ctx, flushPauseBehind)
+		default:
+			wait.reset()
+			sleep(o.ctx, flushPause)
+		}
+		if again {
+			signal(o.flushNow)
+		}
+	}
+}
+
+// flush writes once; it reports whether the store took it, or nothing waited.
+func (o *owner) flush(ctx context.Context) bool {
+	o.writing.Lock()
+	defer o.writing.Unlock()
+	o.mu.Lock()
+	if o.core == nil {
+		o.mu.Unlock()
+		return false
+	}
+	records, err := o.core.Records(flushRecords)
+	var roster []byte
+	var rosterIDs []dispatch.WorkerID
+	if err == nil && o.core.RosterStale() {
+		roster, rosterIDs, err = o.core.Roster()
+	}
+	var learnt []byte
+	if now := o.now(); err == nil && o.core.LearntDue(now) {
+		learnt, err = o.core.Learnt(now)
+	}
+	o.mu.Unlock()
+	if err != nil {
+		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
+		return false
+	}
+	if len(records) == 0 && roster == nil && learnt == nil {
+		return o.removeExpired(ctx)
+	}
+	began := o.node.clock()
+	ok := o.write(ctx, recordOps(records, roster, learnt))
+	o.node.metrics.flush.UpdateDuration(time.Now().Add(began - o.node.clock()))
+	if !ok {
+		return false
+	}
+	o.locked(func(c *dispatch.Core, _ dispatch.Instant) {
+		c.Persisted(records)
+		if roster != nil {
+			c.RosterStored(rosterIDs)
+		}
+	})
+	if roster != nil {
+		signal(o.wake)
+	}
+	return true
+}
+
+// removeExpired removes the records of jobs that ended long ago.
+func (o *owner) removeExpired(ctx context.Context) bool {
+	o.mu.Lock()
+	ids := slices.Clone(o.core.Expired(removeJobs))
+	o.mu.Unlock()
+	if len(ids) == 0 {
+		return true
+	}
+	var ops []kv.Op
+	for _, id := range ids {
+		ops = append(ops, kv.Delete(jobPrefix+id), kv.Delete(cancelPrefix+id), kv.Delete(progressPrefix+id))
+	}
+	if !o.write(ctx, ops) {
+		return false
+	}
+	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.Removed(len(ids)) })
+	return true
+}
+
+func recordOps(records []dispatch.Record, roster, learnt []byte) []kv.Op {
+	var ops []kv.Op
+	if roster != nil {
+		ops = append(ops, kv.Put(rosterKey, roster, 0))
+	}
+	if learnt != nil {
+		ops = append(ops, kv.Put(learntKey, learnt, 0))
+	}
+	for _, r := range records {
+		ops = append(ops, kv.Put(progressPrefix+r.Job, r.Value, 0))
+	}
+	return ops
+}
+
+// write makes one transaction, under the condition that this is still the
+// owner and that no other write of its own came between.
+func (o *owner) write(ctx context.Context, ops []kv.Op) bool {
+	txn := kv.Txn{
+		If:   []kv.Compare{{Key: leadKey, ModRevision: o.own.leadRev}, {Key: chainKey, ModRevision: o.own.chainRev}},
+		Then: append([]kv.Op{kv.Put(chainKey, []byte(o.own.lead.Session), 0)}, ops...),
+	}
+	wctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	res, err := o.node.store.Do(wctx, txn)
+	if err != nil {
+		if ctx.Err() == nil {
+			o.node.log.Warn().Str("event", "flush_failed").Int("operations", len(ops)).Err(err).Msg("")
+		}
+		return false
+	}
+	if res.Succeeded {
+		o.own.chainRev = res.Revision
+		return true
+	}
+	return o.writeRefused(res)
+}
+
+// writeRefused tells an earlier write of this owner, whose answer was lost,
+// from the end of the ownership.
+func (o *owner) writeRefused(res kv.TxnResult) bool {
+	lead := false
+	for _, p := range res.Reads[0] {
+		switch p.Key {
+		case leadKey:
+			lead = p.ModRevision == o.own.leadRev
+		case chainKey:
+			o.own.chainRev = p.ModRevision
+		}
+	}
+	if !lead {
+		o.node.log.Warn().Str("event", "ownership_lost").Uint64("term", o.own.lead.Term).Msg("")
+		o.stop(errNotOwner)
+	}
+	return false
+}
