--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -62,7 +62,7 @@
 
 func runNode(s platform.Settings, metricsPort uint16, logger *log.Logger, set *metrics.Set) error {
 	store := platform.NewStore(s.StoreAddress, set)
-	n := node.New(nodeOptions(s), store, store, platform.NewWorkers(set), logger, set)
+	n := node.New(nodeOptions(s), store, store, platform.NewWorkers(set), platform.NewAdvisor(s.AdviceAddress), logger, set)
 	logger.Info().Str("event", "start").Str("data_centre", s.DataCentre).Msg("")
 
 	var g oklog.Group
--- /dev/null
+++ b/dispatch/advice.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Figures of calls to the placement policy.
+const (
+	// adviceWorkers is how many workers one call asks for: the users count on
+	// calls for 30 in a job's time.
+	adviceWorkers = 30
+	// adviceAhead is how long a ticket must still hold when it is used.
+	adviceAhead = 300 * time.Millisecond
+	// adviceRetry is the pause after a call that failed.
+	adviceRetry = 300 * time.Millisecond
+	// enoughTickets for workers, no more are asked for.
+	enoughTickets = 8
+)
+
+// AdviceRequest asks the placement policy which of these workers may run a step.
+type AdviceRequest struct {
+	Task    job.TaskID // its Index means nothing
+	Workers []WorkerID
+	Terms   job.AdviceTerms
+	sent    time.Duration
+}
+
+// Ticket allows a step's tasks at one life of a worker.
+type Ticket struct {
+	Worker WorkerID
+	Text   string
+}
+
+// advice is what the placement policy told of a step.
+type advice struct {
+	tickets map[WorkerID]heldTicket
+	// refused workers may never run the step.
+	refused map[WorkerID]bool
+	asking  bool
+	retryAt time.Duration
+}
+
+type heldTicket struct {
+	text  string
+	until time.Duration
+}
+
+// advised returns the workers that have a ticket for a step, and asks for more
+// if there are few.
+func (c *Core) advised(s *stepRun, pool []*worker, terms job.AdviceTerms, now Instant) []*worker {
+	if s.advice == nil {
+		s.advice = &advice{tickets: map[WorkerID]heldTicket{}, refused: map[WorkerID]bool{}}
+	}
+	var allowed []*worker
+	for _, w := range pool {
+		if s.advice.tickets[w.info.ID].until > now.Steady+adviceAhead {
+			allowed = append(allowed, w)
+		}
+	}
+	if len(allowed) < min(s.ready, enoughTickets) {
+		c.askAdvice(s, pool, terms, now)
+	}
+	return allowed
+}
+
+// askAdvice asks for those workers that would be chosen first.
+func (c *Core) askAdvice(s *stepRun, pool []*worker, terms job.AdviceTerms, now Instant) {
+	a := s.advice
+	if a.asking || now.Steady < a.retryAt {
+		return
+	}
+	type rated struct {
+		id    WorkerID
+		score float64
+	}
+	var list []rated
+	for _, w := range pool {
+		if a.refused[w.info.ID] || a.tickets[w.info.ID].until > now.Steady+adviceAhead || !s.allowed(w) || !w.fits(s.amount()) {
+			continue
+		}
+		if score, ok := c.score(s, w, false); ok {
+			list = append(list, rated{w.info.ID, score})
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	slices.SortStableFunc(list, func(x, y rated) int { return cmp.Compare(y.score, x.score) })
+	req := AdviceRequest{Terms: terms, sent: now.Steady, Task: job.TaskID{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index}}
+	for _, r := range list[:min(adviceWorkers, len(list))] {
+		req.Workers = append(req.Workers, r.id)
+	}
+	a.asking = true
+	c.asks = append(c.asks, req)
+}
+
+// TakeAsks returns the requests for advice since the last call.
+func (c *Core) TakeAsks() []AdviceRequest {
+	asks := c.asks
+	c.asks = nil
+	return asks
+}
+
+// AdviceDone takes in an answer of the placement policy; ok is false if there
+// was none.
+func (c *Core) AdviceDone(req AdviceRequest, good []Ticket, ok bool, now Instant) {
+	t := c.findTask(req.Task)
+	if t == nil || t.step.advice == nil {
+		return
+	}
+	a := t.step.advice
+	a.asking = false
+	if !ok {
+		a.retryAt = now.Steady + adviceRetry
+		c.trace(Decision{Event: "advice_failed", Job: req.Task.Job, Task: req.Task})
+		return
+	}
+	for _, id := range req.Workers {
+		a.refused[id] = true
+	}
+	for _, g := range good {
+		delete(a.refused, g.Worker)
+		a.tickets[g.Worker] = heldTicket{g.Text, req.sent + req.Terms.Validity}
+	}
+	c.trace(Decision{Event: "advice_taken", Job: req.Task.Job, Task: req.Task, Age: now.Steady - req.sent})
+}
+
+// ticketFor returns the ticket of a worker, empty if the queue needs none.
+func (s *stepRun) ticketFor(w *worker) string {
+	if s.advice == nil {
+		return ""
+	}
+	return s.advice.tickets[w.info.ID].text
+}
+
+// dropTicket forgets a ticket that a worker refused.
+func (c *Core) dropTicket(a *attempt) {
+	if s := a.task.step; s.advice != nil {
+		delete(s.advice.tickets, a.worker.info.ID)
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -71,6 +71,7 @@
 	unknown   bool
 	roster    roster
 	open      []*stepRun      // steps with tasks that may start
+	asks      []AdviceRequest // not taken yet
 	learntAt  time.Duration   // when it was last recorded what was learnt
 	expired   []string        // jobs whose records can be removed
 	deferred  []*job.Spec     // jobs that came while the lease was not sure
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -44,6 +44,7 @@
 	gangRun     uint64
 	perWork     map[*worker]int // attempts by worker, only with MaxPerWorker
 	checkpoint  string          // of a gang
+	advice      *advice         // of the placement policy, if the queue has one
 	toldWaiting time.Duration
 	preempted   time.Duration // when room was last made for it
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -121,6 +121,9 @@
 			pool = c.pool(x.queue.Service, now)
 			pools[x.queue.Service] = pool
 		}
+		if x.queue.Advice != nil {
+			pool = c.advised(x.step, pool, *x.queue.Advice, now)
+		}
 		if x.step.spec.Gang {
 			c.placeGang(x.step, pool, now)
 		} else {
@@ -239,7 +242,7 @@
 		checkpoint = t.step.checkpoint
 	}
 	c.tellTask("run_placed", t, w, run, t.step.spec.Image)
-	c.start(t, w, run, checkpoint, "", now)
+	c.start(t, w, run, checkpoint, t.step.ticketFor(w), now)
 	s := t.step.spec
 	switch {
 	case s.Fills:
@@ -406,6 +409,3 @@
 	}
 	return chosen
 }
-
-// dropTicket forgets a ticket that a worker refused.
-func (c *Core) dropTicket(a *attempt) { a.ticket = "" }
--- a/job/spec.go
+++ b/job/spec.go
@@ -169,12 +169,14 @@
 }
 
 // String returns JOB.OCCURRENCE.STEP.INDEX.
-func (t TaskID) String() string {
+func (t TaskID) String() string { return t.StepString() + "." + strconv.Itoa(t.Index) }
+
+// StepString returns JOB.OCCURRENCE.STEP.
+func (t TaskID) StepString() string {
 	b := make([]byte, 0, len(t.Job)+16)
 	b = append(b, t.Job...)
 	b = strconv.AppendInt(append(b, '.'), int64(t.Occurrence), 10)
 	b = strconv.AppendInt(append(b, '.'), int64(t.Step), 10)
-	b = strconv.AppendInt(append(b, '.'), int64(t.Index), 10)
 	return string(b)
 }
 
--- a/node/contact.go
+++ b/node/contact.go
@@ -103,3 +103,18 @@
 	}
 	o.lastAlive = max(o.lastAlive, now)
 }
+
+// ask makes one call to the placement policy; others wait their turn.
+func (o *owner) ask(req dispatch.AdviceRequest) {
+	o.asking.Lock()
+	good, err := o.node.advisor.Advise(o.ctx, req)
+	o.asking.Unlock()
+	if o.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		o.node.log.Warn().Str("event", "advice_unanswered").Str("task", req.Task.String()).Err(err).Msg("")
+	}
+	o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.AdviceDone(req, good, err == nil, now) })
+	signal(o.wake)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	store   *storeHealth
 	lister  Lister
 	workers Workers
+	advisor Advisor
 	log     *log.Logger
 	metrics nodeMetrics
 	start   time.Time
@@ -60,9 +61,9 @@
 }
 
 // New returns a node. Run starts it.
-func New(opts Options, store Store, lister Lister, workers Workers, logger *log.Logger, set *metrics.Set) *Node {
+func New(opts Options, store Store, lister Lister, workers Workers, advisor Advisor, logger *log.Logger, set *metrics.Set) *Node {
 	n := &Node{
-		opts: opts, lister: lister, workers: workers, log: logger, start: time.Now(),
+		opts: opts, lister: lister, workers: workers, advisor: advisor, log: logger, start: time.Now(),
 		peers: newPeerClient(), drained: make(chan struct{}),
 	}
 	p := &n.opts.Params
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -37,6 +37,7 @@
 	running map[string]int
 	doubled []string
 	jobKept time.Duration
+	advisor string // address of the placement policy
 }
 
 type testNode struct {
@@ -84,7 +85,7 @@
 		Entry: name, PeerAddress: l.Addr().String(), ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		FreezeSlack: 5 * time.Second, // a loaded machine is no freeze
 		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1},
-	}, store, store, platform.NewWorkers(set), logger, set)
+	}, store, store, platform.NewWorkers(set), platform.NewAdvisor(c.advisor), logger, set)
 	tn := &testNode{node: n, peers: &http.Server{Handler: n.PeersHandler()}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.stop = cancel
@@ -368,3 +369,36 @@
 		return status == http.StatusGone && len(c.store.Keys("ls/in/"))+len(c.store.Keys("ls/progress/")) == 0
 	})
 }
+
+// A queue with a placement policy starts its tasks only at workers that the
+// policy allows, with their tickets; a call that fails is made again.
+func TestQueueWithPlacementPolicy(t *testing.T) {
+	c := newCell(t, 0, 3)
+	calls := 0
+	policy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !strings.Contains(string(body), id(1)+".0.") {
+			t.Errorf("asked for %s, %v", body, err)
+		}
+		if calls++; calls == 1 {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		_, _ = io.WriteString(w, `{"good":[["i-1","ticket-1"]],"validity_ms":60000}`)
+	}))
+	defer policy.Close()
+	c.advisor = strings.TrimPrefix(policy.URL, "http://")
+	c.store.Put("op/config", []byte(strings.Replace(fmt.Sprintf(configText, 2), `"stretch":2}`,
+		`"stretch":2,"advice":{"decision_ms":1,"period_ms":0,"validity_ms":60000}}`, 1)))
+	for _, w := range c.workers {
+		w.NeedTicket("ticket-1")
+	}
+	c.nodes = append(c.nodes, c.startNode("entry-0"))
+	c.submit(0, id(1), twoSteps)
+	c.awaitState(0, id(1), "succeeded")
+	for i, w := range c.workers {
+		if n := len(w.Starts()); (n > 0) != (i == 1) {
+			t.Errorf("worker %d started %d tasks", i, n)
+		}
+	}
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -38,7 +38,10 @@
 	flushNow chan struct{}
 	ctx      context.Context
 	stop     context.CancelCauseFunc
-	running  sync.WaitGroup
+	// asking is held by the one call to the placement policy at a time that
+	// it takes of a VM.
+	asking  sync.Mutex
+	running sync.WaitGroup
 	// lastAlive is when the process last proved to itself that it runs.
 	lastAlive time.Duration
 	suspended bool
@@ -99,6 +102,7 @@
 	now := o.now()
 	f(o.core, now)
 	orders := o.core.TakeOrders()
+	asks := o.core.TakeAsks()
 	dirty := o.core.Dirty() || o.core.RosterStale()
 	deposed := o.core.Deposed()
 	o.mu.Unlock()
@@ -111,6 +115,9 @@
 	for _, order := range orders {
 		o.running.Go(func() { o.send(order) })
 	}
+	for _, ask := range asks {
+		o.running.Go(func() { o.ask(ask) })
+	}
 }
 
 func signal(c chan struct{}) {
--- a/node/store.go
+++ b/node/store.go
@@ -32,6 +32,11 @@
 	Send(ctx context.Context, o dispatch.Order) dispatch.Answer
 }
 
+// Advisor asks the placement policy of a queue.
+type Advisor interface {
+	Advise(ctx context.Context, req dispatch.AdviceRequest) ([]dispatch.Ticket, error)
+}
+
 // Keys in the store.
 const (
 	// leadKey holds the owner, under its lease.
