Split placement by step; drop settings and fields that nothing uses

One file a decision: place, rank, score, gang, progress. Settings of the platform that no decision rests on are not read any more.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -90,8 +90,8 @@
 		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, FreezeSlack: b.FreezeSlack,
 		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		Params: dispatch.Params{
-			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget, AwayNotice: b.AwayNotice,
-			JobKept: b.JobStateKept + jobKeptMargin, Early: b.Early, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
+			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget,
+			JobKept: b.JobStateKept + jobKeptMargin, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
 		},
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -21,12 +21,8 @@
 	MaxTaskLease time.Duration
 	// OverTarget is how long fills may keep a serving task over its target.
 	OverTarget time.Duration
-	// AwayNotice is for how long a task counts as away before a planned stop.
-	AwayNotice time.Duration
 	// JobKept is how long a finished job's record is kept.
 	JobKept time.Duration
-	// Early is how far ahead of its time a timed task may start.
-	Early time.Duration
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
 	// PaceAfter is the age from which a run can be paced.
--- /dev/null
+++ b/dispatch/gang.go
@@ -0,0 +1,70 @@
+package dispatch
+
+// placeGang starts all tasks of a gang at once, or none.
+func (c *Core) placeGang(s *stepRun, pool []*worker, now Instant) {
+	if s.ready < s.left || s.gangRun != 0 {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase == phaseReady && (now.Steady < t.notBefore || t.concluded && !c.certain(now)) {
+			return
+		}
+	}
+	chosen := c.chooseGang(s, pool, now)
+	if chosen == nil {
+		return
+	}
+	s.gangRun = c.newRun()
+	for i, t := range s.tasks {
+		if t.phase == phaseReady {
+			c.place(t, chosen[i], s.gangRun, now)
+		}
+	}
+}
+
+// chooseGang returns a worker for each task of a gang: in one rack if it asks
+// for that and one has room, else anywhere.
+func (c *Core) chooseGang(s *stepRun, pool []*worker, now Instant) []*worker {
+	if s.spec.SameRack {
+		racks := map[string][]*worker{}
+		var names []string
+		for _, w := range pool {
+			if racks[w.info.Rack] == nil {
+				names = append(names, w.info.Rack)
+			}
+			racks[w.info.Rack] = append(racks[w.info.Rack], w)
+		}
+		for _, name := range names {
+			if chosen := c.fitGang(s, racks[name], now); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return c.fitGang(s, pool, now)
+}
+
+// fitGang finds room for all tasks, worker by worker, without changing any.
+func (c *Core) fitGang(s *stepRun, pool []*worker, now Instant) []*worker {
+	amount := s.amount()
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, w := range pool {
+		if now.Steady < w.fullUntil || !s.allowed(w) {
+			continue
+		}
+		taken := resources{}
+		for here := 0; len(chosen) < len(s.tasks); here++ {
+			if s.spec.MaxPerWorker > 0 && s.perWork[w]+here >= s.spec.MaxPerWorker {
+				break
+			}
+			taken = taken.add(amount, 1)
+			if !w.fits(taken) {
+				break
+			}
+			chosen = append(chosen, w)
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		return nil
+	}
+	return chosen
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -86,8 +86,6 @@
 	// concluded is set if no list told how the last attempt ended. Such a task
 	// starts again only under a sure lease: the next owner may know its end.
 	concluded bool
-	// atWork is set while a lasting task is past its start.
-	atWork bool
 }
 
 // attempt is a run that was ordered and may be running.
@@ -104,7 +102,6 @@
 	tries    int
 	sentAt   time.Duration
 	started  time.Duration
-	inFlight bool // an order on this run awaits its answer
 	stopping bool
 	stopAt   time.Duration // when the last stop was sent
 	// percent is the pace wanted, paced the one the worker was told.
@@ -257,7 +254,6 @@
 	s.job.active--
 	s.job.idleSince = now.Steady
 	t.attempt = nil
-	t.atWork = false
 	if t.phase == phaseDone {
 		return
 	}
@@ -294,150 +290,3 @@
 		}
 	}
 }
-
-// touch marks a job's progress as changed.
-func (c *Core) touch(j *jobState) {
-	j.version++
-	if _, waits := c.dirty[j]; !waits {
-		c.turn++
-		c.dirty[j] = c.turn
-	}
-}
-
-// markBegun notes that a task of the job was started.
-func (c *Core) markBegun(j *jobState) {
-	if j.begun {
-		return
-	}
-	j.begun = true
-	if j.progress.State == job.Queued {
-		j.progress.State = job.Running
-		j.shown = job.Running // needs no record: it promises nothing
-		c.touch(j)
-	}
-}
-
-// taskDone marks a task and, for a gang, all its fellows as done.
-func (c *Core) taskDone(t *task, now Instant) {
-	if t.phase == phaseDone {
-		return // the end was recorded, but its acknowledgement was lost
-	}
-	s := t.step
-	if s.spec.Gang {
-		for _, other := range s.tasks {
-			c.markDone(other)
-		}
-	} else {
-		c.markDone(t)
-	}
-	if s.left > 0 {
-		return
-	}
-	first := s.occurrence * len(s.job.spec.Steps)
-	for _, next := range s.job.steps[first : first+len(s.job.spec.Steps)] {
-		for _, earlier := range next.spec.After {
-			if earlier == s.index {
-				next.after--
-			}
-		}
-		if next.after == 0 && next != s {
-			c.openStep(next, now)
-		}
-	}
-	c.finishIfDone(s.job, now)
-}
-
-func (c *Core) markDone(t *task) {
-	s := t.step
-	if t.phase == phaseDone {
-		return
-	}
-	if t.phase == phaseReady {
-		s.ready--
-	}
-	t.phase = phaseDone
-	s.left--
-	s.job.progress.MarkDone(t.id(), s.spec.Count)
-	c.touch(s.job)
-}
-
-func (c *Core) finishIfDone(j *jobState, now Instant) {
-	for _, s := range j.steps {
-		if s.left > 0 {
-			return
-		}
-	}
-	c.setFinal(j, job.Succeeded, "all tasks done", now)
-}
-
-// setFinal ends a job and stops what still runs of it.
-func (c *Core) setFinal(j *jobState, state job.State, reason string, now Instant) {
-	if j.progress.State.Final() {
-		return
-	}
-	j.progress.State = state
-	j.progress.EndedMS = now.UnixMS
-	c.touch(j)
-	c.trace(Decision{Event: "job_" + string(state), Job: j.spec.ID, Reason: reason})
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			if t.phase == phaseReady {
-				t.phase = phaseWaiting
-				s.ready--
-			}
-			if t.attempt != nil && t.phase != phaseDone {
-				c.stop(t.attempt, "job "+string(state), now)
-			}
-		}
-	}
-}
-
-// Cancel ends a job that its customer no longer wants.
-func (c *Core) Cancel(id string, now Instant) {
-	j := c.jobs[id]
-	if j == nil {
-		c.cancelled[id] = true // its job is put off, or comes later
-		return
-	}
-	if j.cancelled {
-		return
-	}
-	j.cancelled = true
-	c.setFinal(j, job.Cancelled, "cancelled by its customer", now)
-}
-
-// dropOldJobs forgets what has been final for long.
-func (c *Core) dropOldJobs(now Instant) {
-	for id, j := range c.jobs {
-		if !j.progress.State.Final() || j.persisted != j.version {
-			continue
-		}
-		if j.active == 0 {
-			j.steps = nil
-		}
-		if now.UnixMS-j.progress.EndedMS > c.params.JobKept.Milliseconds() && j.active == 0 {
-			delete(c.jobs, id)
-			c.expired = append(c.expired, id)
-		}
-	}
-}
-
-// Status returns the state that may be shown, and whether the job is known.
-func (c *Core) Status(id string) (job.State, bool) {
-	j := c.jobs[id]
-	if j == nil {
-		return "", false
-	}
-	return j.shown, true
-}
-
-// Pending returns how many jobs of a queue have not begun.
-func (c *Core) Pending(queue string) int {
-	n := 0
-	for _, j := range c.jobs {
-		if j.spec.Queue == queue && !j.begun && !j.progress.State.Final() {
-			n++
-		}
-	}
-	return n
-}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -23,7 +23,7 @@
 	deadline := c.deadlineIn(w, startWindow, now)
 	a := &attempt{
 		task: t, worker: w, run: run, deadline: deadline, tries: 1, sentAt: now.Steady, started: now.Steady,
-		percent: fullPace, paced: fullPace, inFlight: true, ticket: ticket,
+		percent: fullPace, paced: fullPace, ticket: ticket,
 	}
 	t.attempt, t.phase, t.concluded = a, phaseStarting, false
 	s.ready--
@@ -112,7 +112,6 @@
 }
 
 func (c *Core) startDone(a *attempt, o Order, ans Answer, now Instant) {
-	a.inFlight = false
 	switch ans.Outcome {
 	case OutcomeOK:
 		a.ackClock = max(a.ackClock, ans.ClockMS)
@@ -137,7 +136,6 @@
 		return // the next list after the deadline tells
 	}
 	a.tries++
-	a.inFlight = true
 	c.out = append(c.out, o)
 }
 
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -95,7 +95,6 @@
 // read takes in the reading of a listed run.
 func (c *Core) read(a *attempt, row *RunningTask, now Instant) {
 	t := a.task
-	t.atWork = row.Percent >= fullPace
 	if !row.HasReading {
 		return
 	}
--- /dev/null
+++ b/dispatch/rank.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Figures of the order of steps.
+const (
+	// lateFactor times its objective, a job earns nothing for being on time.
+	lateFactor = 3
+)
+
+// rank orders steps: by priority, then jobs that can still be on time by the
+// slack that they have left, then late ones.
+type rank struct {
+	priority int
+	class    int // 0 on time, 1 late, 2 hopeless
+	slack    time.Duration
+}
+
+// candidate is a step that may start tasks in this pass.
+type candidate struct {
+	step  *stepRun
+	queue job.Queue
+	rank  rank
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.slack, b.slack))
+}
+
+// rankOf returns a step's place in the order.
+func (c *Core) rankOf(s *stepRun, q job.Queue, now Instant) rank {
+	r := rank{priority: q.Priority}
+	j := s.job
+	from := j.spec.AcceptedMS
+	if due := j.spec.DueMS(s.occurrence); due > 0 {
+		from = due
+	}
+	chain := c.chain(j, s.occurrence)
+	whole := time.Duration(float64(c.wholeChain(j))*q.Stretch) + q.TargetLatency
+	waited := time.Duration(now.UnixMS-from) * time.Millisecond
+	r.slack = whole - waited - chain
+	switch {
+	case r.slack >= 0 || s.spec.Lasting:
+	case waited+chain < lateFactor*whole:
+		r.class = 1
+	default:
+		r.class = 2
+	}
+	return r
+}
+
+// wholeChain returns the longest chain of work of the whole job.
+func (c *Core) wholeChain(j *jobState) time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	longest := time.Duration(0)
+	for i := range j.spec.Steps {
+		for _, earlier := range j.spec.Steps[i].After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if i < len(j.steps) && !j.spec.Steps[i].Lasting {
+			ends[i] += c.estimate(j.steps[i])
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// candidates returns the steps with ready tasks in their order, and forgets
+// those that have none.
+func (c *Core) candidates(now Instant) []candidate {
+	var list []candidate
+	kept := c.open[:0]
+	for _, s := range c.open {
+		if s.job.progress.State.Final() || s.left == 0 {
+			s.queued = false
+			continue
+		}
+		if s.ready == 0 && !s.due(now) {
+			kept = append(kept, s)
+			continue
+		}
+		if s.ready == 0 && s.job.spec.Occurrences > 0 && !s.blocked() {
+			for _, t := range s.tasks {
+				if t.phase == phaseWaiting {
+					t.phase, t.readySince = phaseReady, now.Steady
+					s.ready++
+				}
+			}
+		}
+		if s.ready == 0 {
+			s.queued = false
+			continue
+		}
+		kept = append(kept, s)
+		q, ok := c.queues[s.job.spec.Queue]
+		if ok {
+			list = append(list, candidate{s, q, c.rankOf(s, q, now)})
+		}
+	}
+	c.open = kept
+	slices.SortStableFunc(list, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	return list
+}
--- a/job/config.go
+++ b/job/config.go
@@ -20,8 +20,6 @@
 	// work, plus TargetLatency, of its first submission.
 	Stretch       float64
 	TargetLatency time.Duration
-	// RequestTimeout bounds one request of a customer on this queue.
-	RequestTimeout time.Duration
 	// Advice is set if the service's placement policy must be asked.
 	Advice *AdviceTerms
 }
@@ -32,28 +30,12 @@
 	Decision, PerWorker, Validity time.Duration
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name string
-	// ChecksRoom is set if its workers refuse what does not fit.
-	ChecksRoom bool
-	// Headroom is set if its VMs are off until they are moved elsewhere.
-	Headroom bool
-	// HealthPath is where a worker tells whether it is well.
-	HealthPath string
-}
-
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version  int64
-	Queues   []Queue
-	Services map[string]Service
-	// MaxBodyBytes, MaxHeaderBytes, HeaderTimeout and IdleTimeout bound the
-	// connections of customers.
-	MaxBodyBytes   int64
-	MaxHeaderBytes int
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	Version int64
+	Queues  []Queue
+	// MaxBodyBytes bounds a submitted job; 0 is not set.
+	MaxBodyBytes int64
 }
 
 // QueueFor returns the queue of a request: that of the host with the longest
