--- a/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
+++ b/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
@@ -24,6 +24,8 @@
 const (
 	// OwnerName is the fully-qualified name of the Owner service.
 	OwnerName = "leverstile.jobs.v1.Owner"
+	// JobsName is the fully-qualified name of the Jobs service.
+	JobsName = "leverstile.jobs.v1.Jobs"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -44,6 +46,16 @@
 	OwnerCancelJobProcedure = "/leverstile.jobs.v1.Owner/CancelJob"
 	// OwnerExplainJobProcedure is the fully-qualified name of the Owner's ExplainJob RPC.
 	OwnerExplainJobProcedure = "/leverstile.jobs.v1.Owner/ExplainJob"
+	// JobsSubmitProcedure is the fully-qualified name of the Jobs's Submit RPC.
+	JobsSubmitProcedure = "/leverstile.jobs.v1.Jobs/Submit"
+	// JobsGetProcedure is the fully-qualified name of the Jobs's Get RPC.
+	JobsGetProcedure = "/leverstile.jobs.v1.Jobs/Get"
+	// JobsCancelProcedure is the fully-qualified name of the Jobs's Cancel RPC.
+	JobsCancelProcedure = "/leverstile.jobs.v1.Jobs/Cancel"
+	// JobsPendingProcedure is the fully-qualified name of the Jobs's Pending RPC.
+	JobsPendingProcedure = "/leverstile.jobs.v1.Jobs/Pending"
+	// JobsExplainProcedure is the fully-qualified name of the Jobs's Explain RPC.
+	JobsExplainProcedure = "/leverstile.jobs.v1.Jobs/Explain"
 )
 
 // OwnerClient is a client for the leverstile.jobs.v1.Owner service.
@@ -229,3 +241,183 @@
 func (UnimplementedOwnerHandler) ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.ExplainJob is not implemented"))
 }
+
+// JobsClient is a client for the leverstile.jobs.v1.Jobs service.
+type JobsClient interface {
+	// Submit checks and records a job. Submitting it again is safe.
+	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
+	Get(context.Context, *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error)
+	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
+	// Pending counts a queue's jobs that have not begun.
+	Pending(context.Context, *connect.Request[v1.PendingRequest]) (*connect.Response[v1.PendingResponse], error)
+	// Explain tells where a job's tasks run and why others wait.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
+}
+
+// NewJobsClient constructs a client for the leverstile.jobs.v1.Jobs service. By default, it uses
+// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewJobsClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) JobsClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	jobsMethods := v1.File_leverstile_jobs_v1_jobs_proto.Services().ByName("Jobs").Methods()
+	return &jobsClient{
+		submit: connect.NewClient[v1.SubmitRequest, v1.SubmitResponse](
+			httpClient,
+			baseURL+JobsSubmitProcedure,
+			connect.WithSchema(jobsMethods.ByName("Submit")),
+			connect.WithClientOptions(opts...),
+		),
+		get: connect.NewClient[v1.GetRequest, v1.GetResponse](
+			httpClient,
+			baseURL+JobsGetProcedure,
+			connect.WithSchema(jobsMethods.ByName("Get")),
+			connect.WithClientOptions(opts...),
+		),
+		cancel: connect.NewClient[v1.CancelRequest, v1.CancelResponse](
+			httpClient,
+			baseURL+JobsCancelProcedure,
+			connect.WithSchema(jobsMethods.ByName("Cancel")),
+			connect.WithClientOptions(opts...),
+		),
+		pending: connect.NewClient[v1.PendingRequest, v1.PendingResponse](
+			httpClient,
+			baseURL+JobsPendingProcedure,
+			connect.WithSchema(jobsMethods.ByName("Pending")),
+			connect.WithClientOptions(opts...),
+		),
+		explain: connect.NewClient[v1.ExplainRequest, v1.ExplainResponse](
+			httpClient,
+			baseURL+JobsExplainProcedure,
+			connect.WithSchema(jobsMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// jobsClient implements JobsClient.
+type jobsClient struct {
+	submit  *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
+	get     *connect.Client[v1.GetRequest, v1.GetResponse]
+	cancel  *connect.Client[v1.CancelRequest, v1.CancelResponse]
+	pending *connect.Client[v1.PendingRequest, v1.PendingResponse]
+	explain *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
+}
+
+// Submit calls leverstile.jobs.v1.Jobs.Submit.
+func (c *jobsClient) Submit(ctx context.Context, req *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error) {
+	return c.submit.CallUnary(ctx, req)
+}
+
+// Get calls leverstile.jobs.v1.Jobs.Get.
+func (c *jobsClient) Get(ctx context.Context, req *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error) {
+	return c.get.CallUnary(ctx, req)
+}
+
+// Cancel calls leverstile.jobs.v1.Jobs.Cancel.
+func (c *jobsClient) Cancel(ctx context.Context, req *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
+	return c.cancel.CallUnary(ctx, req)
+}
+
+// Pending calls leverstile.jobs.v1.Jobs.Pending.
+func (c *jobsClient) Pending(ctx context.Context, req *connect.Request[v1.PendingRequest]) (*connect.Response[v1.PendingResponse], error) {
+	return c.pending.CallUnary(ctx, req)
+}
+
+// Explain calls leverstile.jobs.v1.Jobs.Explain.
+func (c *jobsClient) Explain(ctx context.Context, req *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
+// JobsHandler is an implementation of the leverstile.jobs.v1.Jobs service.
+type JobsHandler interface {
+	// Submit checks and records a job. Submitting it again is safe.
+	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
+	Get(context.Context, *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error)
+	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
+	// Pending counts a queue's jobs that have not begun.
+	Pending(context.Context, *connect.Request[v1.PendingRequest]) (*connect.Response[v1.PendingResponse], error)
+	// Explain tells where a job's tasks run and why others wait.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
+}
+
+// NewJobsHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewJobsHandler(svc JobsHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	jobsMethods := v1.File_leverstile_jobs_v1_jobs_proto.Services().ByName("Jobs").Methods()
+	jobsSubmitHandler := connect.NewUnaryHandler(
+		JobsSubmitProcedure,
+		svc.Submit,
+		connect.WithSchema(jobsMethods.ByName("Submit")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobsGetHandler := connect.NewUnaryHandler(
+		JobsGetProcedure,
+		svc.Get,
+		connect.WithSchema(jobsMethods.ByName("Get")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobsCancelHandler := connect.NewUnaryHandler(
+		JobsCancelProcedure,
+		svc.Cancel,
+		connect.WithSchema(jobsMethods.ByName("Cancel")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobsPendingHandler := connect.NewUnaryHandler(
+		JobsPendingProcedure,
+		svc.Pending,
+		connect.WithSchema(jobsMethods.ByName("Pending")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobsExplainHandler := connect.NewUnaryHandler(
+		JobsExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(jobsMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/leverstile.jobs.v1.Jobs/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case JobsSubmitProcedure:
+			jobsSubmitHandler.ServeHTTP(w, r)
+		case JobsGetProcedure:
+			jobsGetHandler.ServeHTTP(w, r)
+		case JobsCancelProcedure:
+			jobsCancelHandler.ServeHTTP(w, r)
+		case JobsPendingProcedure:
+			jobsPendingHandler.ServeHTTP(w, r)
+		case JobsExplainProcedure:
+			jobsExplainHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedJobsHandler returns CodeUnimplemented from all methods.
+type UnimplementedJobsHandler struct{}
+
+func (UnimplementedJobsHandler) Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Jobs.Submit is not implemented"))
+}
+
+func (UnimplementedJobsHandler) Get(context.Context, *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Jobs.Get is not implemented"))
+}
+
+func (UnimplementedJobsHandler) Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Jobs.Cancel is not implemented"))
+}
+
+func (UnimplementedJobsHandler) Pending(context.Context, *connect.Request[v1.PendingRequest]) (*connect.Response[v1.PendingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Jobs.Pending is not implemented"))
+}
+
+func (UnimplementedJobsHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Jobs.Explain is not implemented"))
+}
--- a/cmd/leverstile/main.go
+++ b/cmd/leverstile/main.go
@@ -50,6 +50,7 @@
 		{"standin", "Run stand-ins of the platform", "Runs stand-ins of the key-value service, workers, endpoints and VM list in one process.", &standinCommand{}},
 		{"demo", "Run the whole path in one process", "Runs three entries against embedded stand-ins through load, eviction, a leaving endpoint and a rolling replacement, and checks the promises.", &demoCommand{}},
 		{"check", "Check settings or declarations offline", "Reads files of settings (with --settings) or declarations and prints every mistake with its place.", &checkCommand{}},
+		{"jobs", "Work with jobs on the users' platform", "Hands in, shows, cancels, counts and explains jobs, at any entry.", &jobsCommand{}},
 		{"trace", "Follow a job through logs", "Prints the log lines of a job, and of what happened around it, from the logs of all entries, and what became of its runs.", &traceCommand{}},
 		{"apply", "Apply declarations", "Sends declarations with the revision that they are based on. A lost race is answered with a conflict and the difference.", &applyCommand{}},
 		{"diff", "Show what apply would change", "Compares files of declarations with those in force.", &diffCommand{}},
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -12,9 +12,12 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
+	"leverstile.dev/api/gen/leverstile/jobs/v1/jobsv1connect"
 	"leverstile.dev/dispatch"
 	"leverstile.dev/node"
 	"leverstile.dev/platform"
@@ -44,8 +47,10 @@
 	node  *node.Node
 	front *httptest.Server
 	peers *http.Server
-	stop  context.CancelFunc
-	done  sync.WaitGroup
+	// address serves other entries and the product's own interface.
+	address string
+	stop    context.CancelFunc
+	done    sync.WaitGroup
 }
 
 func newCell(t *testing.T, nodes, workers int) *cell {
@@ -86,7 +91,7 @@
 		FreezeSlack: 5 * time.Second, // a loaded machine is no freeze
 		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1},
 	}, store, store, platform.NewWorkers(set), platform.NewAdvisor(c.advisor), logger, set)
-	tn := &testNode{node: n, peers: &http.Server{Handler: n.PeersHandler()}}
+	tn := &testNode{node: n, address: l.Addr().String(), peers: &http.Server{Handler: n.PeersHandler()}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.stop = cancel
 	tn.done.Go(func() { _ = tn.peers.Serve(l) })
@@ -402,3 +407,44 @@
 		}
 	}
 }
+
+// The product's own interface serves the same jobs at every entry.
+func TestOwnInterfaceToJobs(t *testing.T) {
+	c := newCell(t, 2, 1)
+	c.submit(0, id(1), `{"spec":"s","steps":[{"count":1,"cpu":500,"long_running":true}]}`)
+	c.awaitState(1, id(1), "running")
+	ctx := context.Background()
+	for n, tn := range c.nodes {
+		jobs := jobsv1connect.NewJobsClient(http.DefaultClient, "http://"+tn.address)
+		own := id(10 + n)
+		spec := fmt.Sprintf(`{"id":%q,"queue":"q","steps":[{"count":2,"cpu_milli":100}]}`, own)
+		if _, err := jobs.Submit(ctx, connect.NewRequest(&jobsv1.SubmitRequest{Spec: []byte(spec)})); err != nil {
+			t.Fatal(err)
+		}
+		c.await(own, func() bool {
+			resp, err := jobs.Get(ctx, connect.NewRequest(&jobsv1.GetRequest{Id: own}))
+			return err == nil && resp.Msg.GetState() == "succeeded"
+		})
+		c.await("an explanation", func() bool {
+			resp, err := jobs.Explain(ctx, connect.NewRequest(&jobsv1.ExplainRequest{Id: id(1)}))
+			return err == nil && strings.Contains(resp.Msg.GetText(), `"worker":"i-0"`)
+		})
+		for _, bad := range []string{"{", `{"id":"x","queue":"q","steps":[{"count":1}]}`, strings.Replace(spec, `"q"`, `"nowhere"`, 1)} {
+			if _, err := jobs.Submit(ctx, connect.NewRequest(&jobsv1.SubmitRequest{Spec: []byte(bad)})); err == nil {
+				t.Errorf("%s passes", bad)
+			}
+		}
+	}
+	jobs := jobsv1connect.NewJobsClient(http.DefaultClient, "http://"+c.nodes[1].address)
+	if resp, err := jobs.Cancel(ctx, connect.NewRequest(&jobsv1.CancelRequest{Id: id(1)})); err != nil || resp.Msg.GetRecorded() != jobsv1.Recorded_RECORDED_YES {
+		t.Errorf("cancel: %v, %v", resp, err)
+	}
+	c.awaitState(0, id(1), "cancelled")
+	if resp, err := jobs.Cancel(ctx, connect.NewRequest(&jobsv1.CancelRequest{Id: id(99)})); err != nil || resp.Msg.GetRecorded() != jobsv1.Recorded_RECORDED_NOT_FOUND {
+		t.Errorf("cancel of no job: %v, %v", resp, err)
+	}
+	c.await("a count", func() bool {
+		resp, err := jobs.Pending(ctx, connect.NewRequest(&jobsv1.PendingRequest{Queue: "q"}))
+		return err == nil && resp.Msg.GetPending() == 0
+	})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -131,10 +131,12 @@
 // peerServer serves the calls of other entries.
 type peerServer struct{ node *Node }
 
-// PeersHandler returns the handler of other entries' calls.
+// PeersHandler returns the handler of other entries' calls and of the product's
+// own interface.
 func (n *Node) PeersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(jobsv1connect.NewOwnerHandler(&peerServer{n}))
+	mux.Handle(jobsv1connect.NewJobsHandler(&jobsServer{n}))
 	return mux
 }
 
