Let only the worker tell that a life is over

Ruled out: takeover (none before), leases (5 s not over). Change: the list proves nothing about lives; a poll that is answered by another life does. An ended life that is still listed is passed over. Test: TestListedLivesAtOneAddress replaces TestEntryOfAnEarlierLifeStays, which asserted the wrong order as proof; it holds both cases and failed before.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -60,6 +60,8 @@
 	queues  map[string]job.Queue // every queue ever seen, newest terms
 	jobs    map[string]*jobState
 	workers map[WorkerID]*worker
+	// over holds lives that have ended and may still be listed.
+	over map[WorkerID]bool
 	// unresolved are workers of the previous owner that have not answered
 	// yet: a task in phaseUnknown may run there.
 	unresolved map[WorkerID]time.Duration
@@ -116,7 +118,7 @@
 	return &Core{
 		params: params, term: term,
 		queues: map[string]job.Queue{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{},
-		workers: map[WorkerID]*worker{}, unresolved: map[WorkerID]time.Duration{},
+		workers: map[WorkerID]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]time.Duration{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, perfByKey: map[perfKey]*runTimes{},
 	}
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -150,19 +150,44 @@
 }
 
 // The entry of a life that has crashed stays for some heartbeats beside that of
-// the next life at its address. Once forgotten it was taken for a later one, and
-// the life that runs for over (found by: own days with a crash of 2 s; TWICE).
-func TestEntryOfAnEarlierLifeStays(t *testing.T) {
+// the next life at its address, and a late write may even make it anew. Neither
+// may end the life that runs (found by: own days with a crash of 2 s, and with
+// late writes to the store, aulagrabada-lima own-413; TWICE). Only the worker
+// tells which life is over.
+func TestListedLivesAtOneAddress(t *testing.T) {
 	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Minute, OwnerHorizon: time.Minute}, 1, nil)
 	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
-	info := func(id WorkerID, listed int64) WorkerInfo {
-		return WorkerInfo{ID: id, Address: "a", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000, Listed: listed}
+	info := func(id WorkerID) WorkerInfo {
+		return WorkerInfo{ID: id, Address: "a", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000}
 	}
 	core.Renewed(0)
-	for i, list := range [][]WorkerInfo{{info("old", 5)}, {info("old", 5), info("new", 9)}, {info("new", 9), info("old", 5)}} {
-		now := Instant{Steady: time.Duration(i+1) * time.Second}
+	old, next := info("old"), info("new")
+	var now Instant
+	var rows []RunningTask
+	lists := [][]WorkerInfo{{old}, {old, next}, {next, old}, {next}, {next, old}, {old}, {old, next}}
+	for i, list := range lists {
+		now = Instant{Steady: time.Duration(i+1) * time.Second}
 		core.SetWorkers(list, now)
+		core.RosterStored([]WorkerID{"old", "new"})
+		if i >= 1 {
+			// The address answers for the next life only.
+			core.HoldDone(HoldOrder{Worker: "old"}, HoldReply{}, OutcomeOtherLife, now)
+			core.HoldDone(HoldOrder{Worker: "new"}, HoldReply{ClockMS: int64(1000 * i), Running: rows}, OutcomeOK, now)
+		}
+		if i == 1 {
+			core.AddJob(simpleJob(1, 2), nil, false, now)
+		}
 		core.Tick(now)
+		for _, o := range core.TakeOrders() {
+			if o.Worker != "new" || i != 1 {
+				t.Errorf("list %d: order %v at %s", i, o.Kind, o.Worker)
+			}
+			core.OrderDone(o, Answer{ClockMS: int64(1000*i + 1)}, now)
+			rows = append(rows, RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
+		}
+		if w := core.workers["new"]; i >= 1 && (w == nil || len(w.attempts) != 2) {
+			t.Fatalf("list %d: the life that runs is over", i)
+		}
 	}
 	if ids := core.Workers(); len(ids) != 1 || ids[0] != "new" {
 		t.Errorf("workers %v, want the later life only", ids)
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -25,9 +25,6 @@
 	MemoryMiB  int64
 	// Accelerators is the number of accelerators.
 	Accelerators int64
-	// Listed is when the entry was made, as a revision of the store: of two
-	// lives at one address, the one that was listed later is the later one.
-	Listed int64
 	// Draining is set once the worker is about to end; Leaving is then the
 	// least time that is left.
 	Draining bool
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -45,6 +45,7 @@
 	c.lose(w, reason, now)
 	c.resolve(w.info.ID, reason, now)
 	c.forget(w, reason)
+	c.over[w.info.ID] = true
 }
 
 func (c *Core) forget(w *worker, reason string) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -171,21 +171,21 @@
 	return d
 }
 
-// SetWorkers takes in the platform's list of workers.
+// SetWorkers takes in the platform's list of workers. The list proves nothing
+// about lives: entries of ended ones lapse late, and a write of an ended life
+// may be carried out after those of the next. Only a worker itself tells.
 func (c *Core) SetWorkers(list []WorkerInfo, now Instant) {
 	listed := make(map[WorkerID]bool, len(list))
-	newest := newestByAddress(list)
 	for _, info := range list {
-		if newest[info.Address] != info.ID {
-			continue // an earlier life, whose entry has not lapsed yet
-		}
 		listed[info.ID] = true
+		if c.over[info.ID] {
+			continue // its entry has not lapsed yet, or was written late
+		}
 		w := c.workers[info.ID]
 		if w == nil {
 			w = newWorker(info)
 			c.workers[info.ID] = w
 			c.trace(Decision{Event: "worker_listed", Worker: info.ID, Reason: info.Address})
-			c.replacedBy(w, now)
 		}
 		if info.Draining {
 			c.noteLeaving(w, info.Leaving, now)
@@ -196,6 +196,11 @@
 		w.info, w.listed = info, true
 		c.roster.want(info)
 	}
+	for id := range c.over {
+		if !listed[id] {
+			delete(c.over, id)
+		}
+	}
 	for id, w := range c.workers {
 		if w.listed && !listed[id] {
 			w.listed = false
@@ -203,24 +208,3 @@
 		}
 	}
 }
-
-// newestByAddress returns the latest life at each address.
-func newestByAddress(list []WorkerInfo) map[string]WorkerID {
-	newest := make(map[string]WorkerID, len(list))
-	listed := make(map[string]int64, len(list))
-	for _, info := range list {
-		if _, ok := newest[info.Address]; !ok || info.Listed > listed[info.Address] {
-			newest[info.Address], listed[info.Address] = info.ID, info.Listed
-		}
-	}
-	return newest
-}
-
-// replacedBy ends earlier lives of a worker at the same address.
-func (c *Core) replacedBy(w *worker, now Instant) {
-	for _, other := range c.workers {
-		if other != w && other.info.Address == w.info.Address {
-			c.lifeOver(other, "a later life is listed at its address", now)
-		}
-	}
-}
