--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -139,6 +139,15 @@
 		}
 		first = append(first, a)
 	}
+	// Outcomes are recorded beside the answer, not before it: what was not
+	// recorded when the entry dies stays in doubt and is not run again.
+	for i := range first {
+		eventually(t, "the outcome is recorded", func() bool {
+			key := map[string]string{HeaderKey: fmt.Sprint("k", i)}
+			a := c.procs[1].call(http.MethodPost, "/v1/services/svc/sale", key, []byte("sale"))
+			return a.header.Get(HeaderReplayed) == "true"
+		})
+	}
 	c.procs[0].kill()
 	c.procs = c.procs[1:]
 	c.owned()
