--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -24,7 +24,6 @@
 	// idleSince is when the job's last attempt ended, for jobs that have
 	// tasks to run.
 	idleSince time.Duration
-	added     time.Duration
 }
 
 // stepRun is one step of one occurrence of a job.
@@ -100,7 +99,6 @@
 	// 0 while the start is unanswered. A list read before is older.
 	ackClock int64
 	tries    int
-	sentAt   time.Duration
 	started  time.Duration
 	stopping bool
 	stopAt   time.Duration // when the last stop was sent
@@ -131,7 +129,7 @@
 		c.deferred = append(c.deferred, spec)
 		return
 	}
-	j := &jobState{spec: spec, shown: job.Queued, added: now.Steady, idleSince: now.Steady}
+	j := &jobState{spec: spec, shown: job.Queued, idleSince: now.Steady}
 	j.progress.State = job.Queued
 	c.jobs[spec.ID] = j
 	if progress != nil {
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -101,7 +101,7 @@
 	if t.phase == phaseReady {
 		t.step.ready--
 	}
-	a := &attempt{task: t, worker: w, run: row.Run, percent: fullPace, paced: fullPace, sentAt: now.Steady, started: now.Steady, adopted: true}
+	a := &attempt{task: t, worker: w, run: row.Run, percent: fullPace, paced: fullPace, started: now.Steady, adopted: true}
 	t.attempt, t.phase = a, phaseRunning
 	t.step.job.active++
 	c.markBegun(t.step.job)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -22,7 +22,7 @@
 	s := t.step
 	deadline := c.deadlineIn(w, startWindow, now)
 	a := &attempt{
-		task: t, worker: w, run: run, deadline: deadline, tries: 1, sentAt: now.Steady, started: now.Steady,
+		task: t, worker: w, run: run, deadline: deadline, tries: 1, started: now.Steady,
 		percent: fullPace, paced: fullPace, ticket: ticket,
 	}
 	t.attempt, t.phase, t.concluded = a, phaseStarting, false
