Show jobs in a demo

Change: leverstile jobs demo runs two entries against the stand-ins and shows hand-in, state at the other entry, explanation, pending count and cancel.

--- a/cmd/leverstile/jobs.go
+++ b/cmd/leverstile/jobs.go
@@ -34,6 +34,7 @@
 	Status  jobStatus  `command:"status" description:"Show a job's state"`
 	Cancel  jobCancel  `command:"cancel" description:"Cancel a job"`
 	Pending jobPending `command:"pending" description:"Count a queue's jobs that have not begun"`
+	Demo    jobDemo    `command:"demo" description:"Show a job's way through two entries and stand-ins of the platform"`
 	Explain jobExplain `command:"explain" description:"Say where a job's tasks run and why others wait"`
 }
 
--- /dev/null
+++ b/cmd/leverstile/jobsdemo_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestJobsDemo(t *testing.T) {
+	var out bytes.Buffer
+	if err := runJobsDemo(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{demoShortID + ": succeeded", demoLongID + ": running", `"phase":"running"`, demoLongID + ": cancelled"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in:\n%s", want, out.String())
+		}
+	}
+}
