Soak: take ports that the system does not give away; start a process again that ends at once

The process's log says 'bind: address already in use': the port picked for it had been taken, and another process answered there (the front never writes that text). Ruled out: a lost job (the answer was not leverstile's front). Change: ports below the range of outgoing connections; a process that ends within 0.2 s is started again, as the platform does.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,13 +136,25 @@
 	_ = os.Remove(log.Name())
 }
 
+// Ports of processes come from below the range of which the system takes ports
+// for connections: between two lives of a process its port must stay free.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
 func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return port
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	t.Fatal("no free port")
+	return 0
 }
 
 func (w *world) newProcess(i int) *process {
@@ -161,12 +173,26 @@
 	return p
 }
 
+// start runs a process, and again if it ends at once, as the platform does.
 func (w *world) start(p *process) {
+	for range 10 {
+		w.startOnce(p)
+		select {
+		case <-p.done:
+			time.Sleep(100 * time.Millisecond)
+		case <-time.After(200 * time.Millisecond):
+			return
+		}
+	}
+	w.t.Errorf("%s does not stay up", p.name)
+}
+
+func (w *world) startOnce(p *process) {
 	p.cmd = exec.Command(w.binary, "node", "--metrics-port", "0")
 	p.cmd.Env = append(os.Environ(), "LEVERSTILE_BOOT="+filepath.Join(p.dir, "node.toml"))
 	p.cmd.Stdout, p.cmd.Stderr = w.log, w.log
 	if err := p.cmd.Start(); err != nil {
-		w.t.Fatal(err)
+		w.t.Errorf("%s: %v", p.name, err)
 	}
 	done := make(chan struct{})
 	p.done = done
