Notice connections that fall silent: acknowledgement timeout, probes, one timeout a host

Cause: open connections can go silent without a reset. Our transports had neither a TCP user timeout nor probes, and each pooled connection cost a timeout of its own: 1.5 s a call to the store, 3 s a watch, so that the owner heard of new jobs up to 3 s late.

Ruled out: shorter timeouts of calls (a slow store takes 360 ms and more); closing all idle connections to all workers on one timeout (a dark worker would cost all others new ones).

Change: package dial: TCP_USER_TIMEOUT of 0.5 s and keep-alive probes, which tell a silent peer from a slow one, and a pool for each host whose idle connections are closed after a timeout there.

--- a/node/peers.go
+++ b/node/peers.go
@@ -11,6 +11,7 @@
 
 	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
 	"leverstile.dev/api/gen/leverstile/jobs/v1/jobsv1connect"
+	"leverstile.dev/dial"
 	"leverstile.dev/job"
 )
 
@@ -21,13 +22,12 @@
 	// peerWriteTimeout leaves a relayed write its own tries.
 	peerWriteTimeout = writeBudget
 	peerIdle         = 60 * time.Second
+	// peerConnections is the most idle connections kept to an entry.
+	peerConnections = 4
 )
 
 func newPeerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdle, DisableCompression: true,
-	}}
+	return &http.Client{Transport: dial.NewTransport(peerConnections, peerDialTimeout, peerIdle)}
 }
 
 // ownerClient returns a client of the owner, nil if it is this node or unknown.
