Take VMs down for waves of upkeep

Ruled out: reading the platform's list of VMs: each worker names its VM, and a new worker of the VM tells that its upkeep is over, without a call. Taking VMs down with their tasks: that ends lasting tasks beyond what their step can miss, and loses work.

Change: dispatch/upkeep.go (pure): VMs are cordoned, lightest first, as many as may be down at once; tasks that save their work move at once, others after a patience taken from the wave's time, lasting ones only while enough of their step are at work. The intent is recorded before the order, so that the next owner counts the VM as down; orders come only under a sure lease, and not within the platform's gap after a takeover; unknown answers are repeated. node/upkeep.go and platform/upkeep.go carry it; the watch of the configuration brings waves without more calls. node.New takes its ports as a struct.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -62,7 +62,11 @@
 
 func runNode(s platform.Settings, metricsPort uint16, logger *log.Logger, set *metrics.Set) error {
 	store := platform.NewStore(s.StoreAddress, set)
-	n := node.New(nodeOptions(s), store, store, platform.NewWorkers(set), platform.NewAdvisor(s.AdviceAddress), logger, set)
+	ports := node.Ports{
+		Store: store, Lister: store, Workers: platform.NewWorkers(set), Advisor: platform.NewAdvisor(s.AdviceAddress),
+		VMs: platform.NewVMs(s.CloudAddress, s.Entry),
+	}
+	n := node.New(nodeOptions(s), ports, logger, set)
 	logger.Info().Str("event", "start").Str("data_centre", s.DataCentre).Msg("")
 
 	var g oklog.Group
@@ -88,10 +92,12 @@
 	b := s.Bounds
 	return node.Options{
 		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, FreezeSlack: b.FreezeSlack,
-		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		Params: dispatch.Params{
 			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget,
 			JobKept: b.JobStateKept + jobKeptMargin, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
+			Maintenance: b.Maintenance, HolderGap: b.HolderGap,
 		},
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -30,6 +30,10 @@
 	// OwnerTTL is the owner's lease at the store. Until OwnerHorizon after its
 	// last renewal, an owner that does not reach the store gives orders.
 	OwnerTTL, OwnerHorizon time.Duration
+	// Maintenance is how long a VM is down for its upkeep.
+	Maintenance time.Duration
+	// HolderGap is the least time between orders for VMs by two owners.
+	HolderGap time.Duration
 	// RecoveryWait is how long after a takeover orders of the previous owner
 	// may still be in force at a worker that does not answer.
 	RecoveryWait time.Duration
@@ -53,6 +57,8 @@
 	// validUntil is when the right to give orders ends, certainUntil when
 	// another owner may be there; see Renewed.
 	validUntil, certainUntil time.Duration
+	// firstRenewed is when the lease was first known to hold.
+	firstRenewed time.Duration
 	// deposed is set once a worker has told of a higher term.
 	deposed bool
 
@@ -76,6 +82,8 @@
 	cancelled map[string]bool // jobs that were cancelled before they came
 	// dirty holds the jobs whose progress is not stored, with their turn.
 	dirty     map[*jobState]uint64
+	waves     map[int64]*waveState
+	upkeeps   []UpkeepOrder // not taken yet
 	turn      uint64
 	out       []Order
 	trace     func(Decision)
@@ -119,7 +127,7 @@
 		params: params, term: term,
 		queues: map[string]job.Queue{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{},
 		workers: map[WorkerID]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]time.Duration{},
-		roster: newRoster(), dirty: map[*jobState]uint64{}, trace: trace,
+		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, perfByKey: map[perfKey]*runTimes{},
 	}
 }
@@ -137,6 +145,9 @@
 // at a steady time. Orders are given, and leases reach, until OwnerHorizon
 // after it.
 func (c *Core) Renewed(sent time.Duration) {
+	if c.certainUntil == 0 {
+		c.firstRenewed = sent
+	}
 	c.validUntil = max(c.validUntil, sent+c.params.OwnerHorizon)
 	c.certainUntil = max(c.certainUntil, sent+c.params.OwnerTTL-leaseMargin)
 }
@@ -175,6 +186,7 @@
 		c.tickWorker(w, now)
 	}
 	c.evacuate(now)
+	c.tickUpkeep(now)
 	c.dropOldJobs(now)
 	c.Schedule(now)
 }
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -101,6 +101,7 @@
 	tries    int
 	started  time.Duration
 	stopping bool
+	atWork   bool          // past its start in the newest list
 	stopAt   time.Duration // when the last stop was sent
 	// percent is the pace wanted, paced the one the worker was told.
 	percent, paced int
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -130,6 +130,7 @@
 		t.checkpoint = row.Checkpoint
 		t.step.checkpoint = row.Checkpoint
 	}
+	a.atWork = row.Percent == fullPace
 	c.read(a, row, now)
 }
 
--- a/dispatch/persist.go
+++ b/dispatch/persist.go
@@ -14,8 +14,18 @@
 	version uint64
 }
 
-// Dirty reports whether progress waits to be written.
-func (c *Core) Dirty() bool { return len(c.dirty) > 0 }
+// Dirty reports whether the progress of jobs or waves waits to be written.
+func (c *Core) Dirty() bool {
+	if len(c.dirty) > 0 {
+		return true
+	}
+	for _, s := range c.waves {
+		if s.persisted != s.version {
+			return true
+		}
+	}
+	return false
+}
 
 // Backlog returns how many jobs' progress waits to be written.
 func (c *Core) Backlog() int { return len(c.dirty) }
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -15,7 +15,9 @@
 
 // WorkerInfo is what the platform lists of a worker.
 type WorkerInfo struct {
-	ID         WorkerID
+	ID WorkerID
+	// VM is the machine that the worker is a life of.
+	VM         string
 	Address    string
 	Service    string
 	DataCentre string
--- /dev/null
+++ b/dispatch/upkeep_test.go
@@ -0,0 +1,270 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"leverstile.dev/job"
+)
+
+// upkeepWorld is a platform of VMs, and an owner with its store.
+type upkeepWorld struct {
+	t      *rapid.T
+	wave   Wave
+	core   *Core
+	term   uint64
+	now    Instant
+	record []byte // of the wave, as the store has it
+	status bool   // succeeded, as the operators are told
+	vms    map[string]*worldVM
+	calls  []UpkeepOrder // sent and not answered yet
+}
+
+type worldVM struct {
+	life  int
+	down  bool // for its upkeep
+	begun bool
+	upAt  time.Duration
+}
+
+const worldGap = time.Second // between orders of two owners
+
+func (u *upkeepWorld) takeOver() {
+	u.term++
+	u.core = New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: 3 * time.Second, OwnerHorizon: 12 * time.Second, HolderGap: worldGap}, u.term, nil)
+	u.calls = nil
+	u.core.Renewed(u.now.Steady)
+	u.list()
+	if err := u.core.SetWave(u.wave, u.record, u.now); err != nil {
+		u.t.Fatal(err)
+	}
+}
+
+// list tells the core of the workers and has it read their empty lists.
+func (u *upkeepWorld) list() {
+	var infos []WorkerInfo
+	for name, vm := range u.vms {
+		if !vm.down {
+			infos = append(infos, WorkerInfo{ID: WorkerID(fmt.Sprintf("i-%s-%d", name, vm.life)), VM: name, Address: name, Service: "svc", CPUMilli: 1000, MemoryMiB: 1000})
+		}
+	}
+	u.core.SetWorkers(infos, u.now)
+	for _, info := range infos {
+		if u.core.workers[info.ID] != nil {
+			u.core.HoldDone(HoldOrder{Worker: info.ID}, HoldReply{ClockMS: u.now.Steady.Milliseconds() + 1}, OutcomeOK, u.now)
+		}
+	}
+}
+
+func (u *upkeepWorld) advance(d time.Duration) {
+	u.now.Steady += d
+	for _, vm := range u.vms {
+		if vm.down && u.now.Steady >= vm.upAt {
+			vm.down = false
+			vm.life++
+		}
+	}
+	u.core.Renewed(u.now.Steady)
+	u.list()
+	u.core.Tick(u.now)
+	u.calls = append(u.calls, u.core.TakeUpkeeps()...)
+}
+
+func (u *upkeepWorld) persist() {
+	r, err := u.core.DirtyWave()
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	if r == nil {
+		return
+	}
+	u.record = r.Value
+	if r.Succeeded && !u.status {
+		u.status = true
+		for name, vm := range u.vms {
+			if !vm.begun {
+				u.t.Fatalf("the wave is said to have succeeded, %s had no upkeep", name)
+			}
+		}
+	}
+	u.core.WavePersisted(r)
+}
+
+// carryOut has the platform take a VM down, once.
+func (u *upkeepWorld) carryOut(o UpkeepOrder) {
+	vm := u.vms[o.VM]
+	if vm.begun {
+		return
+	}
+	down := 0
+	for _, other := range u.vms {
+		if other.down {
+			down++
+		}
+	}
+	if down >= u.wave.AtOnce {
+		u.t.Fatalf("%s is taken down while %d others are", o.VM, down)
+	}
+	vm.begun, vm.down = true, true
+	vm.upAt = u.now.Steady + 5*time.Second
+}
+
+func (u *upkeepWorld) answer(carried, answered bool) {
+	if len(u.calls) == 0 {
+		return
+	}
+	o := u.calls[0]
+	u.calls = u.calls[1:]
+	outcome := UpkeepUnknown
+	if carried {
+		u.carryOut(o)
+		outcome = UpkeepBegun
+	}
+	if !answered {
+		outcome = UpkeepUnknown
+	}
+	u.core.UpkeepDone(o, outcome, u.now)
+}
+
+// Whatever is lost and whoever takes over: at most AtOnce VMs are down for the
+// wave, it is said to have succeeded only when all had their upkeep, and it ends.
+func TestWavesKeepTheirBoundsOverTakeovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := &upkeepWorld{t: t, vms: map[string]*worldVM{}, now: Instant{Steady: time.Second}}
+		u.wave = Wave{Number: 1, Allowed: 20 * time.Second, AtOnce: rapid.IntRange(1, 3).Draw(t, "at once")}
+		for i := range rapid.IntRange(1, 6).Draw(t, "VMs") {
+			name := fmt.Sprintf("m%d", i)
+			u.vms[name] = &worldVM{}
+			u.wave.VMs = append(u.wave.VMs, name)
+		}
+		u.takeOver()
+		for range rapid.IntRange(0, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2, 3:
+				u.advance(time.Duration(rapid.IntRange(50, 400).Draw(t, "ms")) * time.Millisecond)
+			case 4, 5:
+				u.persist()
+			case 6, 7:
+				u.answer(true, true)
+			case 8:
+				u.answer(rapid.Bool().Draw(t, "carried out"), false)
+			case 9:
+				if rapid.Bool().Draw(t, "takeover") {
+					u.takeOver()
+				}
+			}
+		}
+		for range 1200 {
+			u.advance(200 * time.Millisecond)
+			u.persist()
+			u.answer(true, true)
+		}
+		if !u.status {
+			t.Fatalf("the wave has not ended: %s", u.record)
+		}
+	})
+}
+
+// An owner gives no order for a VM before the one before it can have stopped to.
+func TestUpkeepWaitsForThePreviousOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := &upkeepWorld{t: t, vms: map[string]*worldVM{"m0": {}}, now: Instant{Steady: time.Minute}}
+		u.wave = Wave{Number: 1, VMs: []string{"m0"}, AtOnce: 1}
+		u.takeOver()
+		began := u.now.Steady
+		for u.now.Steady < began+worldGap {
+			if len(u.calls) > 0 {
+				t.Fatalf("an order %v after the takeover", u.now.Steady-began)
+			}
+			u.advance(100 * time.Millisecond)
+			u.persist()
+		}
+		u.advance(200 * time.Millisecond)
+		u.persist()
+		u.advance(200 * time.Millisecond)
+		if len(u.calls) != 1 {
+			t.Fatalf("%d orders", len(u.calls))
+		}
+		u.now.Steady += 4 * time.Second // not renewed: another owner may be there
+		u.core.UpkeepDone(u.calls[0], UpkeepBusy, u.now)
+		u.now.Steady += 2 * upkeepRetry
+		u.core.Tick(u.now)
+		if n := len(u.core.TakeUpkeeps()); n != 0 {
+			t.Fatalf("%d orders under an unsure lease", n)
+		}
+	})
+}
+
+// Lasting tasks leave a VM one after the other, as many as their step can miss,
+// and the VM is taken down only when it is empty.
+func TestUpkeepSparesLastingTasks(t *testing.T) {
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour}, 1, nil)
+	now := Instant{Steady: time.Second}
+	core.Renewed(now.Steady)
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
+	var infos []WorkerInfo
+	for i := range 2 {
+		infos = append(infos, WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d", i)), VM: fmt.Sprintf("m%d", i), Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 64000})
+	}
+	core.SetWorkers(infos[:1], now) // all tasks start on the first
+	core.RosterStored([]WorkerID{"w0", "w1"})
+	core.HoldDone(HoldOrder{Worker: "w0"}, HoldReply{ClockMS: 1}, OutcomeOK, now)
+	spec := lastingJob(1, 3)
+	spec.Steps[0].MaxAway = 1
+	core.AddJob(spec, nil, false, now)
+	core.Schedule(now)
+	rows := map[WorkerID][]RunningTask{}
+	for _, o := range core.TakeOrders() {
+		core.OrderDone(o, Answer{ClockMS: 2}, now)
+		rows[o.Worker] = append(rows[o.Worker], RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
+	}
+	core.SetWorkers(infos, now)
+	core.HoldDone(HoldOrder{Worker: "w1"}, HoldReply{ClockMS: 1}, OutcomeOK, now)
+	if err := core.SetWave(Wave{Number: 1, VMs: []string{"m0"}, Allowed: 10 * time.Second, AtOnce: 1}, nil, now); err != nil {
+		t.Fatal(err)
+	}
+	stops, number := 0, uint64(0)
+	for range 40 {
+		now.Steady += 100 * time.Millisecond
+		clock := now.Steady.Milliseconds()
+		for _, id := range []WorkerID{"w0", "w1"} {
+			core.HoldDone(HoldOrder{Worker: id}, HoldReply{ClockMS: clock, Running: rows[id]}, OutcomeOK, now)
+		}
+		core.Tick(now)
+		if len(core.TakeUpkeeps()) > 0 {
+			if len(rows["w0"]) > 0 {
+				t.Fatalf("taken down with %d tasks", len(rows["w0"]))
+			}
+			if stops != 3 {
+				t.Fatalf("%d stops", stops)
+			}
+			return
+		}
+		if r, err := core.DirtyWave(); err == nil && r != nil {
+			core.WavePersisted(r)
+		}
+		stopped := 0
+		for _, o := range core.TakeOrders() {
+			core.OrderDone(o, Answer{ClockMS: clock}, now)
+			switch o.Kind {
+			case OrderStop:
+				stopped++
+				number++
+				rows["w0"] = rows["w0"][1:]
+				core.HoldDone(HoldOrder{Worker: "w0"}, HoldReply{ClockMS: clock + 1, Running: rows["w0"], Ended: []EndedTask{{Number: number, Task: o.Task, Run: o.Run, Kind: EndStopped}}}, OutcomeOK, now)
+			case OrderStart:
+				if o.Worker != "w1" {
+					t.Fatalf("a start at the cordoned worker")
+				}
+				rows["w1"] = append(rows["w1"], RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
+			}
+		}
+		if stops += stopped; stopped > 1 {
+			t.Fatalf("%d tasks of the step are stopped at once", stopped)
+		}
+	}
+	t.Fatal("the VM is not taken down")
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -65,6 +65,7 @@
 	sample          sample
 	reserved        time.Duration // until then room that was made is not made again
 	openness        float64       // see rateOpenness
+	cordoned        bool          // its VM waits for upkeep: no new tasks
 	squeeze         float64       // further scale of paces, from 0 to 1
 }
 
@@ -132,7 +133,7 @@
 
 // takesWork reports whether new tasks may be sent to the worker.
 func (w *worker) takesWork(now Instant) bool {
-	return w.listed && w.overReason == "" && !w.info.Draining && w.synced && w.unanswered < suspectAfter &&
+	return w.listed && w.overReason == "" && !w.info.Draining && !w.cordoned && w.synced && w.unanswered < suspectAfter &&
 		now.Steady >= w.avoidUntil
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -35,28 +35,34 @@
 }
 
 func (n *Node) followConfig(ctx context.Context, wait *backoff) error {
-	pairs, rev, err := n.store.Range(ctx, n.opts.ConfigKey)
+	pairs, rev, err := n.store.Range(ctx, n.opts.OperatorPrefix)
 	if err != nil {
 		return err
 	}
 	for _, p := range pairs {
-		n.putConfig(p)
+		n.putOperators(p)
 	}
-	return n.store.Watch(ctx, n.opts.ConfigKey, rev, func(_ int64, events []kv.Event) {
+	return n.store.Watch(ctx, n.opts.OperatorPrefix, rev, func(_ int64, events []kv.Event) {
 		wait.reset()
 		for _, ev := range events {
 			if !ev.Deleted {
-				n.putConfig(ev.Pair)
+				n.putOperators(ev.Pair)
 			}
 		}
 	})
 }
 
-// putConfig puts a version into force unless a newer one is.
-func (n *Node) putConfig(p kv.Pair) {
-	if p.Key != n.opts.ConfigKey {
+// putOperators takes in what the operators wrote.
+func (n *Node) putOperators(p kv.Pair) {
+	if p.Key == n.opts.ConfigKey {
+		n.putConfig(p)
 		return
 	}
+	n.putWave(p)
+}
+
+// putConfig puts a version into force unless a newer one is.
+func (n *Node) putConfig(p kv.Pair) {
 	c, err := n.opts.DecodeConfig(p.Value)
 	if err != nil {
 		n.log.Error().Str("event", "config_unreadable").Int64("revision", p.ModRevision).Err(err).Msg("")
--- a/node/load.go
+++ b/node/load.go
@@ -64,6 +64,7 @@
 	if err := n.takeOver(core, own, now); err != nil {
 		return 0, err
 	}
+	o.noteWaveRecords(own)
 	core.SetConfig(config)
 	core.SetWorkers(workers, now)
 	if err := loadJobs(core, progress, intake, now); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -25,9 +25,15 @@
 	// FreezeSlack is the pause of the process beyond which its lease is
 	// checked before it acts.
 	FreezeSlack time.Duration
-	// ConfigKey is the store's key of the operators' configuration.
-	ConfigKey    string
-	DecodeConfig func([]byte) (*job.Config, error)
+	// OperatorPrefix is where the operators write to the store, ConfigKey the
+	// key of their configuration below it.
+	OperatorPrefix, ConfigKey string
+	DecodeConfig              func([]byte) (*job.Config, error)
+	// DecodeWave reads a wave of upkeep; ok is false for keys of other things.
+	// It may be nil where there are none.
+	DecodeWave func(key string, value []byte) (wave dispatch.Wave, ok bool, err error)
+	// WaveStatus returns the key and value that tell the operators of a wave.
+	WaveStatus func(number int64, succeeded bool) (key string, value []byte)
 }
 
 // Node is an entry process that schedules jobs.
@@ -37,6 +43,7 @@
 	lister  Lister
 	workers Workers
 	advisor Advisor
+	vms     VMs
 	log     *log.Logger
 	metrics nodeMetrics
 	start   time.Time
@@ -48,6 +55,7 @@
 	drained  chan struct{} // closed by Drain
 	peers    *http.Client
 	pending  pendingCache
+	waves    waveList
 }
 
 type nodeMetrics struct {
@@ -61,15 +69,15 @@
 }
 
 // New returns a node. Run starts it.
-func New(opts Options, store Store, lister Lister, workers Workers, advisor Advisor, logger *log.Logger, set *metrics.Set) *Node {
+func New(opts Options, ports Ports, logger *log.Logger, set *metrics.Set) *Node {
 	n := &Node{
-		opts: opts, lister: lister, workers: workers, advisor: advisor, log: logger, start: time.Now(),
+		opts: opts, lister: ports.Lister, workers: ports.Workers, advisor: ports.Advisor, vms: ports.VMs, log: logger, start: time.Now(),
 		peers: newPeerClient(), drained: make(chan struct{}),
 	}
 	p := &n.opts.Params
 	p.OwnerTTL, p.OwnerHorizon = max(ownerTTL, opts.MinLeaseTTL), ownerHorizon
 	p.RecoveryWait = dispatch.RecoveryWaitFor(p.OwnerTTL, p.OwnerHorizon)
-	n.store = &storeHealth{Store: store, clock: n.clock, changed: n.storeChanged}
+	n.store = &storeHealth{Store: ports.Store, clock: n.clock, changed: n.storeChanged}
 	n.metrics = nodeMetrics{
 		set:       set,
 		flush:     set.NewHistogram("leverstile_record_write_seconds"),
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -41,6 +41,7 @@
 	doubled []string
 	jobKept time.Duration
 	advisor string // address of the placement policy
+	cloud   string // address that takes orders for VMs
 }
 
 type testNode struct {
@@ -87,10 +88,11 @@
 	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	store := platform.NewStore(c.store.Address(), set)
 	n := node.New(node.Options{
-		Entry: name, PeerAddress: l.Addr().String(), ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		Entry: name, PeerAddress: l.Addr().String(), OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey,
+		DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		FreezeSlack: 5 * time.Second, // a loaded machine is no freeze
 		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1},
-	}, store, store, platform.NewWorkers(set), platform.NewAdvisor(c.advisor), logger, set)
+	}, node.Ports{Store: store, Lister: store, Workers: platform.NewWorkers(set), Advisor: platform.NewAdvisor(c.advisor), VMs: platform.NewVMs(c.cloud, name)}, logger, set)
 	tn := &testNode{node: n, address: l.Addr().String(), peers: &http.Server{Handler: n.PeersHandler()}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.stop = cancel
--- a/node/owner.go
+++ b/node/owner.go
@@ -44,7 +44,10 @@
 	running sync.WaitGroup
 	// lastAlive is when the process last proved to itself that it runs.
 	lastAlive time.Duration
-	suspended bool
+	// waveRecords is what the store held of waves at the takeover, by key. It is
+	// not changed after the core is in place.
+	waveRecords map[string][]byte
+	suspended   bool
 }
 
 // runOwner owns the cell until the ownership ends.
@@ -60,6 +63,7 @@
 	rev, err := o.load()
 	if err == nil {
 		n.current.Store(o)
+		o.locked(o.takeWaves) // one may have been seen since the load
 		o.running.Go(func() { o.intakeLoop(rev) })
 		o.running.Go(o.listLoop)
 		o.running.Go(o.tickLoop)
@@ -103,6 +107,7 @@
 	f(o.core, now)
 	orders := o.core.TakeOrders()
 	asks := o.core.TakeAsks()
+	upkeeps := o.core.TakeUpkeeps()
 	dirty := o.core.Dirty() || o.core.RosterStale()
 	deposed := o.core.Deposed()
 	o.mu.Unlock()
@@ -118,6 +123,9 @@
 	for _, ask := range asks {
 		o.running.Go(func() { o.ask(ask) })
 	}
+	for _, order := range upkeeps {
+		o.running.Go(func() { o.beginUpkeep(order) })
+	}
 }
 
 func signal(c chan struct{}) {
--- a/node/record.go
+++ b/node/record.go
@@ -17,8 +17,8 @@
 	// at most 70 writes a second, of 400 that the store takes.
 	flushPauseBehind = 10 * time.Millisecond
 	// flushRecords is the most records in one write: the store takes 32
-	// entries, of which two are conditions and three other keys.
-	flushRecords = 27
+	// entries, of which two are conditions and five other keys.
+	flushRecords = 25
 	// idleFlush is the pause after which a flush is tried without news: for what
 	// was learnt, and for records to be removed.
 	idleFlush = 3 * time.Second
@@ -79,16 +79,20 @@
 	if now := o.now(); err == nil && o.core.LearntDue(now) {
 		learnt, err = o.core.Learnt(now)
 	}
+	var wave *dispatch.WaveRecord
+	if err == nil {
+		wave, err = o.core.DirtyWave()
+	}
 	o.mu.Unlock()
 	if err != nil {
 		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
 		return false
 	}
-	if len(records) == 0 && roster == nil && learnt == nil {
+	if len(records) == 0 && roster == nil && learnt == nil && wave == nil {
 		return o.removeExpired(ctx)
 	}
 	began := o.node.clock()
-	ok := o.write(ctx, recordOps(records, roster, learnt))
+	ok := o.write(ctx, append(recordOps(records, roster, learnt), o.node.waveOps(wave)...))
 	o.node.metrics.flush.UpdateDuration(time.Now().Add(began - o.node.clock()))
 	if !ok {
 		return false
@@ -98,6 +102,9 @@
 		if roster != nil {
 			c.RosterStored(rosterIDs)
 		}
+		if wave != nil {
+			c.WavePersisted(wave)
+		}
 	})
 	if roster != nil {
 		signal(o.wake)
--- a/node/store.go
+++ b/node/store.go
@@ -37,6 +37,21 @@
 	Advise(ctx context.Context, req dispatch.AdviceRequest) ([]dispatch.Ticket, error)
 }
 
+// VMs gives orders for VMs to the platform.
+type VMs interface {
+	BeginUpkeep(ctx context.Context, o dispatch.UpkeepOrder) dispatch.UpkeepOutcome
+}
+
+// Ports are what a node needs of the platform.
+type Ports struct {
+	Store   Store
+	Lister  Lister
+	Workers Workers
+	Advisor Advisor
+	// VMs may be nil where no upkeep is asked for.
+	VMs VMs
+}
+
 // Keys in the store.
 const (
 	// leadKey holds the owner, under its lease.
--- /dev/null
+++ b/node/upkeep.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/kv"
+)
+
+// wavePrefix is where the owner keeps how far waves of upkeep have come, under
+// their number.
+const wavePrefix = ownPrefix + "wave/"
+
+func waveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
+
+// waveList holds the operators' waves that were seen. Its lock guards waves.
+type waveList struct {
+	mu    sync.Mutex
+	waves []dispatch.Wave
+}
+
+func (l *waveList) all() []dispatch.Wave {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.waves)
+}
+
+// add reports whether the wave is new.
+func (l *waveList) add(w dispatch.Wave) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.ContainsFunc(l.waves, func(o dispatch.Wave) bool { return o.Number == w.Number }) {
+		return false
+	}
+	l.waves = append(l.waves, w)
+	return true
+}
+
+// putWave takes in a wave of upkeep, if the key is that of one.
+func (n *Node) putWave(p kv.Pair) {
+	if n.opts.DecodeWave == nil {
+		return
+	}
+	wave, ok, err := n.opts.DecodeWave(p.Key, p.Value)
+	if !ok {
+		return
+	}
+	if err != nil {
+		n.log.Error().Str("event", "wave_unreadable").Str("key", p.Key).Err(err).Msg("")
+		return
+	}
+	if !n.waves.add(wave) {
+		return
+	}
+	n.log.Info().Str("event", "wave_seen").Int64("wave", wave.Number).Int("vms", len(wave.VMs)).Int("at_once", wave.AtOnce).Dur("allowed", wave.Allowed).Msg("")
+	if o := n.current.Load(); o != nil {
+		o.locked(o.takeWaves)
+	}
+}
+
+// takeWaves hands the waves that were seen so far to the core, with what the
+// store held of them at the takeover. Those that it knows stay as they are.
+func (o *owner) takeWaves(core *dispatch.Core, now dispatch.Instant) {
+	for _, wave := range o.node.waves.all() {
+		if err := core.SetWave(wave, o.waveRecords[waveKey(wave.Number)], now); err != nil {
+			o.node.log.Error().Str("event", "wave_record_unreadable").Int64("wave", wave.Number).Err(err).Msg("")
+		}
+	}
+}
+
+// noteWaveRecords keeps what the store holds of waves for takeWaves.
+func (o *owner) noteWaveRecords(own []kv.Pair) {
+	o.waveRecords = map[string][]byte{}
+	for _, p := range own {
+		if strings.HasPrefix(p.Key, wavePrefix) {
+			o.waveRecords[p.Key] = p.Value
+		}
+	}
+}
+
+// beginUpkeep makes one call for a VM and takes in the answer.
+func (o *owner) beginUpkeep(order dispatch.UpkeepOrder) {
+	outcome := dispatch.UpkeepUnknown
+	if o.node.vms != nil && o.mayAct(o.ctx) {
+		outcome = o.node.vms.BeginUpkeep(o.ctx, order)
+	}
+	if o.ctx.Err() != nil {
+		return
+	}
+	o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.UpkeepDone(order, outcome, now) })
+}
+
+// waveOps returns the writes of a wave's record and of what operators are told.
+func (n *Node) waveOps(r *dispatch.WaveRecord) []kv.Op {
+	if r == nil {
+		return nil
+	}
+	key, value := n.opts.WaveStatus(r.Number, r.Succeeded)
+	return []kv.Op{kv.Put(waveKey(r.Number), r.Value, 0), kv.Put(key, value, 0)}
+}
