Let the next life of a VM end the one before; keep overlapping waves apart

Found beside it: a VM that two waves name was asked for while it was down for the other, and the worker that the first brought counted as the end of the second.

Ruled out: concluding from the list of workers (writes of an ended life may come late).

Change: a worker that answers a poll proves that other lives of its VM, known before the poll was sent and silent since, are over. An unlisted worker without tasks is forgotten, and the roster is written again. A VM that is down for one wave waits with the other; lives that upkeep has ended are not taken for new ones; patience goes by what is left of a wave's time, also after a takeover.

TestUpkeepSparesLastingTasks tells that the roster is stored only for workers that are in it.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -66,6 +66,7 @@
 	queues  map[string]job.Queue // every queue ever seen, newest terms
 	jobs    map[string]*jobState
 	workers map[WorkerID]*worker
+	lives   map[string][]*worker // of workers, by VM where that is known
 	// over holds lives that have ended and may still be listed.
 	over map[WorkerID]bool
 	// unresolved are workers of the previous owner that have not answered
@@ -126,7 +127,7 @@
 	return &Core{
 		params: params, term: term,
 		queues: map[string]job.Queue{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{},
-		workers: map[WorkerID]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]time.Duration{},
+		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]time.Duration{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, perfByKey: map[perfKey]*runTimes{},
 	}
--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -78,7 +78,7 @@
 // A fill that is known to hurt waits for a worker where it does not.
 func TestFillsGoWhereHeadroomIsLeft(t *testing.T) {
 	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
-	w := newWorker(WorkerInfo{CPUMilli: 16000, MemoryMiB: 64000})
+	w := core.addWorker(WorkerInfo{CPUMilli: 16000, MemoryMiB: 64000}, Instant{})
 	s := &stepRun{spec: &job.Step{Count: 1, CPUMilli: 1600, Fills: true, Image: "loud"}}
 	core.model.regression("web").grow("loud", 6, 0.01)
 	for alone, admitted := range map[float64]bool{3: true, admitHeadroom + 0.5: false} {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -35,6 +35,7 @@
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
 		h.Wait = w.pollWait()
 	}
+	w.holdSent = now.Steady
 	return HoldPlan{Order: h, Send: true}
 }
 
@@ -76,6 +77,7 @@
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
+	c.endOtherLives(w, now)
 	fresh := w.noteClock(reply.ClockMS, now)
 	c.takeEnds(w, reply.Ended, now)
 	if fresh {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -11,15 +11,17 @@
 type RosterEntry struct {
 	ID      WorkerID `json:"id"`
 	Address string   `json:"address"`
+	VM      string   `json:"vm,omitempty"`
 }
 
 // roster is the list of workers that may have orders of this owner. It is
 // persisted before a worker's first order, so that the next owner knows where
-// to look; stale is set while the store's copy lacks something.
+// to look; stale is set while the store's copy lacks something or holds what is
+// over, and written tells whether a write holds the newest entries.
 type roster struct {
-	entries map[WorkerID]RosterEntry
-	stored  map[WorkerID]bool
-	stale   bool
+	entries        map[WorkerID]RosterEntry
+	stored         map[WorkerID]bool
+	stale, written bool
 }
 
 func newRoster() roster {
@@ -28,16 +30,20 @@
 
 func (r *roster) want(info WorkerInfo) {
 	if _, ok := r.entries[info.ID]; !ok {
-		r.entries[info.ID] = RosterEntry{info.ID, info.Address}
-		r.stale = true
+		r.entries[info.ID] = RosterEntry{info.ID, info.Address, info.VM}
+		r.stale, r.written = true, false
 	}
 }
 
-// drop forgets a worker. The store's copy is corrected with the next change:
-// an entry too many only costs the next owner a call.
+// drop forgets a worker. An entry too many in the store would cost the next
+// owner a wait for a worker that never answers.
 func (r *roster) drop(id WorkerID) {
+	if _, ok := r.entries[id]; !ok {
+		return
+	}
 	delete(r.entries, id)
 	delete(r.stored, id)
+	r.stale, r.written = true, false
 }
 
 // RosterStale reports whether the roster must be written.
@@ -51,6 +57,7 @@
 		list = append(list, e)
 		ids = append(ids, e.ID)
 	}
+	c.roster.written = true
 	value, err := json.Marshal(list)
 	return value, ids, err
 }
@@ -58,14 +65,13 @@
 // RosterStored tells that the store holds a roster with these workers.
 func (c *Core) RosterStored(ids []WorkerID) {
 	for _, id := range ids {
-		c.roster.stored[id] = true
-	}
-	for id := range c.roster.entries {
-		if !c.roster.stored[id] {
-			return
+		if _, ok := c.roster.entries[id]; ok {
+			c.roster.stored[id] = true
 		}
 	}
-	c.roster.stale = false
+	if c.roster.written {
+		c.roster.stale = false
+	}
 }
 
 // DecodeRoster reads what Roster returned.
@@ -86,7 +92,7 @@
 		c.unresolved[e.ID] = now.Steady + c.params.RecoveryWait
 		c.roster.entries[e.ID] = e
 		c.roster.stored[e.ID] = true
-		c.workers[e.ID] = newWorker(WorkerInfo{ID: e.ID, Address: e.Address})
+		c.addWorker(WorkerInfo{ID: e.ID, Address: e.Address, VM: e.VM}, now)
 	}
 	if len(list) > 0 {
 		c.trace(Decision{Event: "recovery_begun", Age: c.params.RecoveryWait})
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -48,8 +48,27 @@
 	c.over[w.info.ID] = true
 }
 
+// endOtherLives concludes that lives of a worker's VM that were known before its
+// newest poll was sent, and did not answer since, are over: a VM runs one life
+// at a time, and lives do not come back. A life that was heard of later may have
+// followed this one while its answer was on the way.
+func (c *Core) endOtherLives(w *worker, now Instant) {
+	if len(c.lives[w.info.VM]) < 2 {
+		return
+	}
+	for _, other := range slices.Clone(c.lives[w.info.VM]) {
+		if other != w && other.knownAt < w.holdSent && other.lastAnswer < w.holdSent {
+			c.lifeOver(other, "another life of its VM answers", now)
+		}
+	}
+}
+
 func (c *Core) forget(w *worker, reason string) {
 	delete(c.workers, w.info.ID)
+	c.lives[w.info.VM] = slices.DeleteFunc(c.lives[w.info.VM], func(o *worker) bool { return o == w })
+	if len(c.lives[w.info.VM]) == 0 {
+		delete(c.lives, w.info.VM)
+	}
 	c.roster.drop(w.info.ID)
 	c.trace(Decision{Event: "worker_forgotten", Worker: w.info.ID, Reason: reason})
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -311,7 +311,7 @@
 	}
 	return &simWorker{
 		sim: s, alive: true, rate: rate, offset: int64(s.rng.IntN(1_000_000)) + 1, born: s.now,
-		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), Address: fmt.Sprintf("addr%d", place), Service: "svc", CPUMilli: 4000, MemoryMiB: 8000},
+		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), VM: fmt.Sprintf("m%d", place), Address: fmt.Sprintf("addr%d", place), Service: "svc", CPUMilli: 4000, MemoryMiB: 8000},
 		running: map[job.TaskID]*simRun{}, highest: map[job.TaskID]uint64{},
 	}
 }
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -90,13 +90,16 @@
 // persisted is the version that the store has.
 type waveState struct {
 	Wave
-	vms                []*vmUpkeep
+	vms []*vmUpkeep
+	// seenMS is when the wave was first seen, milliseconds since 1970.
+	seenMS             int64
 	succeeded          bool
 	version, persisted uint64
 }
 
 // waveRecord is the stored part of a wave, by VM.
 type waveRecord struct {
+	SeenMS    int64               `json:"seen_ms"`
 	VMs       map[string]vmRecord `json:"vms,omitempty"`
 	Succeeded bool                `json:"succeeded,omitempty"`
 }
@@ -119,7 +122,10 @@
 		}
 	}
 	wave.AtOnce = max(wave.AtOnce, 1)
-	s := &waveState{Wave: wave, succeeded: known.Succeeded, version: 1}
+	s := &waveState{Wave: wave, seenMS: known.SeenMS, succeeded: known.Succeeded, version: 1}
+	if s.seenMS == 0 {
+		s.seenMS = now.UnixMS
+	}
 	for _, vm := range wave.VMs {
 		u := &vmUpkeep{vm: vm}
 		if r, ok := known.VMs[vm]; ok {
@@ -180,7 +186,7 @@
 	var waiting []*vmUpkeep
 	draining := 0
 	for _, u := range s.vms {
-		if u.begun || u.void {
+		if u.begun || u.void || c.downElsewhere(s, u.vm) {
 			continue
 		}
 		w := c.workerOfVM(u.vm)
@@ -205,6 +211,21 @@
 	}
 }
 
+// downElsewhere reports whether a VM may be down for another wave.
+func (c *Core) downElsewhere(s *waveState, vm string) bool {
+	for _, other := range c.waves {
+		if other == s || other.succeeded {
+			continue
+		}
+		for _, u := range other.vms {
+			if u.vm == vm && u.intended && !u.back && !u.void {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // noteListed follows for how long a VM has had no listed worker.
 func (u *vmUpkeep) noteListed(listed bool, now Instant) {
 	switch {
@@ -226,24 +247,31 @@
 }
 
 func (c *Core) hasTasksOn(vm string) bool {
-	for _, w := range c.workers {
-		if w.info.VM == vm && len(w.attempts) > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.lives[vm], func(w *worker) bool { return len(w.attempts) > 0 })
 }
 
 // cordon keeps new tasks off a worker that waits for its VM's upkeep.
 func (c *Core) cordon(s *waveState, u *vmUpkeep, w *worker, now Instant) {
-	steps := (len(s.VMs) + s.AtOnce - 1) / s.AtOnce
-	patience := s.Allowed/time.Duration(max(steps, 1)) - c.params.Maintenance - drainSlack
 	u.life = w.info.ID
-	u.drainUntil = now.Steady + min(max(patience, drainLeast), drainMost)
+	u.drainUntil = now.Steady + c.patience(s, now)
 	w.cordoned = true
 	c.trace(Decision{Event: "vm_cordoned", Worker: w.info.ID, Reason: u.vm, Age: u.drainUntil - now.Steady})
 }
 
+// patience returns how long tasks that save nothing may go on at a VM that is
+// cordoned now: its part of what is left of the wave's time.
+func (c *Core) patience(s *waveState, now Instant) time.Duration {
+	open := 0
+	for _, u := range s.vms {
+		if !u.begun && !u.void {
+			open++
+		}
+	}
+	steps := max((open+s.AtOnce-1)/s.AtOnce, 1)
+	left := s.Allowed - time.Duration(now.UnixMS-s.seenMS)*time.Millisecond
+	return min(max(left/time.Duration(steps)-c.params.Maintenance-drainSlack, drainLeast), drainMost)
+}
+
 // drainForUpkeep moves tasks off a cordoned worker. Those that save their work
 // go at once, others only when the patience with them has ended; lasting ones
 // only while enough of their step are at work.
@@ -293,7 +321,7 @@
 	}
 	free := s.AtOnce - s.down()
 	for _, u := range s.vms {
-		if u.begun || u.void || u.calling || now.Steady < u.retryAt || !c.vacant(u, now) {
+		if u.begun || u.void || u.calling || now.Steady < u.retryAt || c.downElsewhere(s, u.vm) || !c.vacant(u, now) {
 			continue
 		}
 		switch {
@@ -354,6 +382,9 @@
 	case UpkeepBegun:
 		u.begun, u.begunAt = true, now.Steady
 		s.version++
+		if w := c.workers[u.life]; w != nil {
+			w.takenDown = true
+		}
 	case UpkeepNotWanted:
 		u.void = true
 		s.version++
@@ -371,8 +402,8 @@
 // life of a VM may still be listed beside the next one, which is the one meant.
 func (c *Core) workerOfVM(vm string) *worker {
 	var found *worker
-	for _, w := range c.workers {
-		if w.info.VM != vm || !w.listed {
+	for _, w := range c.lives[vm] {
+		if !w.listed || w.takenDown {
 			continue
 		}
 		if found == nil || found.cordoned && !w.cordoned || found.cordoned == w.cordoned && w.info.ID > found.info.ID {
@@ -404,7 +435,7 @@
 }
 
 func (s *waveState) record() waveRecord {
-	r := waveRecord{VMs: map[string]vmRecord{}, Succeeded: s.succeeded}
+	r := waveRecord{SeenMS: s.seenMS, VMs: map[string]vmRecord{}, Succeeded: s.succeeded}
 	for _, u := range s.vms {
 		if u.intended || u.void {
 			r.VMs[u.vm] = vmRecord{u.life, u.begun, u.void}
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -210,7 +210,7 @@
 		infos = append(infos, WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d", i)), VM: fmt.Sprintf("m%d", i), Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 64000})
 	}
 	core.SetWorkers(infos[:1], now) // all tasks start on the first
-	core.RosterStored([]WorkerID{"w0", "w1"})
+	core.RosterStored([]WorkerID{"w0"})
 	core.HoldDone(HoldOrder{Worker: "w0"}, HoldReply{ClockMS: 1}, OutcomeOK, now)
 	spec := lastingJob(1, 3)
 	spec.Steps[0].MaxAway = 1
@@ -222,6 +222,7 @@
 		rows[o.Worker] = append(rows[o.Worker], RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
 	}
 	core.SetWorkers(infos, now)
+	core.RosterStored([]WorkerID{"w0", "w1"})
 	core.HoldDone(HoldOrder{Worker: "w1"}, HoldReply{ClockMS: 1}, OutcomeOK, now)
 	if err := core.SetWave(Wave{Number: 1, VMs: []string{"m0"}, Allowed: 10 * time.Second, AtOnce: 1}, nil, now); err != nil {
 		t.Fatal(err)
@@ -268,3 +269,37 @@
 	}
 	t.Fatal("the VM is not taken down")
 }
+
+// A VM that two waves name is taken down for one after the other, and is not
+// counted as back from the second by the worker that the first one brought.
+func TestOverlappingWavesTakeTurnsAtAVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := &upkeepWorld{t: t, vms: map[string]*worldVM{"m0": {}, "m1": {}}, now: Instant{Steady: time.Minute}}
+		u.wave = Wave{Number: 1, VMs: []string{"m0", "m1"}, AtOnce: 1}
+		u.takeOver()
+		second := Wave{Number: 2, VMs: []string{"m0", "m1"}, AtOnce: 1}
+		if err := u.core.SetWave(second, nil, u.now); err != nil {
+			t.Fatal(err)
+		}
+		taken := map[string]time.Duration{}
+		for len(taken) < 4 && u.now.Steady < 3*time.Minute {
+			u.advance(time.Duration(rapid.IntRange(50, 400).Draw(t, "ms")) * time.Millisecond)
+			for r, _ := u.core.DirtyWave(); r != nil; r, _ = u.core.DirtyWave() {
+				u.core.WavePersisted(r)
+			}
+			for _, o := range u.calls {
+				vm := u.vms[o.VM]
+				if vm.down {
+					t.Fatalf("wave %d asks for %s, which is down", o.Wave, o.VM)
+				}
+				vm.down, vm.upAt = true, u.now.Steady+2*time.Second
+				taken[fmt.Sprint(o.Wave, o.VM)] = u.now.Steady
+				u.core.UpkeepDone(o, UpkeepBegun, u.now)
+			}
+			u.calls = nil
+		}
+		if len(taken) != 4 {
+			t.Fatalf("taken down: %v", taken)
+		}
+	})
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -54,7 +54,9 @@
 	lastingCPU      int64 // declared, of lasting tasks
 	unanswered      int
 	holdFails       int
+	knownAt         time.Duration // when it was first heard of
 	lastAnswer      time.Duration
+	holdSent        time.Duration // when the newest poll was sent
 	strikes         int
 	failStreak      int
 	avoidUntil      time.Duration
@@ -66,6 +68,7 @@
 	reserved        time.Duration // until then room that was made is not made again
 	openness        float64       // see rateOpenness
 	cordoned        bool          // its VM waits for upkeep: no new tasks
+	takenDown       bool          // its VM's upkeep has ended this life
 	squeeze         float64       // further scale of paces, from 0 to 1
 }
 
@@ -86,8 +89,14 @@
 	amount resources
 }
 
-func newWorker(info WorkerInfo) *worker {
-	return &worker{info: info, squeeze: 1, foreign: map[job.TaskID]foreignRun{}}
+// addWorker takes in a life of a worker that was not known before.
+func (c *Core) addWorker(info WorkerInfo, now Instant) *worker {
+	w := &worker{info: info, knownAt: now.Steady, squeeze: 1, foreign: map[job.TaskID]foreignRun{}}
+	c.workers[info.ID] = w
+	if info.VM != "" {
+		c.lives[info.VM] = append(c.lives[info.VM], w)
+	}
+	return w
 }
 
 // amount returns what a task of the step takes of a worker's room.
@@ -185,8 +194,7 @@
 		}
 		w := c.workers[info.ID]
 		if w == nil {
-			w = newWorker(info)
-			c.workers[info.ID] = w
+			w = c.addWorker(info, now)
 			c.trace(Decision{Event: "worker_listed", Worker: info.ID, Reason: info.Address})
 		}
 		if info.Draining {
@@ -208,5 +216,10 @@
 			w.listed = false
 			c.trace(Decision{Event: "worker_unlisted", Worker: id})
 		}
+		if _, wait := c.unresolved[id]; !w.listed && !wait && w.empty() && len(w.ends) == 0 {
+			// Nothing of this owner runs there or can start. If it is listed
+			// again, its lists are read anew.
+			c.forget(w, "not listed and without tasks")
+		}
 	}
 }
