Share headroom in the order of jobs; halted fills wait in line again

Change: dispatch/budget.go: the headroom of each serving task is spent in the order of the fills' jobs; a fill that saves its work and stays below pace 60 for 3 s is stopped and ranked with the waiting ones.

--- /dev/null
+++ b/dispatch/budget.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// requeueAfter of a pace below movePace, a fill that saves its work is stopped
+// and waits in line again: its place there goes by its job, while a halted run
+// would wait for this worker alone.
+const requeueAfter = 3 * time.Second
+
+// budget is the headroom of a serving image that fills may take.
+type budget struct {
+	image string
+	left  float64
+}
+
+// fillPace is the pace wanted of a fill, in percent, and the most headroom that
+// it takes of a task at full pace.
+type fillPace struct {
+	fill    *attempt
+	percent int
+	cost    float64
+}
+
+// fillPaces shares the headroom of the worker's serving tasks among its fills:
+// those that take little work on, the others get theirs in the order of their
+// jobs, at full pace as long as there is headroom.
+func (c *Core) fillPaces(w *worker, now Instant) []fillPace {
+	budgets := make([]budget, 0, len(w.load.serving))
+	for _, v := range w.load.serving {
+		budgets = append(budgets, budget{v.image, max(v.alone-paceHeadroom, 0) * w.squeeze})
+	}
+	var paces []fillPace
+	var culprits []candidate
+	byStep := map[*stepRun][]*attempt{}
+	for _, a := range w.attempts {
+		s := a.task.step
+		if !s.spec.Fills || a.stopping {
+			continue
+		}
+		if c.costMost(w, a) < culpritCost {
+			c.spend(w, a, budgets, fullPace)
+			paces = append(paces, fillPace{a, fullPace, 0})
+			continue
+		}
+		if byStep[s] == nil {
+			q := c.queues[s.job.spec.Queue]
+			culprits = append(culprits, candidate{s, q, c.rankOf(s, q, now)})
+		}
+		byStep[s] = append(byStep[s], a)
+	}
+	slices.SortStableFunc(culprits, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	for _, x := range culprits {
+		for _, a := range byStep[x.step] {
+			percent := c.affordable(w, a, budgets)
+			c.spend(w, a, budgets, percent)
+			paces = append(paces, fillPace{a, percent, c.costMost(w, a)})
+		}
+	}
+	return paces
+}
+
+// affordable returns the pace of a fill that the budgets allow.
+func (c *Core) affordable(w *worker, a *attempt, budgets []budget) int {
+	scale := 1.0
+	for _, b := range budgets {
+		if cost := c.costOf(w, a, b.image); cost >= culpritCost {
+			scale = min(scale, max(b.left, 0)/cost)
+		}
+	}
+	return int(scale*fullPace) / paceStep * paceStep
+}
+
+func (c *Core) spend(w *worker, a *attempt, budgets []budget, percent int) {
+	for i := range budgets {
+		budgets[i].left -= c.costOf(w, a, budgets[i].image) * float64(percent) / fullPace
+	}
+}
+
+// costOf returns the headroom that a fill at its full pace is expected to take
+// of a serving image beside it.
+func (c *Core) costOf(w *worker, a *attempt, serving string) float64 {
+	mean, _ := c.model.coefficient(serving, a.task.step.spec.Image)
+	return mean * a.demand() / float64(max(w.info.CPUMilli, 1))
+}
+
+// costMost returns the most that a fill takes of any serving image there.
+func (c *Core) costMost(w *worker, a *attempt) float64 {
+	most := 0.0
+	for _, v := range w.load.serving {
+		most = max(most, c.costOf(w, a, v.image))
+	}
+	return most
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -106,7 +106,8 @@
 	// percent is the pace wanted, paced the one the worker was told.
 	percent, paced int
 	paceAt         time.Duration
-	fullCPU        float64 // thousandths of a core at full pace, from readings
+	slowedSince    time.Duration // since when its pace is below movePace
+	fullCPU        float64       // thousandths of a core at full pace, from readings
 	hasUse         bool
 	used           float64 // the newest reading, thousandths of a core
 	tail           tailWatch
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -76,23 +76,19 @@
 	case over == 0:
 		w.squeeze = min(w.squeeze*squeezeEase, 1)
 	}
-	scales := c.scales(w)
 	moves := 0
-	for _, a := range w.attempts {
-		if !a.task.step.spec.Fills || a.stopping {
-			continue
-		}
-		percent, cost := c.paceOf(w, a, scales)
-		switch {
-		case over >= limit(haltAllAfter), over >= limit(haltAfter) && cost >= culpritCost:
+	for _, p := range c.fillPaces(w, now) {
+		percent := p.percent
+		if over >= limit(haltAllAfter) || over >= limit(haltAfter) && p.cost >= culpritCost {
 			percent = 0
 		}
-		if percent < movePace && cost >= culpritCost && moves < movesAtOnce && c.movable(a, now) {
+		p.fill.noteSlowed(percent < movePace && p.cost >= culpritCost, now)
+		if moves < movesAtOnce && c.movesOn(p.fill, now) {
 			moves++
-			c.move(a, "it hurts tasks that serve", now)
+			c.move(p.fill, "it hurts tasks that serve", now)
 			continue
 		}
-		c.setPace(w, a, percent, over)
+		c.setPace(w, p.fill, percent, over)
 	}
 	c.sendPaces(w, now)
 }
@@ -108,59 +104,6 @@
 	return longest
 }
 
-// servingScale is the pace, from 0 to 1, of fills that take headroom of a
-// serving image, at which paceHeadroom is expected to be left.
-type servingScale struct {
-	image string
-	scale float64
-}
-
-// scales returns a scale for each serving image of the worker.
-func (c *Core) scales(w *worker) []servingScale {
-	scales := make([]servingScale, 0, len(w.load.serving))
-	for _, v := range w.load.serving {
-		room := v.alone - paceHeadroom
-		wanted := 0.0
-		for _, a := range w.attempts {
-			if !a.task.step.spec.Fills || a.stopping {
-				continue
-			}
-			if cost := c.costOf(w, a, v.image); cost >= culpritCost {
-				wanted += cost
-			} else {
-				room -= cost
-			}
-		}
-		scale := 1.0
-		if wanted > 0 {
-			scale = min(max(room, 0)/wanted, 1)
-		}
-		scales = append(scales, servingScale{v.image, scale * w.squeeze})
-	}
-	return scales
-}
-
-// costOf returns the headroom that a fill at its full pace is expected to take
-// of a serving image beside it.
-func (c *Core) costOf(w *worker, a *attempt, serving string) float64 {
-	mean, _ := c.model.coefficient(serving, a.task.step.spec.Image)
-	return mean * a.demand() / float64(max(w.info.CPUMilli, 1))
-}
-
-// paceOf returns the pace of a fill, in percent, and the most headroom that it
-// is expected to take of a task.
-func (c *Core) paceOf(w *worker, a *attempt, scales []servingScale) (percent int, most float64) {
-	scale := 1.0
-	for _, v := range scales {
-		cost := c.costOf(w, a, v.image)
-		most = max(most, cost)
-		if cost >= culpritCost {
-			scale = min(scale, v.scale)
-		}
-	}
-	return int(scale*fullPace) / paceStep * paceStep, most
-}
-
 func (c *Core) setPace(w *worker, a *attempt, percent int, over time.Duration) {
 	if a.percent == percent {
 		return
@@ -172,10 +115,23 @@
 	a.percent = percent
 }
 
-// movable reports whether a fill can go on elsewhere without losing work.
-func (c *Core) movable(a *attempt, now Instant) bool {
-	return a.task.step.spec.Checkpoints && a.task.phase == phaseRunning &&
-		now.Steady-a.started > moveAge && c.hasRoomElsewhere(a.task, now)
+// noteSlowed follows since when a fill is too slow to stay.
+func (a *attempt) noteSlowed(slowed bool, now Instant) {
+	switch {
+	case !slowed:
+		a.slowedSince = 0
+	case a.slowedSince == 0:
+		a.slowedSince = now.Steady
+	}
+}
+
+// movesOn reports whether a fill that is too slow leaves its worker without
+// losing work: at once if it can go on elsewhere, else after a while.
+func (c *Core) movesOn(a *attempt, now Instant) bool {
+	if a.slowedSince == 0 || !a.task.step.spec.Checkpoints || a.task.phase != phaseRunning || now.Steady-a.started <= moveAge {
+		return false
+	}
+	return now.Steady-a.slowedSince >= requeueAfter || c.hasRoomElsewhere(a.task, now)
 }
 
 // sendPaces tells the worker of paces that it does not know.
