Leave workers whose tasks are slow or stand still, by measured progress

Found by the new test: without a bound on time over target (other contracts) all fills were halted for good.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -25,6 +25,8 @@
 	JobKept time.Duration
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
+	// Restore is how long a task reads its checkpoint at a start.
+	Restore time.Duration
 	// PaceAfter is the age from which a run can be paced.
 	PaceAfter time.Duration
 	// OwnerTTL is the owner's lease at the store. Until OwnerHorizon after its
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -122,5 +122,6 @@
 	pause := min(avoidMin<<min(w.strikes, 3), avoidMax)
 	w.strikes++
 	w.avoidUntil = now.Steady + pause
+	w.slowness, w.speedMeasures = 0, 0 // measured anew when it is tried again
 	c.trace(Decision{Event: "worker_avoided", Worker: w.info.ID, Reason: reason, Age: pause})
 }
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -45,6 +45,8 @@
 	checkpoint  string          // of a gang
 	advice      *advice         // of the placement policy, if the queue has one
 	toldWaiting time.Duration
+	measured    int           // measures of its tasks' speed; see progressWatch
+	fastest     time.Duration // the shortest run time measured
 	preempted   time.Duration // when room was last made for it
 }
 
@@ -85,6 +87,8 @@
 	// concluded is set if no list told how the last attempt ended. Such a task
 	// starts again only under a sure lease: the next owner may know its end.
 	concluded bool
+	// speedMoves counts the moves off slow workers.
+	speedMoves int
 }
 
 // attempt is a run that was ordered and may be running.
@@ -106,6 +110,7 @@
 	// percent is the pace wanted, paced the one the worker was told.
 	percent, paced int
 	paceAt         time.Duration
+	progress       progressWatch
 	slowedSince    time.Duration // since when its pace is below movePace
 	fullCPU        float64       // thousandths of a core at full pace, from readings
 	hasUse         bool
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -66,6 +66,7 @@
 		}
 	}
 	c.observe(w, now)
+	c.leaveSlow(w, now)
 }
 
 func (c *Core) findTask(id job.TaskID) *task {
@@ -131,6 +132,7 @@
 		t.step.checkpoint = row.Checkpoint
 	}
 	a.atWork = row.Percent == fullPace
+	c.noteProgress(a, row.Percent, now)
 	c.read(a, row, now)
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -169,6 +169,7 @@
 }
 
 func (c *Core) paceDone(a *attempt, o Order, ans Answer) {
+	a.progress.at = 0 // a measure spans one pace only
 	if ans.Outcome == OutcomeOK {
 		a.paced = o.Percent
 		return
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -79,7 +79,7 @@
 	moves := 0
 	for _, p := range c.fillPaces(w, now) {
 		percent := p.percent
-		if over >= limit(haltAllAfter) || over >= limit(haltAfter) && p.cost >= culpritCost {
+		if over > 0 && (over >= limit(haltAllAfter) || over >= limit(haltAfter) && p.cost >= culpritCost) {
 			percent = 0
 		}
 		p.fill.noteSlowed(percent < movePace && p.cost >= culpritCost, now)
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -59,8 +59,8 @@
 	Task       job.TaskID
 	Run        uint64
 	Checkpoint string
-	// Percent is the share of its full speed that the task may work at,
-	// once it is past its start.
+	// Percent is the part of its work that is done; for a lasting task that
+	// of its start, so that it is at work at 100.
 	Percent int
 	// Reading is over the last half second: the tail latency in
 	// milliseconds of a task that serves, else the processor time in use
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -69,7 +69,9 @@
 	openness        float64       // see rateOpenness
 	cordoned        bool          // its VM waits for upkeep: no new tasks
 	takenDown       bool          // its VM's upkeep has ended this life
-	squeeze         float64       // further scale of paces, from 0 to 1
+	slowness        float64       // logarithm of run times over the usual ones, smoothed
+	speedMeasures   int
+	squeeze         float64 // further scale of paces, from 0 to 1
 }
 
 // resources is an amount that tasks take of a worker.
