Avoid slow workers for 4 s at first

Cause: the trouble outlasts the pause of 2 s that is meant for failures: new tasks came, were measured and moved again. Change: the first pause is a figure of its own; later ones double as before.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -28,6 +28,8 @@
 	// slowMeasures the least number of measures for a conclusion.
 	slowSmoothing = 0.4
 	slowMeasures  = 2
+	// slowPause is how long a slow worker gets no new tasks at first.
+	slowPause = 4 * time.Second
 	// moveTakes is what a move costs beside lost work: a stop, the next list, a
 	// start and reading a checkpoint. moveGain is how much sooner a task must
 	// end elsewhere to be moved, and maxSpeedMoves how often one is.
@@ -136,7 +138,7 @@
 	if !w.slow() {
 		return
 	}
-	c.avoidWorker(w, "its tasks work slowly or stand still", now)
+	c.avoidWorker(w, slowPause, "its tasks work slowly or stand still", now)
 	for _, a := range slices.Clone(w.attempts) {
 		if c.endsSoonerElsewhere(a) && c.hasRoomElsewhere(a.task, now) {
 			a.task.speedMoves++
