No fills beside tasks over their target; avoid slow workers after one measure

Change: no fill that takes headroom is placed beside a task over its target, and none at all once its fills are halted.

Test: TestNoFillsBesideTasksOverTheirTarget.

--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -91,3 +91,32 @@
 		t.Error("a starved job is not placed")
 	}
 }
+
+// A worker whose tasks were over their targets for long went on getting fills,
+// each of which worked until the next list was read (found by: quiet-1 seed 3006
+// of aulagrabada-lima; HARM).
+func TestNoFillsBesideTasksOverTheirTarget(t *testing.T) {
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour, OverTarget: 4 * time.Second}, 1, nil)
+	w := core.addWorker(WorkerInfo{CPUMilli: 16000, MemoryMiB: 64000}, Instant{})
+	core.model.regression("web").grow("loud", 6, 0.01)
+	core.model.regression("web").grow("calm", 0.1, 0.01)
+	w.load.serving = []servingLoad{{"web", mostHeadroom}}
+	for _, x := range []struct {
+		over               time.Duration
+		image              string
+		starved, admission bool
+	}{
+		{0, "loud", false, true},
+		{500 * time.Millisecond, "loud", false, false},
+		{500 * time.Millisecond, "calm", false, true},
+		{500 * time.Millisecond, "loud", true, true},
+		{time.Second, "calm", false, false},
+		{time.Second, "calm", true, false},
+	} {
+		w.over = x.over
+		s := &stepRun{spec: &job.Step{Count: 1, CPUMilli: 1600, Fills: true, Image: x.image}}
+		if _, ok := core.scoreFill(s, w, x.starved); ok != x.admission {
+			t.Errorf("%s, starved %v, beside a task over its target for %v: admitted %v", x.image, x.starved, x.over, ok)
+		}
+	}
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -67,11 +67,9 @@
 // below their targets, and by the readings where the model is wrong.
 func (c *Core) pace(w *worker, now Instant) {
 	over := w.longestOver(now)
-	limit := func(share float64) time.Duration {
-		return time.Duration(float64(c.params.OverTarget) * share)
-	}
+	w.over = over
 	switch {
-	case over > 0 && over >= limit(squeezeAfter):
+	case over > 0 && over >= c.shareOfOver(squeezeAfter):
 		w.squeeze = max(w.squeeze*squeezeFactor, 0.05)
 	case over == 0:
 		w.squeeze = min(w.squeeze*squeezeEase, 1)
@@ -79,7 +77,7 @@
 	moves := 0
 	for _, p := range c.fillPaces(w, now) {
 		percent := p.percent
-		if over > 0 && (over >= limit(haltAllAfter) || over >= limit(haltAfter) && p.cost >= culpritCost) {
+		if over > 0 && (over >= c.shareOfOver(haltAllAfter) || over >= c.shareOfOver(haltAfter) && p.cost >= culpritCost) {
 			percent = 0
 		}
 		p.fill.noteSlowed(percent < movePace && p.cost >= culpritCost, now)
@@ -93,6 +91,11 @@
 	c.sendPaces(w, now)
 }
 
+// shareOfOver returns a part of the time that a task may be over its target.
+func (c *Core) shareOfOver(share float64) time.Duration {
+	return time.Duration(float64(c.params.OverTarget) * share)
+}
+
 // longestOver returns for how long a task of the worker has been over its target.
 func (w *worker) longestOver(now Instant) time.Duration {
 	longest := time.Duration(0)
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -53,7 +53,7 @@
 	size := float64(max(w.info.CPUMilli, 1))
 	add := float64(s.spec.CPUMilli) / size
 	spare := w.spareCPU() - add
-	if spare < 0 && !starved {
+	if spare < 0 && !starved || c.tooLongOver(w) {
 		return 0, false
 	}
 	most := 0.0
@@ -61,7 +61,7 @@
 		mean, deviation := c.model.coefficient(v.image, s.spec.Image)
 		cost := (mean + doubt*deviation) * add
 		left := v.alone - c.model.cost(v.image, w.load.fills) - cost
-		if left < admitHeadroom && cost > harmlessCost && !starved {
+		if (left < admitHeadroom || w.over > 0) && cost > harmlessCost && !starved {
 			return 0, false
 		}
 		most = max(most, cost)
@@ -69,6 +69,12 @@
 	return spare - costWeight*most - openWeight*w.openness, true
 }
 
+// tooLongOver reports whether a task there was over its target for so long that
+// its fills are halted: new ones would work until the next list is read.
+func (c *Core) tooLongOver(w *worker) bool {
+	return w.over > 0 && w.over >= c.shareOfOver(haltAfter)
+}
+
 // scoreLasting packs lasting tasks, each image beside its like only, so that
 // each worker's fills have few images to spare and some workers have none.
 func (c *Core) scoreLasting(s *stepRun, w *worker) float64 {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -40,6 +40,11 @@
 	since time.Duration
 }
 
+// percent returns the part of the run's work that is done.
+func (r *simRun) percent(now time.Duration) int {
+	return int(100 * (now - r.since) / max(r.ends-r.since, 1))
+}
+
 func (w *simWorker) clock() int64 {
 	return w.offset + int64(float64((w.sim.now-w.born).Milliseconds())*w.rate)
 }
@@ -105,7 +110,7 @@
 	}
 	reply := HoldReply{ClockMS: w.clock(), Ended: append([]EndedTask(nil), w.ended...)}
 	for _, r := range w.sorted() {
-		reply.Running = append(reply.Running, RunningTask{Task: r.task, Run: r.run, Percent: fullPace})
+		reply.Running = append(reply.Running, RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now)})
 	}
 	return reply, OutcomeOK
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -27,9 +27,12 @@
 	// slowSmoothing is the weight of a measure in the slowness of a worker, and
 	// slowMeasures the least number of measures for a conclusion.
 	slowSmoothing = 0.4
-	slowMeasures  = 2
+	slowMeasures  = 1
 	// slowPause is how long a slow worker gets no new tasks at first.
-	slowPause = 4 * time.Second
+	slowPause = 6 * time.Second
+	// mostAvoided is the part of a service's workers that may be avoided for
+	// being slow: if more are, there is nowhere better.
+	mostAvoided = 0.3
 	// moveTakes is what a move costs beside lost work: a stop, the next list, a
 	// start and reading a checkpoint. moveGain is how much sooner a task must
 	// end elsewhere to be moved, and maxSpeedMoves how often one is.
@@ -138,7 +141,9 @@
 	if !w.slow() {
 		return
 	}
-	c.avoidWorker(w, slowPause, "its tasks work slowly or stand still", now)
+	if c.avoidedShare(w.info.Service, now) < mostAvoided {
+		c.avoidWorker(w, slowPause, "its tasks work slowly or stand still", now)
+	}
 	for _, a := range slices.Clone(w.attempts) {
 		if c.endsSoonerElsewhere(a) && c.hasRoomElsewhere(a.task, now) {
 			a.task.speedMoves++
@@ -147,6 +152,21 @@
 	}
 }
 
+// avoidedShare returns the part of a service's listed workers that get no work.
+func (c *Core) avoidedShare(service string, now Instant) float64 {
+	avoided, all := 0, 0
+	for _, w := range c.workers {
+		if !w.listed || w.info.Service != service {
+			continue
+		}
+		all++
+		if now.Steady < w.avoidUntil {
+			avoided++
+		}
+	}
+	return float64(avoided) / float64(max(all, 1))
+}
+
 // endsSoonerElsewhere reports whether a task that is slow here would be done much
 // sooner at a sound worker, the work that it loses counted.
 func (c *Core) endsSoonerElsewhere(a *attempt) bool {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -71,7 +71,8 @@
 	takenDown       bool          // its VM's upkeep has ended this life
 	slowness        float64       // logarithm of run times over the usual ones, smoothed
 	speedMeasures   int
-	squeeze         float64 // further scale of paces, from 0 to 1
+	over            time.Duration // for how long a task was over its target, by the newest list
+	squeeze         float64       // further scale of paces, from 0 to 1
 }
 
 // resources is an amount that tasks take of a worker.
