--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -3,18 +3,14 @@
 import (
 	"testing"
 	"time"
-
-	"leverstile.dev/job"
 )
 
 // Where headroom does not last for all, the job that is due first gets it, and a
 // fill that stays halted waits in line again (found by: a fill at pace 0 for 9 s
 // on quiet-1 of umoya-vend, while new ones of its image were started elsewhere).
 func TestHeadroomGoesToTheJobThatIsDueFirst(t *testing.T) {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
-	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, TargetLatency: time.Second}}})
 	now := Instant{Steady: 20 * time.Second, UnixMS: 20_000}
-	core.Renewed(now.Steady)
+	core := sureCore(Params{}, 1, now)
 	w := core.addWorker(WorkerInfo{ID: "w", CPUMilli: 16000, MemoryMiB: 64000}, now)
 	core.model.regression("web").grow("loud", 6, 0.01)
 	w.load.serving = []servingLoad{{"web", paceHeadroom + 1}}
--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -77,7 +77,7 @@
 
 // A fill that is known to hurt waits for a worker where it does not.
 func TestFillsGoWhereHeadroomIsLeft(t *testing.T) {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
+	core := sureCore(Params{}, 1, Instant{})
 	w := core.addWorker(WorkerInfo{CPUMilli: 16000, MemoryMiB: 64000}, Instant{})
 	s := &stepRun{spec: &job.Step{Count: 1, CPUMilli: 1600, Fills: true, Image: "loud"}}
 	core.model.regression("web").grow("loud", 6, 0.01)
@@ -96,7 +96,7 @@
 // each of which worked until the next list was read (found by: quiet-1 seed 3006
 // of aulagrabada-lima; HARM).
 func TestNoFillsBesideTasksOverTheirTarget(t *testing.T) {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour, OverTarget: 4 * time.Second}, 1, nil)
+	core := sureCore(Params{OverTarget: 4 * time.Second}, 1, Instant{})
 	w := core.addWorker(WorkerInfo{CPUMilli: 16000, MemoryMiB: 64000}, Instant{})
 	core.model.regression("web").grow("loud", 6, 0.01)
 	core.model.regression("web").grow("calm", 0.1, 0.01)
--- a/dispatch/lives_test.go
+++ b/dispatch/lives_test.go
@@ -3,15 +3,11 @@
 import (
 	"testing"
 	"time"
-
-	"leverstile.dev/job"
 )
 
 // livesCore returns a core that took over with a roster of these workers.
 func livesCore(now Instant, roster ...RosterEntry) *Core {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour, RecoveryWait: 10 * time.Second}, 2, nil)
-	core.Renewed(now.Steady)
-	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
+	core := sureCore(Params{RecoveryWait: 10 * time.Second}, 2, now)
 	core.Recover(roster, now)
 	return core
 }
--- a/dispatch/rank_test.go
+++ b/dispatch/rank_test.go
@@ -11,10 +11,8 @@
 // free, and urgent tasks that end within a second starved (found by: scale-2 of
 // umoya-vend-grown, where lasting tasks declare 94% of all processors).
 func TestShortTasksOnTimeGoBeforeLastingOnes(t *testing.T) {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
-	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, TargetLatency: time.Second}}})
 	now := Instant{Steady: 20 * time.Second, UnixMS: 20_000}
-	core.Renewed(now.Steady)
+	core := sureCore(Params{}, 1, now)
 	add := func(n int, acceptedMS int64, step job.Step) *stepRun {
 		spec := simpleJob(n, 1)
 		spec.AcceptedMS, spec.Steps = acceptedMS, []job.Step{step}
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -15,11 +15,9 @@
 	step *stepRun
 }
 
-func newSpeedCase(t *testing.T, workers int, step job.Step) *speedCase {
+func newSpeedCase(workers int, step job.Step) *speedCase {
 	s := &speedCase{now: Instant{Steady: time.Second}}
-	s.core = New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour, Restore: 600 * time.Millisecond}, 1, nil)
-	s.core.Renewed(s.now.Steady)
-	s.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
+	s.core = sureCore(Params{Restore: 600 * time.Millisecond}, 1, s.now)
 	var infos []WorkerInfo
 	var ids []WorkerID
 	for i := range workers {
@@ -74,7 +72,7 @@
 		"slow":         func(since time.Duration) int { return percentOf(since, 60*time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSpeedCase(t, 6, job.Step{Count: 5})
+			s := newSpeedCase(6, job.Step{Count: 5})
 			orders := s.run(3*time.Second, func(index int, since time.Duration) int {
 				if index == 0 {
 					return slow(since)
@@ -119,7 +117,7 @@
 		}, func(s *speedCase) { s.step.tasks[0].checkpoint = "c" }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSpeedCase(t, 6, x.step)
+			s := newSpeedCase(6, x.step)
 			if x.prepare != nil {
 				x.prepare(s)
 			}
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"leverstile.dev/job"
 )
 
 // upkeepWorld is a platform of VMs, and an owner with its store.
@@ -201,10 +199,8 @@
 // Lasting tasks leave a VM one after the other, as many as their step can miss,
 // and the VM is taken down only when it is empty.
 func TestUpkeepSparesLastingTasks(t *testing.T) {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour}, 1, nil)
 	now := Instant{Steady: time.Second}
-	core.Renewed(now.Steady)
-	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
+	core := sureCore(Params{}, 1, now)
 	var infos []WorkerInfo
 	for i := range 2 {
 		infos = append(infos, WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d", i)), VM: fmt.Sprintf("m%d", i), Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 64000})
