--- /dev/null
+++ b/dispatch/upkeep_drain.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Figures of draining VMs for upkeep.
+const (
+	// absentLong after its last worker was listed, a VM is asked for all the
+	// same: workers that live are listed again within 2 s.
+	absentLong = 6 * time.Second
+	// drainLeast and drainMost bound how long tasks that save nothing may go on
+	// at a VM that waits for its upkeep; drainSlack is kept of the wave's time.
+	drainLeast = 300 * time.Millisecond
+	drainMost  = 4 * time.Second
+	drainSlack = 1 * time.Second
+)
+
+// drainNext cordons as many VMs as the next step of the wave can take down, and
+// moves tasks off those that are cordoned. VMs with the fewest tasks go first.
+func (c *Core) drainNext(s *waveState, now Instant) {
+	var waiting []*vmUpkeep
+	draining := 0
+	for _, u := range s.vms {
+		if u.begun || u.void || c.downElsewhere(s, u.vm) {
+			continue
+		}
+		w := c.workerOfVM(u.vm)
+		u.noteListed(w != nil, now)
+		switch {
+		case w == nil:
+		case w.info.ID == u.life && w.cordoned:
+			draining++
+			c.drainForUpkeep(w, now.Steady >= u.drainUntil, now)
+		case u.intended:
+			draining++
+			c.cordon(s, u, w, now)
+		default:
+			waiting = append(waiting, u)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *vmUpkeep) int {
+		return cmp.Compare(len(c.workerOfVM(a.vm).attempts), len(c.workerOfVM(b.vm).attempts))
+	})
+	for _, u := range waiting[:min(max(s.AtOnce-draining, 0), len(waiting))] {
+		c.cordon(s, u, c.workerOfVM(u.vm), now)
+	}
+}
+
+// noteListed follows for how long a VM has had no listed worker.
+func (u *vmUpkeep) noteListed(listed bool, now Instant) {
+	switch {
+	case listed:
+		u.absentSince = 0
+	case u.absentSince == 0:
+		u.absentSince = now.Steady
+	}
+}
+
+// vacant reports whether nothing runs on a VM and nothing can start there: its
+// worker is cordoned and empty, or has not been listed for long.
+func (c *Core) vacant(u *vmUpkeep, now Instant) bool {
+	if u.absentSince > 0 {
+		return now.Steady-u.absentSince > absentLong && !c.hasTasksOn(u.vm)
+	}
+	w := c.workers[u.life]
+	return w != nil && w.cordoned && w.empty()
+}
+
+func (c *Core) hasTasksOn(vm string) bool {
+	return slices.ContainsFunc(c.lives[vm], func(w *worker) bool { return len(w.attempts) > 0 })
+}
+
+// cordon keeps new tasks off a worker that waits for its VM's upkeep.
+func (c *Core) cordon(s *waveState, u *vmUpkeep, w *worker, now Instant) {
+	u.life = w.info.ID
+	u.drainUntil = now.Steady + c.patience(s, now)
+	w.cordoned = true
+	c.trace(Decision{Event: "vm_cordoned", Worker: w.info.ID, Reason: u.vm, Age: u.drainUntil - now.Steady})
+}
+
+// patience returns how long tasks that save nothing may go on at a VM that is
+// cordoned now: its part of what is left of the wave's time.
+func (c *Core) patience(s *waveState, now Instant) time.Duration {
+	open := 0
+	for _, u := range s.vms {
+		if !u.begun && !u.void {
+			open++
+		}
+	}
+	steps := max((open+s.AtOnce-1)/s.AtOnce, 1)
+	left := s.Allowed - time.Duration(now.UnixMS-s.seenMS)*time.Millisecond
+	return min(max(left/time.Duration(steps)-c.params.Maintenance-drainSlack, drainLeast), drainMost)
+}
+
+// drainForUpkeep moves tasks off a cordoned worker. Those that save their work
+// go at once, others only when the patience with them has ended; lasting ones
+// only while enough of their step are at work.
+func (c *Core) drainForUpkeep(w *worker, impatient bool, now Instant) {
+	for _, a := range slices.Clone(w.attempts) {
+		if a.stopping || a.task.phase != phaseRunning {
+			continue
+		}
+		s := a.task.step.spec
+		switch {
+		case s.Lasting:
+			if a.task.mayLeave() && (impatient || c.hasRoomElsewhere(a.task, now)) {
+				c.move(a, "its VM has upkeep", now)
+			}
+		case s.Checkpoints && now.Steady-a.started > moveAge, impatient:
+			c.move(a, "its VM has upkeep", now)
+		}
+	}
+}
+
+// mayLeave reports whether a lasting task may be stopped: fewer than MaxAway of
+// the others of its step may be away.
+func (t *task) mayLeave() bool {
+	if t.step.spec.MaxAway == 0 {
+		return true
+	}
+	away := 0
+	for _, other := range t.step.tasks {
+		if other != t && !other.atWork() {
+			away++
+		}
+	}
+	return away < t.step.spec.MaxAway
+}
+
+// atWork reports whether a lasting task was past its start in the newest list.
+func (t *task) atWork() bool {
+	return t.attempt != nil && t.phase == phaseRunning && !t.attempt.stopping && t.attempt.atWork
+}
+
+// workerOfVM returns the listed worker of a VM, nil if there is none. The last
+// life of a VM may still be listed beside the next one, which is the one meant.
+func (c *Core) workerOfVM(vm string) *worker {
+	var found *worker
+	for _, w := range c.lives[vm] {
+		if !w.listed || w.takenDown {
+			continue
+		}
+		if found == nil || found.cordoned && !w.cordoned || found.cordoned == w.cordoned && w.info.ID > found.info.ID {
+			found = w
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/dispatch/upkeep_record.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+// waveRecord is the stored part of a wave, by VM.
+type waveRecord struct {
+	SeenMS    int64               `json:"seen_ms"`
+	VMs       map[string]vmRecord `json:"vms,omitempty"`
+	Succeeded bool                `json:"succeeded,omitempty"`
+}
+
+type vmRecord struct {
+	Life  WorkerID `json:"life"`
+	Begun bool     `json:"begun,omitempty"`
+	Void  bool     `json:"void,omitempty"`
+}
+
+// WaveRecord is a wave's state to be written.
+type WaveRecord struct {
+	Number    int64
+	Value     []byte
+	Succeeded bool
+	version   uint64
+}
+
+// DirtyWave returns the state of a wave that the store lacks, nil if there is none.
+func (c *Core) DirtyWave() (*WaveRecord, error) {
+	for _, number := range slices.Sorted(maps.Keys(c.waves)) {
+		s := c.waves[number]
+		if s.persisted == s.version {
+			continue
+		}
+		value, err := json.Marshal(s.record())
+		return &WaveRecord{number, value, s.succeeded, s.version}, err
+	}
+	return nil, nil
+}
+
+func (s *waveState) record() waveRecord {
+	r := waveRecord{SeenMS: s.seenMS, VMs: map[string]vmRecord{}, Succeeded: s.succeeded}
+	for _, u := range s.vms {
+		if u.intended || u.void {
+			r.VMs[u.vm] = vmRecord{u.life, u.begun, u.void}
+		}
+	}
+	return r
+}
+
+// WavePersisted tells that the store holds the record.
+func (c *Core) WavePersisted(r *WaveRecord) {
+	if s := c.waves[r.Number]; s != nil {
+		s.persisted = max(s.persisted, r.version)
+	}
+}
