Tell the owner of jobs that entries have recorded

Ruled out: shorter watches (no help where the owner's path is cut); giving up ownership at the first failed renewal (ordinary outages would cost a takeover).

Change: an entry that has just written a job or a cancellation tells the owner by a call of the peer protocol (NoteIntake, generated code renewed); only fresh writes, never repeated; jobs accepted more than 20 s ago are ignored. The owner puts them off while its lease is not sure, as it does with its watch.

--- a/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
+++ b/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
@@ -44,6 +44,8 @@
 	OwnerSubmitJobProcedure = "/leverstile.jobs.v1.Owner/SubmitJob"
 	// OwnerCancelJobProcedure is the fully-qualified name of the Owner's CancelJob RPC.
 	OwnerCancelJobProcedure = "/leverstile.jobs.v1.Owner/CancelJob"
+	// OwnerNoteIntakeProcedure is the fully-qualified name of the Owner's NoteIntake RPC.
+	OwnerNoteIntakeProcedure = "/leverstile.jobs.v1.Owner/NoteIntake"
 	// OwnerExplainJobProcedure is the fully-qualified name of the Owner's ExplainJob RPC.
 	OwnerExplainJobProcedure = "/leverstile.jobs.v1.Owner/ExplainJob"
 	// JobsSubmitProcedure is the fully-qualified name of the Jobs's Submit RPC.
@@ -68,6 +70,9 @@
 	SubmitJob(context.Context, *connect.Request[v1.SubmitJobRequest]) (*connect.Response[v1.SubmitJobResponse], error)
 	// CancelJob records a cancellation for an entry that can't reach the store.
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
+	// NoteIntake tells the owner what the caller has just recorded, so that it
+	// need not wait for its watch of the store.
+	NoteIntake(context.Context, *connect.Request[v1.NoteIntakeRequest]) (*connect.Response[v1.NoteIntakeResponse], error)
 	// ExplainJob tells where a job's tasks run and why others wait.
 	ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error)
 }
@@ -107,6 +112,12 @@
 			connect.WithSchema(ownerMethods.ByName("CancelJob")),
 			connect.WithClientOptions(opts...),
 		),
+		noteIntake: connect.NewClient[v1.NoteIntakeRequest, v1.NoteIntakeResponse](
+			httpClient,
+			baseURL+OwnerNoteIntakeProcedure,
+			connect.WithSchema(ownerMethods.ByName("NoteIntake")),
+			connect.WithClientOptions(opts...),
+		),
 		explainJob: connect.NewClient[v1.ExplainJobRequest, v1.ExplainJobResponse](
 			httpClient,
 			baseURL+OwnerExplainJobProcedure,
@@ -122,6 +133,7 @@
 	countPending *connect.Client[v1.CountPendingRequest, v1.CountPendingResponse]
 	submitJob    *connect.Client[v1.SubmitJobRequest, v1.SubmitJobResponse]
 	cancelJob    *connect.Client[v1.CancelJobRequest, v1.CancelJobResponse]
+	noteIntake   *connect.Client[v1.NoteIntakeRequest, v1.NoteIntakeResponse]
 	explainJob   *connect.Client[v1.ExplainJobRequest, v1.ExplainJobResponse]
 }
 
@@ -145,6 +157,11 @@
 	return c.cancelJob.CallUnary(ctx, req)
 }
 
+// NoteIntake calls leverstile.jobs.v1.Owner.NoteIntake.
+func (c *ownerClient) NoteIntake(ctx context.Context, req *connect.Request[v1.NoteIntakeRequest]) (*connect.Response[v1.NoteIntakeResponse], error) {
+	return c.noteIntake.CallUnary(ctx, req)
+}
+
 // ExplainJob calls leverstile.jobs.v1.Owner.ExplainJob.
 func (c *ownerClient) ExplainJob(ctx context.Context, req *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error) {
 	return c.explainJob.CallUnary(ctx, req)
@@ -160,6 +177,9 @@
 	SubmitJob(context.Context, *connect.Request[v1.SubmitJobRequest]) (*connect.Response[v1.SubmitJobResponse], error)
 	// CancelJob records a cancellation for an entry that can't reach the store.
 	CancelJob(context.Context, *connect.Request[v1.CancelJobRequest]) (*connect.Response[v1.CancelJobResponse], error)
+	// NoteIntake tells the owner what the caller has just recorded, so that it
+	// need not wait for its watch of the store.
+	NoteIntake(context.Context, *connect.Request[v1.NoteIntakeRequest]) (*connect.Response[v1.NoteIntakeResponse], error)
 	// ExplainJob tells where a job's tasks run and why others wait.
 	ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error)
 }
@@ -195,6 +215,12 @@
 		connect.WithSchema(ownerMethods.ByName("CancelJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	ownerNoteIntakeHandler := connect.NewUnaryHandler(
+		OwnerNoteIntakeProcedure,
+		svc.NoteIntake,
+		connect.WithSchema(ownerMethods.ByName("NoteIntake")),
+		connect.WithHandlerOptions(opts...),
+	)
 	ownerExplainJobHandler := connect.NewUnaryHandler(
 		OwnerExplainJobProcedure,
 		svc.ExplainJob,
@@ -211,6 +237,8 @@
 			ownerSubmitJobHandler.ServeHTTP(w, r)
 		case OwnerCancelJobProcedure:
 			ownerCancelJobHandler.ServeHTTP(w, r)
+		case OwnerNoteIntakeProcedure:
+			ownerNoteIntakeHandler.ServeHTTP(w, r)
 		case OwnerExplainJobProcedure:
 			ownerExplainJobHandler.ServeHTTP(w, r)
 		default:
@@ -238,6 +266,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.CancelJob is not implemented"))
 }
 
+func (UnimplementedOwnerHandler) NoteIntake(context.Context, *connect.Request[v1.NoteIntakeRequest]) (*connect.Response[v1.NoteIntakeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.NoteIntake is not implemented"))
+}
+
 func (UnimplementedOwnerHandler) ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.ExplainJob is not implemented"))
 }
--- /dev/null
+++ b/node/hint.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
+	"leverstile.dev/dispatch"
+	"leverstile.dev/job"
+	"leverstile.dev/kv"
+)
+
+// Figures of hints.
+const (
+	// hintAge is how old a job may be for a hint of it to count: far less than
+	// records are kept, so that no job is taken for new that has long ended. The
+	// clocks of two VMs may be some seconds apart.
+	hintAge = 20 * time.Second
+	// mostHints bounds the hints under way; more are not sent.
+	mostHints = 64
+)
+
+// hintOwner tells the owner what this entry has just recorded. The owner's watch
+// tells it too, but can be silent for seconds while the store serves others. A
+// hint that gets lost costs nothing else.
+func (n *Node) hintOwner(id string, record []byte) {
+	if o := n.current.Load(); o != nil {
+		o.takeHint(id, record)
+		return
+	}
+	client := n.ownerClient()
+	if client == nil {
+		return
+	}
+	select {
+	case n.hints <- struct{}{}:
+	default:
+		n.log.Warn().Str("event", "hint_dropped").Str("job", id).Int("under_way", mostHints).Msg("")
+		return
+	}
+	go func() {
+		defer func() { <-n.hints }()
+		ctx, cancel := context.WithTimeout(context.Background(), peerAskTimeout)
+		defer cancel()
+		_, err := client.NoteIntake(ctx, connect.NewRequest(&jobsv1.NoteIntakeRequest{Id: id, Record: record}))
+		if err != nil {
+			n.log.Warn().Str("event", "hint_unanswered").Str("job", id).Err(err).Msg("")
+		}
+	}()
+}
+
+// NoteIntake implements jobsv1connect.OwnerHandler.
+func (p *peerServer) NoteIntake(_ context.Context, req *connect.Request[jobsv1.NoteIntakeRequest]) (*connect.Response[jobsv1.NoteIntakeResponse], error) {
+	if o := p.node.current.Load(); o != nil {
+		o.takeHint(req.Msg.GetId(), req.Msg.GetRecord())
+	}
+	return connect.NewResponse(&jobsv1.NoteIntakeResponse{}), nil
+}
+
+// takeHint takes in a job, or a cancellation if there is no record.
+func (o *owner) takeHint(id string, record []byte) {
+	if len(record) == 0 {
+		o.takeIn([]kv.Event{{Pair: kv.Pair{Key: cancelPrefix + id}}})
+		return
+	}
+	spec, err := decodeSpec(kv.Pair{Key: jobPrefix + id, Value: record})
+	if err != nil {
+		o.node.log.Error().Str("event", "hint_unreadable").Str("job", id).Err(err).Msg("")
+		return
+	}
+	if !freshHint(spec, o.now()) {
+		o.node.log.Warn().Str("event", "hint_too_old").Str("job", id).Int64("accepted_ms", spec.AcceptedMS).Msg("")
+		return
+	}
+	o.takeIn([]kv.Event{{Pair: kv.Pair{Key: jobPrefix + id, Value: record}}})
+}
+
+func freshHint(spec *job.Spec, now dispatch.Instant) bool {
+	return now.UnixMS-spec.AcceptedMS < hintAge.Milliseconds()
+}
--- a/node/intake.go
+++ b/node/intake.go
@@ -62,27 +62,36 @@
 	if n.store.Down() {
 		return n.relaySubmit(ctx, id, value)
 	}
-	return n.create(ctx, jobPrefix+id, value)
+	return n.createJob(ctx, id, value)
+}
+
+// createJob writes a job to the store and tells the owner.
+func (n *Node) createJob(ctx context.Context, id string, value []byte) Recorded {
+	recorded, fresh := n.create(ctx, jobPrefix+id, value)
+	if fresh {
+		n.hintOwner(id, value)
+	}
+	return recorded
 }
 
 // String returns the name of the fate, as logged.
 func (r Recorded) String() string { return [...]string{"yes", "no", "unknown", "not_found"}[r] }
 
 // create writes a key if it isn't there. One that is there counts as written:
-// the same customer wrote it before.
-func (n *Node) create(ctx context.Context, key string, value []byte) Recorded {
+// the same customer wrote it before. Fresh is true if this call wrote it.
+func (n *Node) create(ctx context.Context, key string, value []byte) (recorded Recorded, fresh bool) {
 	began := n.clock()
 	wait := backoff{least: writeRetryMin, most: writeRetryMax}
 	maybe := false
 	for {
 		tctx, cancel := context.WithTimeout(ctx, min(writeTry, writeBudget-(n.clock()-began)))
-		_, err := n.store.Do(tctx, kv.Txn{
+		res, err := n.store.Do(tctx, kv.Txn{
 			If:   []kv.Compare{{Key: key, Missing: true}},
 			Then: []kv.Op{kv.Put(key, value, 0)},
 		})
 		cancel()
 		if err == nil {
-			return RecordedYes
+			return RecordedYes, res.Succeeded
 		}
 		if !errors.Is(err, kv.ErrNotDone) {
 			maybe = true
@@ -92,9 +101,9 @@
 		if tired || !sleep(ctx, wait.next()) {
 			n.log.Warn().Str("event", "write_given_up").Str("key", key).Bool("maybe_done", maybe).Err(err).Dur("took", spent).Msg("")
 			if maybe {
-				return RecordedUnknown
+				return RecordedUnknown, false
 			}
-			return RecordedNo
+			return RecordedNo, false
 		}
 	}
 }
@@ -117,7 +126,11 @@
 	if !known {
 		return RecordedNotFound
 	}
-	return n.create(ctx, cancelPrefix+id, []byte("1"))
+	recorded, fresh := n.create(ctx, cancelPrefix+id, []byte("1"))
+	if fresh {
+		n.hintOwner(id, nil)
+	}
+	return recorded
 }
 
 // State returns a job's state. The owner knows it; without an owner the store
--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,7 @@
 	peers    *http.Client
 	pending  pendingCache
 	waves    waveList
+	hints    chan struct{} // holds one value a hint under way
 }
 
 type nodeMetrics struct {
@@ -72,7 +73,7 @@
 func New(opts Options, ports Ports, logger *log.Logger, set *metrics.Set) *Node {
 	n := &Node{
 		opts: opts, lister: ports.Lister, workers: ports.Workers, advisor: ports.Advisor, vms: ports.VMs, log: logger, start: time.Now(),
-		peers: newPeerClient(), drained: make(chan struct{}),
+		peers: newPeerClient(), hints: make(chan struct{}, mostHints), drained: make(chan struct{}),
 	}
 	p := &n.opts.Params
 	p.OwnerTTL, p.OwnerHorizon = max(ownerTTL, opts.MinLeaseTTL), ownerHorizon
--- a/node/peers.go
+++ b/node/peers.go
@@ -163,7 +163,7 @@
 func (p *peerServer) SubmitJob(ctx context.Context, req *connect.Request[jobsv1.SubmitJobRequest]) (*connect.Response[jobsv1.SubmitJobResponse], error) {
 	result := RecordedNo
 	if !p.node.store.Down() {
-		result = p.node.create(ctx, jobPrefix+req.Msg.GetId(), req.Msg.GetRecord())
+		result = p.node.createJob(ctx, req.Msg.GetId(), req.Msg.GetRecord())
 	}
 	p.node.log.Info().Str("event", "job_relayed").Str("job", req.Msg.GetId()).Str("recorded", result.String()).Msg("")
 	return connect.NewResponse(&jobsv1.SubmitJobResponse{Recorded: recordedWire[result]}), nil
