Shorter tries at the store: 0.6 s for hand-ins, 0.7 s for progress

Ruled out: acknowledgement time-outs of the connection: the peer's kernel acknowledges, only the answer is lost.

--- a/node/intake.go
+++ b/node/intake.go
@@ -31,7 +31,7 @@
 // Figures of customers' writes.
 const (
 	// writeTry bounds one try, writeBudget all of them: a customer waits 3 s.
-	writeTry    = 1200 * time.Millisecond
+	writeTry    = 600 * time.Millisecond
 	writeBudget = 2200 * time.Millisecond
 	// refusedBudget bounds the tries of a write that was only refused.
 	refusedBudget = 500 * time.Millisecond
--- a/node/record.go
+++ b/node/record.go
@@ -26,7 +26,7 @@
 	// one write.
 	removeJobs = 8
 	// flushTimeout bounds one write; a slow store takes 400 ms.
-	flushTimeout = 1500 * time.Millisecond
+	flushTimeout = 700 * time.Millisecond
 )
 
 // flushLoop writes progress and the roster.
