Overload of the owner in stated steps; a late owner concludes nothing from silence

Cause: an owner without processor time read answers late and took its own lateness for its workers' silence.

Change: lateness of the tick decides a step: fewer readings of tails and no lines for routine decisions from 40 ms, no fills from 120 ms, no starts from 300 ms; never leases, ends or stops. A worker's silence counts only if its newest poll was sent and lost while the owner was on time, also at a takeover. At most 256 starts and changes of pace are under way.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -84,6 +84,7 @@
 	roster   roster
 	open     []*stepRun // steps with tasks that may start
 	refusals refusals
+	overload overload
 	// ratedScratch is reused by choosers, one at a time, candidateScratch by
 	// passes.
 	ratedScratch     ratedWorkers
@@ -123,6 +124,26 @@
 	Age time.Duration
 }
 
+// Routine reports whether a decision goes as expected and is one of many: a
+// start, an end, a change of pace. Refusals, failures and changes of belief are
+// not.
+func (d Decision) Routine() bool {
+	switch d.Event {
+	case eventPlaced, eventStarted, eventDone, eventSlowed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Names of routine events.
+const (
+	eventPlaced  = "run_placed"
+	eventStarted = "run_started"
+	eventDone    = "run_" + string(EndDone)
+	eventSlowed  = "fill_slowed"
+)
+
 // runBits is the number of bits of a run number below the term. 2^28 starts in
 // one term are two days at letter 1's peak; terms then fit 24 bits of the 2^53
 // that JSON numbers carry exactly.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -124,7 +124,7 @@
 			a.task.phase = phaseRunning
 			a.started = now.Steady
 		}
-		c.tellTask("run_started", a.task, a.worker, a.run, "")
+		c.tellTask(eventStarted, a.task, a.worker, a.run, "")
 	case OutcomeUnknown:
 		c.startUnanswered(a, o, now)
 	default:
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -113,7 +113,7 @@
 	}
 	if percent < a.percent {
 		c.stats.Paced++
-		c.trace(Decision{Event: "fill_slowed", Job: a.task.step.job.spec.ID, Task: a.task.id(), Run: a.run, Worker: w.info.ID, Reason: strconv.Itoa(percent), Age: over})
+		c.trace(Decision{Event: eventSlowed, Job: a.task.step.job.spec.ID, Task: a.task.id(), Run: a.run, Worker: w.info.ID, Reason: strconv.Itoa(percent), Age: over})
 	}
 	a.percent = percent
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -28,6 +28,9 @@
 	}
 	pools := map[string]*pool{}
 	for _, x := range list {
+		if !c.overload.starts(x.step) {
+			continue
+		}
 		p := pools[x.queue.Service]
 		if p == nil {
 			c.noteGates(x.queue.Service, now)
@@ -173,7 +176,7 @@
 	if t.step.spec.Gang {
 		checkpoint = t.step.checkpoint
 	}
-	c.tellTask("run_placed", t, w, run, t.step.spec.Image)
+	c.tellTask(eventPlaced, t, w, run, t.step.spec.Image)
 	c.start(t, w, run, checkpoint, t.step.ticketFor(w), now)
 	s := t.step.spec
 	switch {
--- a/dispatch/place_test.go
+++ b/dispatch/place_test.go
@@ -75,6 +75,9 @@
 // missed returns a task that a plain walk over all workers would place now.
 func (c *Core) missed(now Instant) *task {
 	for _, x := range c.candidates(now) {
+		if !c.overload.starts(x.step) {
+			continue
+		}
 		workers := c.pool(x.queue.Service, now)
 		v := x.step.view(&pool{workers: workers}, now)
 		for _, t := range x.step.tasks {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -33,13 +33,13 @@
 	// silent it is only asked, so that its leases come to an end.
 	if w.synced && w.holdFails == 0 {
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
-		h.Wait = w.pollWait()
+		h.Wait = w.pollWait(c.overload.load)
 	}
 	w.holdSent = now.Steady
 	return HoldPlan{Order: h, Send: true}
 }
 
-func (w *worker) pollWait() time.Duration {
+func (w *worker) pollWait(load Load) time.Duration {
 	if len(w.ends) > 0 {
 		return 0
 	}
@@ -49,7 +49,7 @@
 		serves = serves || (s.Lasting && s.TargetMS > 0)
 		fills = fills || s.Fills
 	}
-	if serves && fills {
+	if serves && fills && load < LoadFewReadings {
 		return holdWaitWatched
 	}
 	return holdWait
@@ -111,6 +111,7 @@
 
 func (c *Core) holdFailed(w *worker, outcome Outcome) time.Duration {
 	w.holdFails++
+	w.failedSent = w.holdSent
 	w.unanswered++
 	if w.holdFails == suspectAfter {
 		c.trace(Decision{Event: "worker_unreached", Worker: w.info.ID, Reason: outcome.String()})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -58,6 +58,7 @@
 	knownAt         time.Duration // when it was first heard of
 	lastAnswer      time.Duration
 	holdSent        time.Duration // when the newest poll was sent
+	failedSent      time.Duration // when the newest poll without an answer was sent
 	strikes         int
 	failStreak      int
 	avoidUntil      time.Duration
--- a/node/contact.go
+++ b/node/contact.go
@@ -64,6 +64,14 @@
 
 // send makes one call to a worker and takes in the answer.
 func (o *owner) send(order dispatch.Order) {
+	if order.Kind != dispatch.OrderStop {
+		select {
+		case o.slots <- struct{}{}:
+			defer func() { <-o.slots }()
+		case <-o.ctx.Done():
+			return
+		}
+	}
 	answer := dispatch.Answer{Outcome: dispatch.OutcomeUnknown}
 	if o.mayAct(o.ctx) {
 		answer = o.node.workers.Send(o.ctx, order)
--- a/node/node.go
+++ b/node/node.go
@@ -53,10 +53,13 @@
 	lead     atomic.Pointer[leadRecord]
 	draining atomic.Bool
 	drained  chan struct{} // closed by Drain
-	peers    *http.Client
-	pending  pendingCache
-	waves    waveList
-	hints    chan struct{} // holds one value a hint under way
+	// sparing is set while the owner lacks processor time: routine decisions
+	// are counted, not logged.
+	sparing atomic.Bool
+	peers   *http.Client
+	pending pendingCache
+	waves   waveList
+	hints   chan struct{} // holds one value a hint under way
 }
 
 type nodeMetrics struct {
@@ -64,6 +67,7 @@
 	flush         *metrics.Histogram
 	submit        *metrics.Histogram
 	decisions     *metrics.Counter
+	unlogged      *metrics.Counter
 	ownerTerm     *metrics.Gauge
 	storeUp       *metrics.Gauge
 	configVersion *metrics.Gauge
@@ -84,6 +88,7 @@
 		flush:     set.NewHistogram("leverstile_record_write_seconds"),
 		submit:    set.NewHistogram("leverstile_submit_seconds"),
 		decisions: set.NewCounter("leverstile_decisions_total"),
+		unlogged:  set.NewCounter("leverstile_decisions_unlogged_total"),
 		storeUp:   set.NewGauge("leverstile_store_up", func() float64 { return boolGauge(n.store.quiet() == 0) }),
 		ownerTerm: set.NewGauge("leverstile_owned_term", func() float64 {
 			if o := n.current.Load(); o != nil {
@@ -120,16 +125,37 @@
 	} {
 		n.metrics.set.NewGauge("leverstile_runs{event=\""+name+"\"}", func() float64 { return float64(field(n.coreStats())) })
 	}
+	n.metrics.set.NewGauge("leverstile_overload_step", func() (step float64) {
+		n.readCore(func(c *dispatch.Core) {
+			load, _ := c.Load()
+			step = float64(load)
+		})
+		return step
+	})
+	n.metrics.set.NewGauge("leverstile_owner_lateness_seconds", func() (late float64) {
+		n.readCore(func(c *dispatch.Core) {
+			_, d := c.Load()
+			late = d.Seconds()
+		})
+		return late
+	})
 }
 
 func (n *Node) coreStats() dispatch.Stats {
+	var stats dispatch.Stats
+	n.readCore(func(c *dispatch.Core) { stats = c.Stats() })
+	return stats
+}
+
+// readCore calls read with the core while this entry is the owner.
+func (n *Node) readCore(read func(c *dispatch.Core)) {
 	o := n.current.Load()
 	if o == nil {
-		return dispatch.Stats{}
+		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.core.Stats()
+	read(o.core)
 }
 
 // clock is the steady clock of the process.
@@ -176,6 +202,10 @@
 // logDecision writes a line for a decision of the core.
 func (n *Node) logDecision(d dispatch.Decision) {
 	n.metrics.decisions.Inc()
+	if d.Routine() && n.sparing.Load() {
+		n.metrics.unlogged.Inc()
+		return
+	}
 	e := n.log.Info().Str("event", d.Event)
 	if d.Task.Job != "" {
 		e = e.Str("task", d.Task.String())
--- a/node/owner.go
+++ b/node/owner.go
@@ -17,6 +17,9 @@
 	tickPause = 100 * time.Millisecond
 	// schedulePause bounds how often the core schedules.
 	schedulePause = 8 * time.Millisecond
+	// mostOrders under way at once; more wait. At 1,000 starts a second and 5 ms
+	// a call there are 5. Stops and polls don't wait: what runs must not be lost.
+	mostOrders = 256
 )
 
 // errNotOwner ends an ownership.
@@ -34,6 +37,8 @@
 	core    *dispatch.Core
 	polled  map[dispatch.WorkerID]context.CancelFunc
 
+	// slots holds a value for each start or change of pace under way.
+	slots    chan struct{}
 	wake     chan struct{} // the core has something to schedule
 	flushNow chan struct{}
 	ctx      context.Context
@@ -55,7 +60,7 @@
 	octx, stop := context.WithCancelCause(ctx)
 	o := &owner{
 		node: n, own: own, polled: map[dispatch.WorkerID]context.CancelFunc{},
-		wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
+		slots: make(chan struct{}, mostOrders), wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
 		ctx: octx, stop: stop, lastAlive: n.clock(),
 	}
 	n.log.Info().Str("event", "owner_begin").Uint64("term", own.lead.Term).Msg("")
@@ -76,6 +81,7 @@
 	}
 	cause := context.Cause(octx)
 	n.current.CompareAndSwap(o, nil)
+	n.sparing.Store(false)
 	if octx.Err() == nil || ctx.Err() != nil {
 		o.handOver()
 	}
@@ -176,11 +182,17 @@
 }
 
 func (o *owner) tickLoop() {
-	for sleep(o.ctx, tickPause) {
+	for began := o.node.clock(); sleep(o.ctx, tickPause); began = o.node.clock() {
+		late := o.node.clock() - began - tickPause
 		o.mu.Lock()
 		o.noticeFreeze()
 		o.mu.Unlock()
-		o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.Tick(now) })
+		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
+			c.Late(late, now)
+			c.Tick(now)
+			load, _ := c.Load()
+			o.node.sparing.Store(load >= dispatch.LoadFewReadings)
+		})
 	}
 }
 
