--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -91,7 +91,7 @@
 func nodeOptions(s platform.Settings) node.Options {
 	b := s.Bounds
 	return node.Options{
-		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, FreezeSlack: b.FreezeSlack,
+		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, LinkBytes: s.LinkBytes, DrainNotice: b.Drain, FreezeSlack: b.FreezeSlack,
 		OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		Params: dispatch.Params{
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -93,6 +93,7 @@
 		return
 	case OutcomeUnknown:
 		w.unanswered++
+	case OutcomeNotSent:
 	case OutcomeNoListener:
 		w.unanswered++
 		if c.noListener(w, now) {
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -151,11 +151,13 @@
 	// OutcomeNoListener: the VM answers that no process listens at the
 	// worker's address.
 	OutcomeNoListener
+	// OutcomeNotSent: the order was out of date before its turn came.
+	OutcomeNotSent
 )
 
 // String returns the name of the outcome, as logged.
 func (o Outcome) String() string {
-	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "no_listener"}[o]
+	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "no_listener", "not_sent"}[o]
 }
 
 // Answer is a worker's answer to an Order. ClockMS is 0 if it told none.
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -88,7 +88,7 @@
 // expireUnresolved stops waiting for workers whose leases are over for sure.
 func (c *Core) expireUnresolved(now Instant) {
 	for id, u := range c.unresolved {
-		if w := c.workers[id]; now.Steady >= u.until && c.certain(now) && (w == nil || c.silent(w)) {
+		if w := c.workers[id]; now.Steady >= u.until && c.certain(now) && (w == nil || c.silent(w, now)) {
 			c.resolve(id, "the previous owner's leases are over", now)
 		}
 	}
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -16,7 +16,7 @@
 	}
 	// An owner that may have been replaced must not conclude anything from
 	// time alone: the next one may know how these runs ended.
-	if len(w.attempts) > 0 && w.clock > 0 && c.certain(now) && w.surelyPast(w.lastDeadline, now) && c.silent(w) {
+	if len(w.attempts) > 0 && w.clock > 0 && c.certain(now) && w.surelyPast(w.lastDeadline, now) && c.silent(w, now) {
 		c.lose(w, "its leases are over", now)
 	}
 	if !w.listed && len(w.attempts) == 0 && len(w.ends) == 0 && w.holdFails >= suspectAfter {
--- a/node/contact.go
+++ b/node/contact.go
@@ -12,6 +12,9 @@
 	// freezeMargin is added to the platform's slack for late timers before a
 	// pause counts as a freeze.
 	freezeMargin = 200 * time.Millisecond
+	// slotWait is how long an order may wait to be sent: a start must arrive
+	// 1.4 s after it was decided, tries included.
+	slotWait = 500 * time.Millisecond
 )
 
 func (o *owner) syncPollers() {
@@ -65,12 +68,14 @@
 // send makes one call to a worker and takes in the answer.
 func (o *owner) send(order dispatch.Order) {
 	if order.Kind != dispatch.OrderStop {
-		select {
-		case o.slots <- struct{}{}:
-			defer func() { <-o.slots }()
-		case <-o.ctx.Done():
+		if !o.awaitSlot() {
+			// Never sent. The core decides anew, on what it knows by now.
+			o.locked(func(c *dispatch.Core, now dispatch.Instant) {
+				c.OrderDone(order, dispatch.Answer{Outcome: dispatch.OutcomeNotSent}, now)
+			})
 			return
 		}
+		defer func() { <-o.slots }()
 	}
 	answer := dispatch.Answer{Outcome: dispatch.OutcomeUnknown}
 	if o.mayAct(o.ctx) {
@@ -85,6 +90,38 @@
 	}
 }
 
+// awaitSlot waits for one of the calls that may be under way at once. It reports
+// false after slotWait: the order is out of date then.
+func (o *owner) awaitSlot() bool {
+	select {
+	case o.slots <- struct{}{}:
+		return true
+	default:
+	}
+	began := o.node.clock()
+	timer := time.NewTimer(slotWait)
+	defer timer.Stop()
+	sent := false
+	select {
+	case o.slots <- struct{}{}:
+		sent = true
+	case <-timer.C:
+	case <-o.ctx.Done():
+	}
+	o.noteWaited(o.node.clock() - began)
+	return sent
+}
+
+// noteWaited takes in how long an order waited to be sent.
+func (o *owner) noteWaited(d time.Duration) {
+	for {
+		most := o.waited.Load()
+		if int64(d) <= most || o.waited.CompareAndSwap(most, int64(d)) {
+			return
+		}
+	}
+}
+
 // mayAct waits while the owner is suspended after a freeze; it reports false
 // once the ownership has ended.
 func (o *owner) mayAct(ctx context.Context) bool {
--- a/node/feed.go
+++ b/node/feed.go
@@ -12,11 +12,31 @@
 
 // Figures of what the owner follows.
 const (
-	// listPause is the pause between reads of the list of workers. A worker
-	// that drains must get no new work within 2 s.
+	// listPause is the least pause between reads of the list of workers.
 	listPause = 700 * time.Millisecond
+	// listEntryBytes is the size of a worker's entry in an answer of the store,
+	// listLinkShare the part of the link that reads of the list may take: on a
+	// link of 10 Mbit/s those of 490 workers took a third of it.
+	listEntryBytes = 600
+	listLinkShare  = 0.15
+	// listDrainShare of the time within which a worker that drains must get no
+	// new work is the longest pause: a read and what is under way come on top.
+	listDrainShare = 0.45
 )
 
+// listPauseFor returns the pause between reads of a list of that many workers.
+func (n *Node) listPauseFor(workers int) time.Duration {
+	pause := listPause
+	if n.opts.LinkBytes > 0 {
+		seconds := float64(workers*listEntryBytes) / (listLinkShare * n.opts.LinkBytes)
+		pause = max(pause, time.Duration(seconds*float64(time.Second)))
+	}
+	if n.opts.DrainNotice > 0 {
+		pause = min(pause, time.Duration(listDrainShare*float64(n.opts.DrainNotice)))
+	}
+	return pause
+}
+
 // intakeLoop takes in jobs and cancellations as entries record them.
 func (o *owner) intakeLoop(rev int64) {
 	wait := backoff{least: loadRetryMin, most: loadRetryMax}
@@ -79,7 +99,8 @@
 // listLoop reads the list of workers, and keeps one poller a worker.
 func (o *owner) listLoop() {
 	o.syncPollers()
-	for sleep(o.ctx, listPause) {
+	known := 0
+	for sleep(o.ctx, o.node.listPauseFor(known)) {
 		list, err := o.node.lister.ListWorkers(o.ctx)
 		o.node.store.note(err)
 		if err != nil {
@@ -88,6 +109,7 @@
 			}
 			continue
 		}
+		known = len(list)
 		config := o.node.config.Load()
 		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
 			c.SetWorkers(list, now)
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,11 @@
 	// ProcessorShare is this VM's part of a core; weak VMs stand for election
 	// later. 0 is not known.
 	ProcessorShare float64
+	// LinkBytes is what this VM's link carries a second; 0 is not known.
+	LinkBytes float64
+	// DrainNotice is the time within which a worker that drains must get no new
+	// work.
+	DrainNotice time.Duration
 	// FreezeSlack is the pause of the process beyond which its lease is
 	// checked before it acts.
 	FreezeSlack time.Duration
--- a/node/owner.go
+++ b/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,7 +39,10 @@
 	polled  map[dispatch.WorkerID]context.CancelFunc
 
 	// slots holds a value for each start or change of pace under way.
-	slots    chan struct{}
+	slots chan struct{}
+	// waited is the longest that an order waited to be sent since the last tick,
+	// in nanoseconds.
+	waited   atomic.Int64
 	wake     chan struct{} // the core has something to schedule
 	flushNow chan struct{}
 	ctx      context.Context
@@ -183,7 +187,7 @@
 
 func (o *owner) tickLoop() {
 	for began := o.node.clock(); sleep(o.ctx, tickPause); began = o.node.clock() {
-		late := o.node.clock() - began - tickPause
+		late := max(o.node.clock()-began-tickPause, time.Duration(o.waited.Swap(0)))
 		o.mu.Lock()
 		o.noticeFreeze()
 		o.mu.Unlock()
--- /dev/null
+++ b/node/slots_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestOrdersWaitForASlotOnlyAWhile: without the bound, orders pile up behind
+// calls that hang, long after they are out of date.
+func TestOrdersWaitForASlotOnlyAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &owner{node: &Node{start: time.Now()}, ctx: context.Background(), slots: make(chan struct{}, 1)}
+		if !o.awaitSlot() || o.waited.Load() != 0 {
+			t.Fatal("waits though a slot is free")
+		}
+		if o.awaitSlot() {
+			t.Fatal("two orders in one slot")
+		}
+		if got := time.Duration(o.waited.Swap(0)); got != slotWait {
+			t.Errorf("waited %v, want %v", got, slotWait)
+		}
+		time.AfterFunc(slotWait/2, func() { <-o.slots })
+		if !o.awaitSlot() {
+			t.Error("the slot that came free is not taken")
+		}
+		if got := time.Duration(o.waited.Load()); got != slotWait/2 {
+			t.Errorf("waited %v, want %v", got, slotWait/2)
+		}
+	})
+}
+
+// TestListPause: lists of many workers are read less often on a small link, but
+// often enough for workers that drain.
+func TestListPause(t *testing.T) {
+	for _, x := range []struct {
+		link    float64
+		drain   time.Duration
+		workers int
+		least   time.Duration
+		most    time.Duration
+	}{
+		{0, 0, 490, listPause, listPause},
+		{25e6, 3 * time.Second, 490, listPause, listPause},
+		{1.25e6, 0, 490, 1500 * time.Millisecond, 1600 * time.Millisecond},
+		{1.25e6, 3 * time.Second, 490, 1350 * time.Millisecond, 1350 * time.Millisecond},
+		{1.25e6, 2 * time.Second, 66, listPause, listPause},
+	} {
+		n := &Node{opts: Options{LinkBytes: x.link, DrainNotice: x.drain}}
+		if got := n.listPauseFor(x.workers); got < x.least || got > x.most {
+			t.Errorf("%+v: %v", x, got)
+		}
+	}
+}
