Try: calls to workers made by other entries for a weak owner

Hypothesis: on VMs of 0.192 of a core and 10 Mbit/s the owner's link and processor are too small for 2,900 calls a second; entries that make them for it, on one stream each, take both off it. A relayed call is like one on a slow path (term and absolute deadlines are checked by the worker), so the owner's conclusions stay what they are.

Change: connect streams that entries open when the owner asks by a key beside its lease; as few entries as carry the load by their published limits; lists as differences; payloads read from the store.

Tests: choice and assignment by rapid, the stream's forms by rapid and a fuzz target, nodes on sockets with an owner and an entry that die.

--- a/node/feed.go
+++ b/node/feed.go
@@ -115,6 +115,7 @@
 			c.SetWorkers(list, now)
 			c.SetConfig(config)
 		})
+		o.relays.adjust(list)
 		o.syncPollers()
 	}
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -136,6 +136,7 @@
 func (n *Node) PeersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(jobsv1connect.NewOwnerHandler(&peerServer{n}))
+	mux.Handle(jobsv1connect.NewRelayHandler(&relayServer{n}))
 	mux.Handle(jobsv1connect.NewJobsHandler(&jobsServer{n}))
 	return mux
 }
