Revert the calls made by other entries

What binds a weak owner after it is its own processor, not its link: it reads and decides 2,200 lists and starts a second whoever makes the calls.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -82,7 +82,6 @@
 	}
 	addLoop(&g, n.RunConfig)
 	addLoop(&g, n.RunElection)
-	addLoop(&g, n.RunRelay)
 	addSignals(&g, s, n, servers, logger)
 	err = g.Run()
 	logger.Info().Str("event", "stop").Err(err).Msg("")
@@ -92,7 +91,7 @@
 func nodeOptions(s platform.Settings) node.Options {
 	b := s.Bounds
 	return node.Options{
-		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, DataCentre: s.DataCentre, LinkBytes: s.LinkBytes, DrainNotice: b.Drain, FreezeSlack: b.FreezeSlack,
+		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, LinkBytes: s.LinkBytes, DrainNotice: b.Drain, FreezeSlack: b.FreezeSlack,
 		OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		Params: dispatch.Params{
@@ -116,9 +115,6 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	protocols := &http.Protocols{} // streams between entries are HTTP/2
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	var servers []*server
 	for _, x := range []struct {
 		name, address string
@@ -133,7 +129,7 @@
 			return nil, result.New(result.BadSettings, "%s: %v", x.name, err)
 		}
 		servers = append(servers, &server{x.name, l, &http.Server{
-			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
+			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		}})
 	}
 	return servers, nil
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -93,7 +93,7 @@
 		return
 	case OutcomeUnknown:
 		w.unanswered++
-	case OutcomeRelayLost, OutcomeNotSent:
+	case OutcomeNotSent:
 	case OutcomeNoListener:
 		w.unanswered++
 		if c.noListener(w, now) {
@@ -126,7 +126,7 @@
 			a.started = now.Steady
 		}
 		c.tellTask(eventStarted, a.task, a.worker, a.run, "")
-	case OutcomeUnknown, OutcomeRelayLost:
+	case OutcomeUnknown:
 		c.startUnanswered(a, o, now)
 	default:
 		c.startRefused(a, ans, now)
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -122,3 +122,60 @@
 		t.Fatal("it waits on after the worker did not answer in time")
 	}
 }
+
+// TestOwnerWithoutReachConcludesNothing: if most workers are silent at once, the
+// fault is the owner's link, and their ends wait to be read (found by: a small
+// twin of a day of the 490-worker site, on links of 2 Mbit/s; TWICE).
+func TestOwnerWithoutReachConcludesNothing(t *testing.T) {
+	for silent := 1; silent <= 4; silent++ {
+		core, now := idleCore(t, 4)
+		spec := simpleJob(1, 4)
+		spec.Steps[0].MaxPerWorker = 1
+		core.AddJob(spec, nil, false, now)
+		core.Schedule(now)
+		for _, o := range starts(core) {
+			core.OrderDone(o, Answer{ClockMS: 1001}, now)
+		}
+		core.jobs[spec.ID].steps[0].spec.MaxPerWorker = 0
+		for range 10 { // until all leases of the silent ones are over
+			now.Steady += time.Second
+			for i, id := range core.Workers() {
+				w := core.workers[id]
+				plan := core.PlanHold(id, now)
+				reply, outcome := HoldReply{ClockMS: w.clockNow(now)}, OutcomeOK
+				for _, a := range w.attempts {
+					reply.Running = append(reply.Running, RunningTask{Task: a.task.id(), Run: a.run})
+				}
+				if i < silent {
+					reply, outcome = HoldReply{}, OutcomeUnknown
+				}
+				core.HoldDone(plan.Order, reply, outcome, now)
+			}
+		}
+		core.Tick(now)
+		want := 0
+		if silent <= 2 { // at least half of the others are reached
+			want = silent
+		}
+		if n := len(starts(core)); n != want {
+			t.Errorf("%d of 4 workers silent: %d tasks started again, want %d", silent, n, want)
+		}
+	}
+}
+
+// TestOrderThatWasNotSentIsDecidedAnew: it may go to another worker at once.
+func TestOrderThatWasNotSentIsDecidedAnew(t *testing.T) {
+	core, now := idleCore(t, 2)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.Schedule(now)
+	o := starts(core)[0]
+	core.OrderDone(o, Answer{Outcome: OutcomeNotSent}, now)
+	if w := core.workers[o.Worker]; w.unanswered != 0 || !w.takesWork(now) {
+		t.Error("the worker is blamed")
+	}
+	core.Schedule(now)
+	again := starts(core)
+	if len(again) != 1 || again[0].Run <= o.Run {
+		t.Errorf("%v, want a start under a new run", again)
+	}
+}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -12,10 +12,6 @@
 	Gone bool
 }
 
-// relayLostPause is the pause before a worker is polled another way. Leases last
-// for many times as long.
-const relayLostPause = 20 * time.Millisecond
-
 // idlePause is how often a worker without tasks is looked at again by the
 // loop; nothing is sent.
 const idlePause = 500 * time.Millisecond
@@ -74,8 +70,6 @@
 	case OutcomeOtherLife:
 		c.lifeOver(w, "another life answers", now)
 		return 0
-	case OutcomeRelayLost:
-		return relayLostPause
 	case OutcomeNoListener:
 		if c.noListener(w, now) {
 			return 0
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -126,7 +126,7 @@
 // Outcome is what is known of a call to a worker.
 type Outcome uint8
 
-// Outcomes. All but OutcomeOK, OutcomeUnknown and OutcomeRelayLost prove that the call did nothing.
+// Outcomes. All but OutcomeOK and OutcomeUnknown prove that the call did nothing.
 const (
 	OutcomeOK Outcome = iota
 	// OutcomeUnknown: no answer. The call may still be carried out, until
@@ -151,16 +151,13 @@
 	// OutcomeNoListener: the VM answers that no process listens at the
 	// worker's address.
 	OutcomeNoListener
-	// OutcomeRelayLost: the entry that was to make the call is silent. The call
-	// may still be carried out, and nothing is known of the worker.
-	OutcomeRelayLost
 	// OutcomeNotSent: the order was out of date before its turn came.
 	OutcomeNotSent
 )
 
 // String returns the name of the outcome, as logged.
 func (o Outcome) String() string {
-	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "no_listener", "relay_lost", "not_sent"}[o]
+	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "no_listener", "not_sent"}[o]
 }
 
 // Answer is a worker's answer to an Order. ClockMS is 0 if it told none.
--- a/node/contact.go
+++ b/node/contact.go
@@ -52,7 +52,7 @@
 		if !o.mayAct(ctx) {
 			return
 		}
-		reply, outcome := o.relays.Hold(ctx, plan.Order)
+		reply, outcome := o.node.workers.Hold(ctx, plan.Order)
 		if ctx.Err() != nil {
 			return
 		}
@@ -67,7 +67,6 @@
 
 // send makes one call to a worker and takes in the answer.
 func (o *owner) send(order dispatch.Order) {
-	o.relays.demand()
 	if order.Kind != dispatch.OrderStop {
 		if !o.awaitSlot() {
 			// Never sent. The core decides anew, on what it knows by now.
@@ -80,7 +79,7 @@
 	}
 	answer := dispatch.Answer{Outcome: dispatch.OutcomeUnknown}
 	if o.mayAct(o.ctx) {
-		answer = o.relays.Send(o.ctx, order)
+		answer = o.node.workers.Send(o.ctx, order)
 	}
 	if o.ctx.Err() != nil {
 		return
--- a/node/election.go
+++ b/node/election.go
@@ -130,9 +130,6 @@
 			if err := json.Unmarshal(p.Value, s.lead); err != nil {
 				return s, errors.Annotate(err, leadKey)
 			}
-		case relaysKey:
-			session := string(p.Value)
-			e.node.relaysAsked.Store(&session)
 		case termKey:
 			s.termRev = p.ModRevision
 			if s.term, err = strconv.ParseUint(string(p.Value), 10, 64); err != nil {
--- a/node/feed.go
+++ b/node/feed.go
@@ -115,7 +115,6 @@
 			c.SetWorkers(list, now)
 			c.SetConfig(config)
 		})
-		o.relays.adjust(list)
 		o.syncPollers()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -22,10 +22,8 @@
 	// ProcessorShare is this VM's part of a core; weak VMs stand for election
 	// later. 0 is not known.
 	ProcessorShare float64
-	// DataCentre is this VM's, LinkBytes what its link carries a second; 0 is
-	// not known.
-	DataCentre string
-	LinkBytes  float64
+	// LinkBytes is what this VM's link carries a second; 0 is not known.
+	LinkBytes float64
 	// DrainNotice is the time within which a worker that drains must get no new
 	// work.
 	DrainNotice time.Duration
@@ -55,13 +53,11 @@
 	metrics nodeMetrics
 	start   time.Time
 
-	config  atomic.Pointer[job.Config]
-	current atomic.Pointer[owner]
-	lead    atomic.Pointer[leadRecord]
-	// relaysAsked is the session of the owner that asks for relays.
-	relaysAsked atomic.Pointer[string]
-	draining    atomic.Bool
-	drained     chan struct{} // closed by Drain
+	config   atomic.Pointer[job.Config]
+	current  atomic.Pointer[owner]
+	lead     atomic.Pointer[leadRecord]
+	draining atomic.Bool
+	drained  chan struct{} // closed by Drain
 	// sparing is set while the owner lacks processor time: routine decisions
 	// are counted, not logged.
 	sparing atomic.Bool
@@ -245,6 +241,3 @@
 		n.log.Warn().Str("event", "lease_not_ended").Err(err).Msg("")
 	}
 }
-
-// Owner reports whether this entry owns the cell.
-func (n *Node) Owner() bool { return n.current.Load() != nil }
--- a/node/owner.go
+++ b/node/owner.go
@@ -38,7 +38,6 @@
 	core    *dispatch.Core
 	polled  map[dispatch.WorkerID]context.CancelFunc
 
-	relays *relays
 	// slots holds a value for each start or change of pace under way.
 	slots chan struct{}
 	// waited is the longest that an order waited to be sent since the last tick,
@@ -69,7 +68,6 @@
 		ctx: octx, stop: stop, lastAlive: n.clock(),
 	}
 	n.log.Info().Str("event", "owner_begin").Uint64("term", own.lead.Term).Msg("")
-	o.relays = newRelays(o)
 	o.running.Go(o.renewLoop)
 	rev, err := o.load()
 	if err == nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -136,7 +136,6 @@
 func (n *Node) PeersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(jobsv1connect.NewOwnerHandler(&peerServer{n}))
-	mux.Handle(jobsv1connect.NewRelayHandler(&relayServer{n}))
 	mux.Handle(jobsv1connect.NewJobsHandler(&jobsServer{n}))
 	return mux
 }
--- a/node/store.go
+++ b/node/store.go
@@ -60,9 +60,6 @@
 	leadKey = "ls/own/lead"
 	// termKey holds the last term that was given.
 	termKey = "ls/own/term"
-	// relaysKey names the session of an owner that asks other entries to make
-	// calls to workers. Those that watch leadKey see it too.
-	relaysKey = leadKey + "/relays"
 	// chainKey is written with every record of the owner, under the condition
 	// that it is as the owner left it: a write whose answer was lost can't
 	// take effect after a later one.
