A refused connection proves nothing of a worker's life

Cause: the kinds of trouble name cuts that refuse or reset instead of being silent.

Ruled out: two refusals 0.25 s apart as proof; a cut of seconds refuses all of them.

Change: the conclusion and its outcome go; a refused connection is a call without an answer.

Test: TestRefusedConnectionProvesNothing.

Closed roster entries, which shorten takeovers, stay.

--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -94,13 +94,8 @@
 	case OutcomeUnknown:
 		w.unanswered++
 	case OutcomeNotSent:
-	case OutcomeNoListener:
-		w.unanswered++
-		if c.noListener(w, now) {
-			return
-		}
 	default:
-		w.unanswered, w.refusedAt = 0, 0
+		w.unanswered = 0
 		w.noteClock(ans.ClockMS, now)
 	}
 	t := c.findTask(o.Task)
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -70,19 +70,13 @@
 	case OutcomeOtherLife:
 		c.lifeOver(w, "another life answers", now)
 		return 0
-	case OutcomeNoListener:
-		if c.noListener(w, now) {
-			return 0
-		}
-		c.holdFailed(w, outcome)
-		return noListenerRetry
 	default:
 		return c.holdFailed(w, outcome)
 	}
 	if w.holdFails >= suspectAfter {
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
-	w.holdFails, w.unanswered, w.lastAnswer, w.refusedAt = 0, 0, now.Steady, 0
+	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
 	c.endOtherLives(w, now)
 	fresh := w.noteClock(reply.ClockMS, now)
 	c.takeEnds(w, reply.Ended, now)
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -148,16 +148,13 @@
 	OutcomeOtherLife
 	// OutcomeInvalid: the worker takes the call for malformed.
 	OutcomeInvalid
-	// OutcomeNoListener: the VM answers that no process listens at the
-	// worker's address.
-	OutcomeNoListener
 	// OutcomeNotSent: the order was out of date before its turn came.
 	OutcomeNotSent
 )
 
 // String returns the name of the outcome, as logged.
 func (o Outcome) String() string {
-	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "no_listener", "not_sent"}[o]
+	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "not_sent"}[o]
 }
 
 // Answer is a worker's answer to an Order. ClockMS is 0 if it told none.
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // tickWorker gives up on a worker that is silent for longer than its leases.
 func (c *Core) tickWorker(w *worker, now Instant) {
@@ -51,30 +48,6 @@
 	c.over[w.info.ID] = true
 }
 
-// Figures of workers whose VM answers that nothing listens.
-const (
-	// noListenerFor is how long nothing must listen at a worker's address for
-	// its life to be over: one refusal may be a reset on the way of a worker
-	// that lives. A worker that crashed is known to be gone after 0.3 s instead
-	// of the 5 s that its leases last.
-	noListenerFor = 250 * time.Millisecond
-	// noListenerRetry is the pause before the next look at it.
-	noListenerRetry = 130 * time.Millisecond
-)
-
-// noListener takes in that nothing listens at a worker's address, and reports
-// whether its life is over: a worker listens for all of its life.
-func (c *Core) noListener(w *worker, now Instant) bool {
-	if w.refusedAt == 0 {
-		w.refusedAt = now.Steady
-	}
-	if now.Steady-w.refusedAt < noListenerFor {
-		return false
-	}
-	c.lifeOver(w, "nothing listens at its address", now)
-	return true
-}
-
 // endOtherLives concludes that lives of a worker's VM that were known before its
 // newest poll was sent, and did not answer since, are over: a VM runs one life
 // at a time, and lives do not come back. A life that was heard of later may have
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -79,7 +79,6 @@
 	squeeze         float64       // further scale of paces, from 0 to 1
 	recorded        bool          // the stored roster names it
 	gates           gates
-	refusedAt       time.Duration // since when nothing has listened at its address, 0 if something has
 }
 
 // resources is an amount that tasks take of a worker.
