--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// Where headroom does not last for all, the job that is due first gets it, and a
-// fill that stays halted waits in line again (found by: a fill at pace 0 for 9 s
-// on quiet-1 of umoya-vend, while new ones of its image were started elsewhere).
+// Where headroom does not last for all, the job that is due first gets it, and a fill that
+// stays halted waits in line again.
 func TestHeadroomGoesToTheJobThatIsDueFirst(t *testing.T) {
 	now := Instant{Steady: 20 * time.Second, UnixMS: 20_000}
 	core := sureCore(Params{}, 1, now)
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -48,9 +48,8 @@
 	checkAll(t, s)
 }
 
-// A tick right after a takeover found runs at a worker whose leases the new
-// owner had not given yet, took them for over and started the tasks again
-// (found by: score, umoya-vend trouble-1, scale-1, trouble-2; TWICE).
+// A tick right after a takeover found runs at a worker whose leases the new owner had not
+// given yet, took them for over and started the tasks again.
 func TestTickBetweenAdoptionAndFirstLease(t *testing.T) {
 	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Minute, OwnerHorizon: time.Minute}, 2, nil)
 	now := Instant{Steady: time.Second}
@@ -88,9 +87,8 @@
 	return n
 }
 
-// A worker that was gone was asked again and again with a new deadline, which
-// it might have taken; so its leases never ended, and its lasting tasks never
-// started again (found by: hunt, umoya-vend mix --seed 183453886928; LOST).
+// A worker that was gone was asked again and again with a new deadline, which it might have
+// taken; so its leases never ended, and its lasting tasks never started again.
 func TestTasksOfALostWorkerStartAgain(t *testing.T) {
 	s := newSim(3, 3)
 	s.lasting = true
@@ -124,9 +122,8 @@
 	}
 }
 
-// After a takeover, workers list failed runs of one task in any order; a run
-// with a lower number than one already counted was not counted (found by: hunt,
-// aulagrabada-lima mix --seed 583274590646; BUDGET).
+// After a takeover, workers list failed runs of one task in any order; a run with a lower
+// number than one already counted was not counted.
 func TestFailuresCountInAnyOrder(t *testing.T) {
 	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Minute, OwnerHorizon: time.Minute}, 2, nil)
 	now := Instant{Steady: time.Second}
@@ -149,11 +146,9 @@
 	}
 }
 
-// The entry of a life that has crashed stays for some heartbeats beside that of
-// the next life at its address, and a late write may even make it anew. Neither
-// may end the life that runs (found by: own days with a crash of 2 s, and with
-// late writes to the store, aulagrabada-lima own-413; TWICE). Only the worker
-// tells which life is over.
+// The entry of a life that has crashed stays for some heartbeats beside that of the next
+// life at its address, and a late write may even make it anew. Neither may end the life that
+// runs. Only the worker tells which life is over.
 func TestListedLivesAtOneAddress(t *testing.T) {
 	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Minute, OwnerHorizon: time.Minute}, 1, nil)
 	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
@@ -221,9 +216,8 @@
 	}
 }
 
-// With more changed jobs than a write takes, those with high ids never had
-// their turn, and the ends of their tasks were never acknowledged (found by:
-// umoya-vend-grown fresh-4d51; TWICE, LOST).
+// With more changed jobs than a write takes, those with high ids never had their turn, and
+// the ends of their tasks were never acknowledged.
 func TestRecordsGoInTurn(t *testing.T) {
 	const jobs, limit = 12, 3
 	core := New(Params{OwnerTTL: time.Minute, OwnerHorizon: time.Minute}, 1, nil)
@@ -284,9 +278,8 @@
 	}
 }
 
-// Rough readings of a task that is over its target dip below it; the fills
-// beside it must be halted all the same before the time allowed is over (found
-// by: quiet-1 --seed 11 of aulagrabada-lima; HARM).
+// Rough readings of a task that is over its target dip below it; the fills beside it must be
+// halted all the same before the time allowed is over.
 func TestReadingsThatDipDoNotEndTheWatch(t *testing.T) {
 	const allowed = 4 * time.Second
 	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour, OverTarget: allowed}, 1, nil)
--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -92,9 +92,8 @@
 	}
 }
 
-// A worker whose tasks were over their targets for long went on getting fills,
-// each of which worked until the next list was read (found by: quiet-1 seed 3006
-// of aulagrabada-lima; HARM).
+// A worker whose tasks were over their targets for long went on getting fills, each of which
+// worked until the next list was read.
 func TestNoFillsBesideTasksOverTheirTarget(t *testing.T) {
 	core := sureCore(Params{OverTarget: 4 * time.Second}, 1, Instant{})
 	w := core.addWorker(WorkerInfo{CPUMilli: 16000, MemoryMiB: 64000}, Instant{})
--- a/dispatch/lives_test.go
+++ b/dispatch/lives_test.go
@@ -22,9 +22,8 @@
 	core.HoldDone(order, HoldReply{ClockMS: answered.Milliseconds()}, OutcomeOK, Instant{Steady: answered})
 }
 
-// After upkeep or a crash the roster names a life that never answers; tasks that
-// may have run there waited for ten seconds at each takeover (found by: w-roll,
-// a wave of upkeep beside rolling restarts on aulagrabada-lima; LOST).
+// After upkeep or a crash the roster names a life that never answers; tasks that may have
+// run there waited for ten seconds at each takeover.
 func TestNextLifeOfAVMEndsTheOneBefore(t *testing.T) {
 	now := Instant{Steady: time.Second}
 	core := livesCore(now, RosterEntry{ID: "old", Address: "old", VM: "m1"}, RosterEntry{ID: "other", Address: "other", VM: "m2"})
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -63,10 +63,8 @@
 	}
 }
 
-// TestLateOwnerConcludesNothingFromSilence: a late owner took a worker's leases
-// for over and started its tasks again, before it came to read the list that
-// told their ends (found by: trouble-1 and trouble-2 of the 490-worker site;
-// TWICE).
+// TestLateOwnerConcludesNothingFromSilence: a late owner took a worker's leases for over and
+// started its tasks again, before it came to read the list that told their ends.
 func TestLateOwnerConcludesNothingFromSilence(t *testing.T) {
 	core, now := idleCore(t, 2)
 	core.AddJob(simpleJob(1, 1), nil, false, now)
@@ -123,9 +121,8 @@
 	}
 }
 
-// TestOwnerWithoutReachConcludesNothing: if most workers are silent at once, the
-// fault is the owner's link, and their ends wait to be read (found by: a small
-// twin of a day of the 490-worker site, on links of 2 Mbit/s; TWICE).
+// TestOwnerWithoutReachConcludesNothing: if most workers are silent at once, the fault is
+// the owner's link, and their ends wait to be read.
 func TestOwnerWithoutReachConcludesNothing(t *testing.T) {
 	for silent := 1; silent <= 4; silent++ {
 		core, now := idleCore(t, 4)
--- a/dispatch/rank_test.go
+++ b/dispatch/rank_test.go
@@ -7,9 +7,8 @@
 	"leverstile.dev/job"
 )
 
-// A lasting task that has waited for long took each piece of room that became
-// free, and urgent tasks that end within a second starved (found by: scale-2 of
-// umoya-vend-grown, where lasting tasks declare 94% of all processors).
+// A lasting task that has waited for long took each piece of room that became free, and
+// urgent tasks that end within a second starved.
 func TestShortTasksOnTimeGoBeforeLastingOnes(t *testing.T) {
 	now := Instant{Steady: 20 * time.Second, UnixMS: 20_000}
 	core := sureCore(Params{}, 1, now)
--- a/dispatch/recover_test.go
+++ b/dispatch/recover_test.go
@@ -42,10 +42,8 @@
 	return core, core.jobs[spec.ID].steps[0].tasks[0].attempt.worker.info.ID
 }
 
-// TestTakeoverWaitsOnlyForWhatMayRunAtSilentWorkers: a worker that drained, or
-// was silent, before the owner died holds up only the tasks that it may run
-// (found by: scale-1 of the 66-worker site; half of the jobs of 16 s failed
-// while a takeover waited ten seconds for a worker that had left).
+// TestTakeoverWaitsOnlyForWhatMayRunAtSilentWorkers: a worker that drained, or was silent,
+// before the owner died holds up only the tasks that it may run.
 func TestTakeoverWaitsOnlyForWhatMayRunAtSilentWorkers(t *testing.T) {
 	for name, quieten := range map[string]func(core *Core, id WorkerID, now Instant){
 		"draining": func(core *Core, id WorkerID, now Instant) {
@@ -163,10 +161,9 @@
 	}
 }
 
-// TestRunsOfEndedJobsHoldTheirRoom: after a takeover a worker may still run tasks
-// of a job that was cancelled, or whose record is gone. Until they are stopped
-// they take room, which workers without an admission check do not guard (found
-// by: scale-2 of a copy of the 66-worker site without admission checks; LIMIT).
+// TestRunsOfEndedJobsHoldTheirRoom: after a takeover a worker may still run tasks of a job
+// that was cancelled, or whose record is gone. Until they are stopped they take room, which
+// workers without an admission check do not guard.
 func TestRunsOfEndedJobsHoldTheirRoom(t *testing.T) {
 	for _, known := range []bool{true, false} {
 		now := Instant{Steady: time.Second}
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -128,9 +128,8 @@
 	}
 }
 
-// Room at a worker that counts as slow must serve lasting tasks, and jobs that
-// have nothing running, if there is none elsewhere (found by: a day with a slow
-// store on aulagrabada-lima, LOST once).
+// Room at a worker that counts as slow must serve lasting tasks, and jobs that have nothing
+// running, if there is none elsewhere.
 func TestSlowWorkersServeWhatHasNoOtherPlace(t *testing.T) {
 	now := Instant{Steady: time.Minute}
 	core := sureCore(Params{}, 1, now)
