The simulation's oracle of capacity leaves out what fills ask for

Change: the oracle takes amounts as the core does; the test tells a broken promise instead of ending its loop. Tests of connections share the server that falls silent.

--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -31,19 +31,13 @@
 // TestOneTimeoutForAllSilentConnections for Client.
 func TestClientOneTimeoutForAllSilentConnections(t *testing.T) {
 	const connections = 5
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &silencer{Listener: l}
-	defer s.Close()
-	go s.serve()
+	s := newSilencer(t)
 	c := testClient(t, connections)
 	for s.accepted.Load() < connections { // open several at once
 		var calls sync.WaitGroup
 		for range connections {
 			calls.Go(func() {
-				if _, err := post(c, l.Addr().String(), time.Minute); err != nil {
+				if _, err := post(c, s.Addr().String(), time.Minute); err != nil {
 					t.Error(err)
 				}
 			})
@@ -51,10 +45,10 @@
 		calls.Wait()
 	}
 	s.generation.Add(1)
-	if _, err := post(c, l.Addr().String(), 200*time.Millisecond); err == nil {
+	if _, err := post(c, s.Addr().String(), 200*time.Millisecond); err == nil {
 		t.Fatal("a silent connection was answered")
 	}
-	if _, err := post(c, l.Addr().String(), time.Minute); err != nil {
+	if _, err := post(c, s.Addr().String(), time.Minute); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -151,18 +145,12 @@
 // TestClientBoundsConnections: calls beyond the bound wait for a connection.
 func TestClientBoundsConnections(t *testing.T) {
 	const perHost, calls = 2, 8
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &silencer{Listener: l}
-	defer s.Close()
-	go s.serve()
+	s := newSilencer(t)
 	c := testClient(t, perHost)
 	var running sync.WaitGroup
 	for range calls {
 		running.Go(func() {
-			if _, err := post(c, l.Addr().String(), time.Minute); err != nil {
+			if _, err := post(c, s.Addr().String(), time.Minute); err != nil {
 				t.Error(err)
 			}
 		})
--- a/dial/dial_test.go
+++ b/dial/dial_test.go
@@ -56,6 +56,19 @@
 	accepted   atomic.Int64
 }
 
+// newSilencer serves on a loopback port until the test ends.
+func newSilencer(t *testing.T) *silencer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &silencer{Listener: l}
+	t.Cleanup(func() { _ = s.Close() })
+	go s.serve()
+	return s
+}
+
 func (s *silencer) serve() {
 	for {
 		conn, err := s.Accept()
@@ -89,20 +102,14 @@
 // each of its idle connections costs a timeout of its own.
 func TestOneTimeoutForAllSilentConnections(t *testing.T) {
 	const connections = 5
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &silencer{Listener: l}
-	defer s.Close()
-	go s.serve()
+	s := newSilencer(t)
 	transport := NewTransport(connections, time.Second, time.Minute)
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	get := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String(), nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addr().String(), nil)
 		if err != nil {
 			return err
 		}
--- a/dispatch/place_test.go
+++ b/dispatch/place_test.go
@@ -100,7 +100,10 @@
 	for seed := range uint64(12) {
 		s := newSim(seed, 5)
 		s.failShare, s.lossShare = 0.05, 0.01
-		for id := 1; s.now < 25*time.Second && len(s.oracle.broken) == 0; id++ {
+		for id := 1; s.now < 25*time.Second; id++ {
+			if len(s.oracle.broken) > 0 {
+				t.Fatalf("seed %d: %s", seed, s.oracle.broken[0])
+			}
 			for range 1 + s.rng.IntN(8) {
 				s.step()
 				c, now := s.owner.core, s.instant()
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -206,7 +206,7 @@
 	}
 	taken := int64(0)
 	for id := range w.running {
-		taken += o.sim.specs[id.Job].Steps[id.Step].CPUMilli
+		taken += amountOf(&o.sim.specs[id.Job].Steps[id.Step]).cpu
 	}
 	if taken > w.info.CPUMilli {
 		o.fail("task %s starts at %s, of which %d of %d are taken then", r.task, w.info.ID, taken, w.info.CPUMilli)
