--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -102,62 +101,6 @@
 	unsized bool
 }
 
-// addWorker takes in a life of a worker that was not known before.
-func (c *Core) addWorker(info WorkerInfo, now Instant) *worker {
-	w := &worker{info: info, knownAt: now.Steady, squeeze: 1, foreign: map[job.TaskID]foreignRun{}}
-	c.workers[info.ID] = w
-	if info.VM != "" {
-		c.lives[info.VM] = append(c.lives[info.VM], w)
-	}
-	c.join(w)
-	return w
-}
-
-// join puts a worker in its place among all workers and among its service's,
-// both in the order of their ids.
-func (c *Core) join(w *worker) {
-	c.order = insertWorker(c.order, w)
-	c.members[w.info.Service] = insertWorker(c.members[w.info.Service], w)
-}
-
-// leave is the opposite of join.
-func (c *Core) leave(w *worker) {
-	c.order = removeWorker(c.order, w)
-	c.members[w.info.Service] = removeWorker(c.members[w.info.Service], w)
-}
-
-func placeOf(list []*worker, w *worker) (int, bool) {
-	return slices.BinarySearchFunc(list, w.info.ID, func(x *worker, id WorkerID) int { return cmp.Compare(x.info.ID, id) })
-}
-
-func insertWorker(list []*worker, w *worker) []*worker {
-	at, _ := placeOf(list, w)
-	return slices.Insert(list, at, w)
-}
-
-func removeWorker(list []*worker, w *worker) []*worker {
-	at, found := placeOf(list, w)
-	if !found {
-		return list
-	}
-	return slices.Delete(list, at, at+1)
-}
-
-// setInfo takes in what the platform lists of a worker.
-func (c *Core) setInfo(w *worker, info WorkerInfo) {
-	before := w.info
-	if before.Service != info.Service {
-		c.leave(w)
-		w.info = info
-		c.join(w)
-	}
-	w.info = info
-	grown := info.CPUMilli > before.CPUMilli || info.MemoryMiB > before.MemoryMiB || info.Accelerators > before.Accelerators
-	if grown || !slices.Equal(before.Labels, info.Labels) {
-		c.refusals.opened(w, false)
-	}
-}
-
 // amount returns what a task of the step takes of a worker's room.
 func (s *stepRun) amount() resources { return amountOf(s.spec) }
 
@@ -247,46 +190,3 @@
 	w.lastDeadline = max(w.lastDeadline, d)
 	return d
 }
-
-// SetWorkers takes in the platform's list of workers. The list proves nothing
-// about lives: entries of ended ones lapse late, and a write of an ended life
-// may be carried out after those of the next. Only a worker itself tells.
-func (c *Core) SetWorkers(list []WorkerInfo, now Instant) {
-	listed := make(map[WorkerID]bool, len(list))
-	for _, info := range list {
-		listed[info.ID] = true
-		if c.over[info.ID] {
-			continue // its entry has not lapsed yet, or was written late
-		}
-		w := c.workers[info.ID]
-		if w == nil {
-			w = c.addWorker(info, now)
-			c.trace(Decision{Event: "worker_listed", Worker: info.ID, Reason: info.Address})
-		}
-		if info.Draining {
-			c.noteLeaving(w, info.Leaving, now)
-		}
-		if info.Draining && !w.info.Draining {
-			c.trace(Decision{Event: "worker_draining", Worker: info.ID, Reason: info.Leaving.String()})
-		}
-		c.setInfo(w, info)
-		w.listed = true
-		c.roster.want(info)
-	}
-	for id := range c.over {
-		if !listed[id] {
-			delete(c.over, id)
-		}
-	}
-	for id, w := range c.workers {
-		if w.listed && !listed[id] {
-			w.listed = false
-			c.trace(Decision{Event: "worker_unlisted", Worker: id})
-		}
-		if _, wait := c.unresolved[id]; !w.listed && !wait && w.empty() && len(w.ends) == 0 {
-			// Nothing of this owner runs there or can start. If it is listed
-			// again, its lists are read anew.
-			c.forget(w, "not listed and without tasks")
-		}
-	}
-}
