--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -219,7 +219,7 @@
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
 	}
-	c.closeSilent()
+	c.updateClosed()
 	c.evacuate(now)
 	c.tickUpkeep(now)
 	c.dropOldJobs(now)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -34,7 +34,7 @@
 		p := pools[x.queue.Service]
 		if p == nil {
 			c.noteGates(x.queue.Service, now)
-			p = &pool{workers: c.pool(x.queue.Service, now)}
+			p = &pool{workers: c.poolOf(x.queue.Service, now)}
 			pools[x.queue.Service] = p
 		}
 		if x.queue.Advice != nil {
@@ -64,8 +64,8 @@
 	return p.use
 }
 
-// pool returns the workers of a service that take work, in a fixed order.
-func (c *Core) pool(service string, now Instant) []*worker {
+// poolOf returns the workers of a service that take work, in a fixed order.
+func (c *Core) poolOf(service string, now Instant) []*worker {
 	members := c.members[service]
 	pool := make([]*worker, 0, len(members))
 	for _, w := range members {
@@ -88,7 +88,7 @@
 	x := s.shape(queue.Service, s.view(p, now))
 	refusable := queue.Advice == nil // else the pool is the step's own
 	if refusable && c.stillRefused(s, x, now) {
-		c.waitForRoom(s, queue.Priority, p.workers, now)
+		c.makeRoom(s, queue.Priority, p.workers, now)
 		return
 	}
 	var chosen *chooser
@@ -108,7 +108,7 @@
 			if refusable {
 				c.refusals.note(x)
 			}
-			c.waitForRoom(s, queue.Priority, p.workers, now)
+			c.makeRoom(s, queue.Priority, p.workers, now)
 			return
 		}
 		c.place(t, w, c.newRun(), now)
@@ -132,8 +132,8 @@
 	return s.job.active == 0 && now.Steady-s.job.idleSince > starvedAfter
 }
 
-// waitForRoom makes room for a step that no worker takes, if that is due.
-func (c *Core) waitForRoom(s *stepRun, priority int, pool []*worker, now Instant) {
+// makeRoom makes room for a step that no worker takes, if that is due.
+func (c *Core) makeRoom(s *stepRun, priority int, pool []*worker, now Instant) {
 	c.preempt(s, priority, pool, now)
 	c.tellWaiting(s, pool, now)
 }
--- a/dispatch/place_test.go
+++ b/dispatch/place_test.go
@@ -78,7 +78,7 @@
 		if !c.overload.starts(x.step) {
 			continue
 		}
-		workers := c.pool(x.queue.Service, now)
+		workers := c.poolOf(x.queue.Service, now)
 		v := x.step.view(&pool{workers: workers}, now)
 		for _, t := range x.step.tasks {
 			if t.phase != phaseReady || now.Steady < t.notBefore || t.concluded && !c.certain(now) {
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -52,11 +52,11 @@
 	r.stale, r.written = true, false
 }
 
-// closeSilent closes the entries of workers that get no starts, and opens them
+// updateClosed closes the entries of workers that get no starts, and opens them
 // again. Without it, a takeover waits with all tasks for a worker that has long
 // left, since any of them may have been started there: ten seconds, in which
 // half of the jobs handed in failed.
-func (c *Core) closeSilent() {
+func (c *Core) updateClosed() {
 	for _, w := range c.order {
 		e, ok := c.roster.entries[w.info.ID]
 		if _, waits := c.unresolved[w.info.ID]; !ok || waits {
