Late owners in the simulation: none starts a done task again, unless it does not know that it is late

The strict oracle counts each start after an end 'done', also where the worker's lease has lapsed meanwhile. No code changed.

--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -114,6 +114,49 @@
 	}
 }
 
+// lateOwnerRun plays an owner that again and again does everything up to seconds
+// late, with workers that all can be reached.
+func lateOwnerRun(seed uint64, unaware bool) *sim {
+	s := newSim(seed, 4+int(seed%4))
+	s.strict, s.unawareLate = true, unaware
+	id := 0
+	for s.now < 40*time.Second && len(s.oracle.broken) == 0 {
+		s.step()
+		if s.rng.IntN(25) == 0 {
+			id++
+			s.submit(simpleJob(id, 1+s.rng.IntN(4), 1+s.rng.IntN(3)))
+		}
+		if s.rng.IntN(150) == 0 {
+			s.owner.lag = time.Duration(200+s.rng.IntN(3000)) * time.Millisecond
+			s.later(time.Duration(3000+s.rng.IntN(9000))*time.Millisecond, func() { s.owner.lag = 0 })
+		}
+	}
+	s.calm()
+	s.run(60 * time.Second)
+	return s
+}
+
+// TestLateOwnerStartsNothingAgain: an owner without processor time takes no
+// worker for silent and starts no task again. One that does not know that it is
+// late does.
+func TestLateOwnerStartsNothingAgain(t *testing.T) {
+	const seeds = 20
+	for seed := range uint64(seeds) {
+		s := lateOwnerRun(seed, false)
+		checkAll(t, s)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	for seed := range uint64(seeds) {
+		if s := lateOwnerRun(seed, true); len(s.oracle.broken) > 0 {
+			t.Logf("seed %d: %s", seed, s.oracle.broken[0])
+			return
+		}
+	}
+	t.Errorf("an owner that does not know its lateness starts nothing again in %d seeds: the test proves nothing", seeds)
+}
+
 // TestMutations removes one safeguard at a time: the oracle must find each.
 func TestMutations(t *testing.T) {
 	for _, m := range []struct {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -190,6 +190,9 @@
 	if len(o.runs[r.task]) > 0 {
 		o.fail("task %s run %d starts at %s while it runs at %s", r.task, r.run, w.info.ID, o.runs[r.task][0].info.ID)
 	}
+	if o.sim.strict && o.everDone[r.task] {
+		o.fail("task %s run %d starts at %s though it has ended done", r.task, r.run, w.info.ID)
+	}
 	if o.done[r.task] {
 		o.fail("task %s run %d starts at %s after its end was acknowledged", r.task, r.run, w.info.ID)
 	}
@@ -314,7 +317,10 @@
 	takeovers    int
 	renewalsLost time.Duration // until then
 	// Safeguards that are off.
-	dropRoster, ackEarly, noFence, shortLease, dropTasks bool
+	dropRoster, ackEarly, noFence, shortLease, dropTasks, unawareLate bool
+	// strict: no task starts again that has ended done, known to the owner or
+	// not. That holds while workers can be reached and the owner lives.
+	strict bool
 
 	adopted int
 	closed  int // entries found closed at takeovers
@@ -567,7 +573,9 @@
 			w.lastDeadline -= 1500
 		}
 	}
-	o.core.Late(o.lag, s.instant())
+	if !s.unawareLate {
+		o.core.Late(o.lag, s.instant())
+	}
 	o.core.Tick(s.instant())
 	s.dispatch(o)
 	s.flush(o)
