leverstile losses: where jobs lose their time, from logs

Cause: 'where is the worth lost' was answered by hand, with grep over logs.

Change: a command that tells of each queue how its jobs ended and what its slowest tenth met. Trace and losses share the reading of logs. It changes nothing that runs on entries.

--- /dev/null
+++ b/cmd/leverstile/losses.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"leverstile.dev/api/result"
+)
+
+// lossesCommand tells where jobs lost their time, from the logs of all entries.
+type lossesCommand struct {
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"log files of the entries; standard input without one"`
+	} `positional-args:"true"`
+}
+
+// slowestShare of a queue's ended jobs, at least one, are looked at for reasons.
+const slowestShare = 0.1
+
+// Execute implements flags.Commander.
+func (c *lossesCommand) Execute([]string) error {
+	l := newLosses()
+	if err := readLogs(c.Args.Files, l.take); err != nil {
+		return err
+	}
+	return l.print(os.Stdout)
+}
+
+// losses follows all jobs of the logs.
+type losses struct {
+	jobs map[string]*lossJob
+	// takeovers are when entries began to own the cell, outages the times
+	// without the store, at any entry.
+	takeovers []time.Time
+	outages   []outage
+	lost      map[string]time.Time // by entry: since when it misses the store
+}
+
+type outage struct{ from, to time.Time }
+
+// lossJob is what the logs tell of a job.
+type lossJob struct {
+	queue, end string // end is the last part of its final event
+	handedIn   time.Time
+	ended      time.Time
+	unrecorded string // why it was not accepted, if it was not
+	reasons    map[string]int
+}
+
+func newLosses() *losses { return &losses{jobs: map[string]*lossJob{}, lost: map[string]time.Time{}} }
+
+func (l *losses) job(id string) *lossJob {
+	j := l.jobs[id]
+	if j == nil {
+		j = &lossJob{reasons: map[string]int{}}
+		l.jobs[id] = j
+	}
+	return j
+}
+
+// take takes in a line.
+func (l *losses) take(line *logLine) {
+	switch line.Event {
+	case "owner_begin":
+		l.takeovers = append(l.takeovers, line.Time)
+	case "store_lost":
+		l.lost[line.Entry] = line.Time
+	case "store_regained":
+		if from, ok := l.lost[line.Entry]; ok {
+			l.outages = append(l.outages, outage{from, line.Time})
+			delete(l.lost, line.Entry)
+		}
+	}
+	if line.Job == "" {
+		return
+	}
+	switch j := l.job(line.Job); line.Event {
+	case "job_submitted":
+		j.submitted(line)
+	case "job_succeeded", "job_failed", "job_cancelled":
+		if j.end == "" {
+			j.end, j.ended = line.Event[len("job_"):], line.Time
+		}
+	default:
+		if reason := line.lossReason(); reason != "" {
+			j.reasons[reason]++
+		}
+	}
+}
+
+func (j *lossJob) submitted(line *logLine) {
+	j.queue = line.Queue
+	if j.handedIn.IsZero() || line.Time.Before(j.handedIn) {
+		j.handedIn = line.Time
+	}
+	switch {
+	case line.Recorded == "yes":
+		j.unrecorded = ""
+	case j.ended.IsZero() && j.end == "":
+		j.unrecorded = line.Recorded
+	}
+}
+
+// lossReason names what a line says of time lost; "" if nothing.
+func (l *logLine) lossReason() string {
+	switch l.Event {
+	case "step_waits":
+		return "waited: " + l.Reason
+	case "run_stop":
+		return "stopped: " + l.Reason
+	case "run_lost":
+		return "run lost: " + l.Reason
+	case "run_missing":
+		return "run missing: " + l.Reason
+	case "start_refused":
+		return "start refused: " + l.Reason
+	case "run_failed":
+		return "run failed"
+	case "run_lapsed":
+		return "lease lapsed"
+	case "start_unanswered":
+		return "start unanswered"
+	case "fill_slowed":
+		return "slowed"
+	default:
+		return ""
+	}
+}
+
+// took is the time from hand-in to the end.
+func (j *lossJob) took() time.Duration { return j.ended.Sub(j.handedIn) }
+
+// around adds what happened to the system while the job was there.
+func (l *losses) around(j *lossJob) {
+	for _, at := range l.takeovers {
+		if at.After(j.handedIn) && at.Before(j.ended) {
+			j.reasons["a takeover"]++
+		}
+	}
+	for _, o := range l.outages {
+		if o.from.Before(j.ended) && o.to.After(j.handedIn) {
+			j.reasons["an entry without the store"]++
+		}
+	}
+}
+
+// print writes a table a queue, the queues by name.
+func (l *losses) print(out io.Writer) error {
+	queues := map[string][]*lossJob{}
+	for _, j := range l.jobs {
+		if !j.handedIn.IsZero() {
+			queues[j.queue] = append(queues[j.queue], j)
+		}
+	}
+	if len(queues) == 0 {
+		return result.New(result.UnknownTask, "no line tells of a job handed in")
+	}
+	for _, name := range slices.Sorted(maps.Keys(queues)) {
+		if err := l.printQueue(out, name, queues[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *losses) printQueue(out io.Writer, name string, jobs []*lossJob) error {
+	count := map[string]int{}
+	var done []*lossJob
+	for _, j := range jobs {
+		switch {
+		case j.end != "":
+			count[j.end]++
+		case j.unrecorded != "":
+			count["not accepted"]++
+		default:
+			count["not ended"]++
+		}
+		if j.end == "succeeded" {
+			done = append(done, j)
+		}
+	}
+	if _, err := fmt.Fprintf(out, "queue %s: %d jobs; succeeded %d, failed %d, cancelled %d, not ended %d, not accepted %d\n",
+		name, len(jobs), count["succeeded"], count["failed"], count["cancelled"], count["not ended"], count["not accepted"]); err != nil {
+		return err
+	}
+	if len(done) == 0 {
+		return nil
+	}
+	slices.SortFunc(done, func(a, b *lossJob) int { return cmp.Compare(b.took(), a.took()) })
+	slowest := done[:max(int(slowestShare*float64(len(done))), 1)]
+	if _, err := fmt.Fprintf(out, "  hand-in to end: half within %.2f s, 95 of 100 within %.2f s, longest %.2f s; the slowest %d, from %.2f s:\n",
+		done[len(done)/2].took().Seconds(), done[len(done)/20].took().Seconds(), done[0].took().Seconds(),
+		len(slowest), slowest[len(slowest)-1].took().Seconds()); err != nil {
+		return err
+	}
+	return l.printReasons(out, slowest)
+}
+
+// printReasons tells how many of the jobs met each reason, the commonest first.
+func (l *losses) printReasons(out io.Writer, jobs []*lossJob) error {
+	met, times := map[string]int{}, map[string]int{}
+	for _, j := range jobs {
+		l.around(j)
+		for reason, n := range j.reasons {
+			met[reason]++
+			times[reason] += n
+		}
+	}
+	reasons := slices.Sorted(maps.Keys(met))
+	slices.SortStableFunc(reasons, func(a, b string) int { return cmp.Compare(met[b], met[a]) })
+	for _, reason := range reasons {
+		if _, err := fmt.Fprintf(out, "  %4d of %d jobs, %d times: %s\n", met[reason], len(jobs), times[reason], reason); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/leverstile/main.go
+++ b/cmd/leverstile/main.go
@@ -52,6 +52,7 @@
 		{"check", "Check settings or declarations offline", "Reads files of settings (with --settings) or declarations and prints every mistake with its place.", &checkCommand{}},
 		{"jobs", "Work with jobs on the users' platform", "Hands in, shows, cancels, counts and explains jobs, at any entry.", &jobsCommand{}},
 		{"trace", "Follow a job through logs", "Prints the log lines of a job, and of what happened around it, from the logs of all entries, and what became of its runs.", &traceCommand{}},
+		{"losses", "Tell where jobs lost their time", "Tells of each queue, from the logs of all entries, how its jobs ended and what its slowest met.", &lossesCommand{}},
 		{"apply", "Apply declarations", "Sends declarations with the revision that they are based on. A lost race is answered with a conflict and the difference.", &applyCommand{}},
 		{"diff", "Show what apply would change", "Compares files of declarations with those in force.", &diffCommand{}},
 		{"get", "Print the declarations in force", "Prints the declarations in force and their revision.", &getCommand{}},
--- a/cmd/leverstile/trace.go
+++ b/cmd/leverstile/trace.go
@@ -20,12 +20,13 @@
 	} `positional-args:"true"`
 }
 
-// logLine is what trace reads of a log line.
+// logLine is what trace and losses read of a log line.
 type logLine struct {
 	Time     time.Time `json:"time"`
 	Entry    string    `json:"entry"`
 	Event    string    `json:"event"`
 	Job      string    `json:"job"`
+	Queue    string    `json:"queue"`
 	Task     string    `json:"task"`
 	Run      uint64    `json:"run"`
 	Worker   string    `json:"worker"`
@@ -46,23 +47,29 @@
 // Execute implements flags.Commander.
 func (c *traceCommand) Execute([]string) error {
 	t := tracer{job: c.Job, out: os.Stdout}
-	if len(c.Args.Files) == 0 {
-		if err := t.read(os.Stdin); err != nil {
-			return err
-		}
+	if err := readLogs(c.Args.Files, t.take); err != nil {
+		return err
 	}
-	for _, name := range c.Args.Files {
+	return t.summary()
+}
+
+// readLogs passes the lines of log files, or of standard input without one, to take.
+func readLogs(files []string, take func(*logLine)) error {
+	if len(files) == 0 {
+		return readLog(os.Stdin, take)
+	}
+	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			return result.New(result.BadRequest, "%v", err)
 		}
-		err = t.read(f)
+		err = readLog(f, take)
 		_ = f.Close() // it was only read
 		if err != nil {
 			return err
 		}
 	}
-	return t.summary()
+	return nil
 }
 
 // tracer prints the lines of a job and counts what became of its runs.
@@ -78,7 +85,7 @@
 // longestLine bounds a log line.
 const longestLine = 1 << 20
 
-func (t *tracer) read(in io.Reader) error {
+func readLog(in io.Reader, take func(*logLine)) error {
 	scan := bufio.NewScanner(in)
 	scan.Buffer(nil, longestLine)
 	for scan.Scan() {
@@ -91,7 +98,7 @@
 		if json.Unmarshal([]byte(text[start:]), &l) != nil {
 			continue // not a line of ours
 		}
-		t.take(&l)
+		take(&l)
 	}
 	return scan.Err()
 }
--- a/cmd/leverstile/trace_test.go
+++ b/cmd/leverstile/trace_test.go
@@ -18,7 +18,7 @@
 func TestTraceFollowsOneJob(t *testing.T) {
 	var out bytes.Buffer
 	tr := tracer{job: "aa", out: &out}
-	if err := tr.read(strings.NewReader(traceLog)); err != nil {
+	if err := readLog(strings.NewReader(traceLog), tr.take); err != nil {
 		t.Fatal(err)
 	}
 	if err := tr.summary(); err != nil {
