A next owner awaits failures that workers have not told yet

Cause: a failed run is known to its worker until the store has it. A next owner that adopts the newest run, or reads its failure, before the worker of an earlier run has answered counts one failure of two.

Ruled out: a record or roster written late (each write is under the condition of the one before), ends acknowledged before they are stored (a mutation of the simulation finds that), jobs heard of after the takeover (put off while the lease is not sure).

Change: a task that this owner has read a failure of becomes unknown, not ready, while a worker of the previous owner that may list an end of it has not answered. One failure after the takeover is the least that can be the last one: the previous owner knew of fewer than the limit when it started the run.

Tests: TestTakeoverAwaitsEarlierFailures failed first, for a task and a gang (started again), TestTakeoverRetriesOnceAllHaveAnswered holds that the wait ends.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -93,6 +93,7 @@
 	if !j.progress.CountFailure(id, run) {
 		return
 	}
+	s.tasks[id.Index].failedInTerm = true
 	c.touch(j)
 	limit := c.queues[j.spec.Queue].MaxAttempts
 	if limit > 0 && j.progress.FailureCount(id) >= limit {
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -185,3 +185,48 @@
 
 // mutationSeeds bounds the search for a removed safeguard.
 const mutationSeeds = 400
+
+// budgetRun plays tasks that often fail and have two attempts, with owners that
+// are cut off the store until they die, and workers that the next one reaches
+// late.
+func budgetRun(seed uint64, hasty bool) *sim {
+	s := newSim(seed, 4+int(seed%4))
+	s.maxAttempts, s.failShare, s.hastyRetry = 2, 0.35, hasty
+	id := 0
+	for s.now < 40*time.Second && len(s.oracle.broken) == 0 {
+		s.step()
+		if s.rng.IntN(15) == 0 {
+			id++
+			s.submit(simpleJob(id, 1+s.rng.IntN(4)))
+		}
+		if s.rng.IntN(150) == 0 {
+			o, w := s.owner, s.workers[s.rng.IntN(len(s.workers))]
+			o.cutStore = true
+			w.cutAbove = o.core.Term()
+			s.later(simTTL, func() { o.dead = true })
+			s.later(time.Duration(3000+s.rng.IntN(3000))*time.Millisecond, func() { w.cutAbove = 0 })
+		}
+	}
+	s.calm()
+	s.run(30 * time.Second)
+	return s
+}
+
+// TestFailuresOfThePreviousOwnerCount: no task starts again that has failed as often as its
+// queue allows, though the failures are read in any order after a takeover. An owner that does
+// not wait for those at workers that have not answered starts tasks once too often.
+func TestFailuresOfThePreviousOwnerCount(t *testing.T) {
+	for n := range max(*simSeeds/3, 1) {
+		s := budgetRun(*simFirst+n, false)
+		for _, b := range s.oracle.broken {
+			t.Fatalf("seed %d: %s", *simFirst+n, b)
+		}
+	}
+	for seed := range uint64(mutationSeeds) {
+		if s := budgetRun(seed, true); len(s.oracle.broken) > 0 {
+			t.Logf("seed %d: %s", seed, s.oracle.broken[0])
+			return
+		}
+	}
+	t.Errorf("an owner that does not wait breaks nothing in %d seeds: the test proves nothing", mutationSeeds)
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -60,7 +60,8 @@
 	// phaseWaiting: an earlier step is not done, or its time has not come.
 	phaseWaiting phase = iota
 	// phaseUnknown: the previous owner may have started it at a worker that
-	// has not answered yet.
+	// has not answered yet, or that worker may list a failure of it; see
+	// mayHaveFailedBefore.
 	phaseUnknown
 	phaseReady
 	phaseStarting
@@ -92,6 +93,9 @@
 	concluded bool
 	// speedMoves counts the moves off slow workers.
 	speedMoves int
+	// failedInTerm is set once this owner has read a failure of the task, of a
+	// gang at its first task.
+	failedInTerm bool
 }
 
 // attempt is a run that was ordered and may be running.
@@ -238,6 +242,10 @@
 func (s *stepRun) blocked() bool { return s.after > 0 }
 
 func (c *Core) makeReady(t *task, now Instant) {
+	if c.mayHaveFailedBefore(t) {
+		t.phase, c.unknown = phaseUnknown, true
+		return
+	}
 	t.phase = phaseReady
 	t.readySince = now.Steady
 	t.step.ready++
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -85,6 +85,20 @@
 	return false
 }
 
+// mayHaveFailedBefore reports whether a failed task may have used its last
+// attempt: a worker of the previous owner that has not answered yet may list
+// failures of earlier runs. The previous owner knew of fewer than the limit when
+// it started the newest run, so only a failure read since can be the last one.
+// Without this wait a next owner that had read the second of two failures first
+// started a task a third time, 0.15 s after the failure.
+func (c *Core) mayHaveFailedBefore(t *task) bool {
+	s := t.step
+	if !s.spec.Gang {
+		return t.failedInTerm && c.mayRun(t)
+	}
+	return s.tasks[0].failedInTerm && slices.ContainsFunc(s.tasks, c.mayRun)
+}
+
 // expireUnresolved stops waiting for workers whose leases are over for sure.
 func (c *Core) expireUnresolved(now Instant) {
 	for id, u := range c.unresolved {
--- a/dispatch/recover_test.go
+++ b/dispatch/recover_test.go
@@ -191,3 +191,69 @@
 		}
 	}
 }
+
+// failedRun has a worker list the failed end of a run, as its first end.
+func failedRun(core *Core, id WorkerID, task job.TaskID, run uint64, now Instant) {
+	end := EndedTask{Number: 1, Task: task, Run: run, Kind: EndFailed}
+	core.HoldDone(core.PlanHold(id, now).Order, HoldReply{ClockMS: now.Steady.Milliseconds(), Ended: []EndedTask{end}}, OutcomeOK, now)
+}
+
+// TestTakeoverAwaitsEarlierFailures: a task failed at w1, and its second run at w2 goes on when
+// the owner dies before the store has either. The next owner adopts the second run and reads its
+// failure before w1 has answered. With two attempts in all it must not start the task again.
+func TestTakeoverAwaitsEarlierFailures(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			now := Instant{Steady: time.Second}
+			core := livesCore(now, RosterEntry{ID: "w1", Address: "w1"}, RosterEntry{ID: "w2", Address: "w2"})
+			core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}})
+			core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1"), lifeInfo("w2", "m2"), lifeInfo("w3", "m3")}, now)
+			rosterOf(t, core)
+			spec := simpleJob(1, 1)
+			spec.Steps[0].Gang = gang
+			core.AddJob(spec, nil, true, now)
+			poll(core, "w3", now.Steady, now.Steady+time.Millisecond)
+			id := job.TaskID{Job: spec.ID}
+			listed := []RunningTask{{Task: id, Run: 8, Percent: 50}}
+			core.HoldDone(core.PlanHold("w2", now).Order, HoldReply{ClockMS: 1000, Running: listed}, OutcomeOK, now)
+			now.Steady += 50 * time.Millisecond
+			failedRun(core, "w2", id, 8, now)
+
+			now.Steady += 2 * retryDelay
+			core.Tick(now)
+			if n := len(starts(core)); n != 0 {
+				t.Fatalf("the task is started again though w1 may list a failure of it")
+			}
+			failedRun(core, "w1", id, 7, now)
+			core.Tick(now)
+			if n := len(starts(core)); n != 0 {
+				t.Fatalf("the task is started again after two failures of two")
+			}
+			if state := core.jobs[spec.ID].progress.State; state != job.Failed {
+				t.Errorf("the job is %s after its last attempt", state)
+			}
+		})
+	}
+}
+
+// TestTakeoverRetriesOnceAllHaveAnswered: the wait ends with the last answer.
+func TestTakeoverRetriesOnceAllHaveAnswered(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := livesCore(now, RosterEntry{ID: "w1", Address: "w1"}, RosterEntry{ID: "w2", Address: "w2"})
+	core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}})
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1"), lifeInfo("w2", "m2")}, now)
+	rosterOf(t, core)
+	spec := simpleJob(1, 1)
+	core.AddJob(spec, nil, true, now)
+	id := job.TaskID{Job: spec.ID}
+	listed := []RunningTask{{Task: id, Run: 8, Percent: 50}}
+	core.HoldDone(core.PlanHold("w2", now).Order, HoldReply{ClockMS: 1000, Running: listed}, OutcomeOK, now)
+	now.Steady += 50 * time.Millisecond
+	failedRun(core, "w2", id, 8, now)
+	now.Steady += 2 * retryDelay
+	poll(core, "w1", now.Steady, now.Steady+time.Millisecond)
+	core.Tick(now)
+	if n := len(starts(core)); n != 1 {
+		t.Errorf("%d starts of a task with one failure of two, after all have answered", n)
+	}
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -180,6 +180,41 @@
 	// doneAt came.
 	startedAt map[job.TaskID]time.Duration
 	doneSince map[*simWorker]map[uint64]time.Duration
+	// failures holds the failed ends of each task at workers that live on, and
+	// exhausted the starts after as many of them as the queue allows.
+	failures  map[job.TaskID][]*simFailure
+	exhausted []exhaustedStart
+}
+
+// simFailure is a failed end in a worker's list; it counts once the worker was
+// told to forget it, unless its lease lapsed meanwhile.
+type simFailure struct {
+	worker  *simWorker
+	number  uint64
+	at      time.Duration
+	counted bool
+}
+
+// exhaustedStart is a start of a task that had no attempts left, if these
+// failures all come to count.
+type exhaustedStart struct {
+	what     string
+	failures []*simFailure
+}
+
+// checkBudget fails once a start without attempts left is certain.
+func (o *oracle) checkBudget() {
+	for _, x := range o.exhausted {
+		n := 0
+		for _, f := range x.failures {
+			if f.counted {
+				n++
+			}
+		}
+		if n >= o.sim.maxAttempts {
+			o.fail("%s after %d failures", x.what, n)
+		}
+	}
 }
 
 func (o *oracle) fail(format string, args ...any) {
@@ -216,6 +251,11 @@
 	}
 	o.runs[r.task] = append(o.runs[r.task], w)
 	o.startedAt[r.task] = o.sim.now
+	if list := o.failures[r.task]; len(list) >= o.sim.maxAttempts {
+		what := fmt.Sprintf("task %s run %d starts at %s at %v", r.task, r.run, w.info.ID, o.sim.now)
+		o.exhausted = append(o.exhausted, exhaustedStart{what, slices.Clone(list)})
+		o.checkBudget()
+	}
 }
 
 func (o *oracle) ended(w *simWorker, r *simRun, kind EndKind) {
@@ -226,6 +266,9 @@
 		}
 	}
 	o.runs[r.task] = list
+	if kind == EndFailed {
+		o.failures[r.task] = append(o.failures[r.task], &simFailure{worker: w, number: w.endedNo, at: o.sim.now})
+	}
 	if kind != EndDone {
 		return
 	}
@@ -256,6 +299,12 @@
 			delete(o.doneAt[w], n)
 		}
 	}
+	for _, list := range o.failures {
+		for _, f := range list {
+			f.counted = f.counted || f.worker == w && f.number <= seen && w.lapsed < f.at
+		}
+	}
+	o.checkBudget()
 }
 
 // crashed forgets what ran at a worker.
@@ -306,6 +355,7 @@
 	sent         int
 	oracle       *oracle
 	failShare    float64
+	maxAttempts  int
 	lasting      bool // tasks run on until they are stopped
 	lossShare    float64
 	specs        map[string]*job.Spec
@@ -317,7 +367,7 @@
 	takeovers    int
 	renewalsLost time.Duration // until then
 	// Safeguards that are off.
-	dropRoster, ackEarly, noFence, shortLease, dropTasks, unawareLate bool
+	dropRoster, ackEarly, noFence, shortLease, dropTasks, unawareLate, hastyRetry bool
 	// strict: no task starts again that has ended done, known to the owner or
 	// not. That holds while workers can be reached and the owner lives.
 	strict bool
@@ -335,10 +385,10 @@
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), specs: map[string]*job.Spec{}, progress: map[string][]byte{},
-		cancelled: map[string]time.Duration{},
-		params:    Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, OwnerTTL: simTTL, OwnerHorizon: simHorizon, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
+		cancelled: map[string]time.Duration{}, maxAttempts: 50,
+		params: Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, OwnerTTL: simTTL, OwnerHorizon: simHorizon, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
 	}
-	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}, startedAt: map[job.TaskID]time.Duration{}, doneSince: map[*simWorker]map[uint64]time.Duration{}}
+	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}, startedAt: map[job.TaskID]time.Duration{}, doneSince: map[*simWorker]map[uint64]time.Duration{}, failures: map[job.TaskID][]*simFailure{}}
 	for i := range workers {
 		s.workers = append(s.workers, s.newWorker(i))
 	}
@@ -453,7 +503,7 @@
 		}
 	}
 	o.core.Recover(list, s.instant())
-	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 50, Stretch: 2}}})
+	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: 2}}})
 	s.list(o)
 	for _, id := range s.order {
 		var p *job.Progress
@@ -613,7 +663,7 @@
 	var reply HoldReply
 	var outcome Outcome
 	finish := func(reply HoldReply, outcome Outcome) {
-		pause := o.core.HoldDone(plan.Order, reply, outcome, s.instant())
+		pause := s.holdDone(o.core, plan.Order, reply, outcome)
 		s.later(pause+time.Duration(s.rng.IntN(300))*time.Millisecond, func() { o.polling[id] = false })
 	}
 	s.call(o, s.byAddress(plan.Order.Address), plan.Order.Term, func(w *simWorker) { reply, outcome = w.hold(plan.Order) },
@@ -621,6 +671,18 @@
 		func() { s.answer(o, func() { finish(HoldReply{}, OutcomeUnknown) }) })
 }
 
+// holdDone takes in an answer. With hastyRetry, tasks that failed are started
+// again as if all workers of the previous owner had answered.
+func (s *sim) holdDone(core *Core, order HoldOrder, reply HoldReply, outcome Outcome) time.Duration {
+	w := core.workers[order.Worker]
+	if s.hastyRetry && w != nil && w.synced {
+		waiting, open := core.unresolved, core.openUnresolved
+		core.unresolved, core.openUnresolved = nil, 0
+		defer func() { core.unresolved, core.openUnresolved = waiting, open }()
+	}
+	return core.HoldDone(order, reply, outcome, s.instant())
+}
+
 // step advances virtual time by one tick and lets all act.
 func (s *sim) step() {
 	end := s.now + 20*time.Millisecond
