Lasting tasks are moved off kept workers while short ones wait

While short tasks wait for over 0.15 s, lasting tasks at work for 5 s or more are moved off kept workers, those with the fewest first, 16 each half second at the most, within what each step may miss (one at a time where nothing is said).

Test: TestKeptWorkersAreClearedWithinWhatStepsMayMiss (needs the new code).

--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -61,8 +61,10 @@
 	priority int
 	seenAt   time.Duration
 	chosenAt time.Duration
-	sampled  time.Duration
-	workers  int // kept
+	// clearedAt is when lasting tasks were last moved off kept workers.
+	clearedAt time.Duration
+	sampled   time.Duration
+	workers   int // kept
 	// need is what is wanted, got what fits on the kept workers beside lasting
 	// tasks, told the amount last logged; thousandths of a core.
 	need, got, told int64
@@ -138,6 +140,7 @@
 			k.chosenAt = now.Steady
 			c.chooseKept(service, k, now)
 		}
+		c.clearKept(service, k, now)
 	}
 }
 
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -244,3 +244,46 @@
 		t.Error("it leaves room to less urgent tasks")
 	}
 }
+
+// TestKeptWorkersAreClearedWithinWhatStepsMayMiss: while short tasks wait, lasting ones are moved
+// off kept workers, of each step no more than it may miss at a time.
+func TestKeptWorkersAreClearedWithinWhatStepsMayMiss(t *testing.T) {
+	core, now := idleCore(t, 8)
+	spec := lastingJob(1, 16)
+	spec.Steps[0].CPUMilli, spec.Steps[0].MaxAway = 1500, 2
+	core.AddJob(spec, nil, false, now)
+	core.Schedule(now)
+	starts(core)
+	for _, w := range core.order {
+		for _, a := range w.attempts {
+			a.task.phase, a.atWork, a.started = phaseRunning, true, now.Steady-clearAge
+		}
+	}
+	k := core.keptOf("svc")
+	k.waiting, k.waitingSince = 4000, now.Steady
+	core.order[0].kept, core.order[1].kept = true, true
+	core.clearKept("svc", k, now)
+	if n := stops(core); n != 0 {
+		t.Fatalf("%d stops before short tasks have waited", n)
+	}
+	now.Steady += clearAfter + time.Millisecond
+	core.clearKept("svc", k, now)
+	if n := stops(core); n != 2 {
+		t.Errorf("%d tasks are stopped of a step that may miss 2", n)
+	}
+	now.Steady += clearPause + time.Millisecond
+	core.clearKept("svc", k, now)
+	if n := stops(core); n != 0 {
+		t.Errorf("%d more are stopped while those are away", n)
+	}
+}
+
+func stops(core *Core) int {
+	n := 0
+	for _, o := range core.TakeOrders() {
+		if o.Kind == OrderStop {
+			n++
+		}
+	}
+	return n
+}
--- a/dispatch/upkeep_drain.go
+++ b/dispatch/upkeep_drain.go
@@ -118,16 +118,18 @@
 // mayLeave reports whether a lasting task may be stopped: fewer than MaxAway of
 // the others of its step may be away.
 func (t *task) mayLeave() bool {
-	if t.step.spec.MaxAway == 0 {
-		return true
-	}
+	return t.step.spec.MaxAway == 0 || t.othersAway() < t.step.spec.MaxAway
+}
+
+// othersAway returns how many other tasks of a lasting step are not at work.
+func (t *task) othersAway() int {
 	away := 0
 	for _, other := range t.step.tasks {
 		if other != t && !other.atWork() {
 			away++
 		}
 	}
-	return away < t.step.spec.MaxAway
+	return away
 }
 
 // atWork reports whether a lasting task was past its start in the newest list.
