Workers that failed last come after all others

The log has 87 job_failed between seconds 16 and 28, when 72 of 890 workers fail all that they start: a worker counts as bad after three failures in a row, so each of them takes several tasks first, and of 78 tasks of a job with two attempts each one or the other meets two such workers.

Ruled out: slow workers (their troubles begin at 24.5 s), room (fills need none), takeovers (none then).

Change: each failure in a row at a worker weighs more than all that speaks for it (failWeight, dispatch/score.go), until a task there is done.

--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"testing"
 	"time"
+
+	"leverstile.dev/job"
 )
 
 var (
@@ -230,3 +232,45 @@
 	}
 	t.Errorf("an owner that does not wait breaks nothing in %d seeds: the test proves nothing", mutationSeeds)
 }
+
+// badWorkersRun plays wide jobs with two attempts a task while an eighth of the
+// workers fail all that they start; it returns how many jobs failed.
+func badWorkersRun(t *testing.T, seed uint64) (failed, jobs int) {
+	s := newSim(seed, 40)
+	s.maxAttempts, s.failShare = 2, 0.01
+	s.run(time.Second)
+	for i := range 5 {
+		s.workers[8*i].bad = true
+	}
+	for tick := range 1000 { // 20 s
+		s.step()
+		if tick%40 == 0 {
+			jobs++
+			s.submit(simpleJob(jobs, 30))
+		}
+	}
+	s.run(20 * time.Second)
+	for _, b := range s.oracle.broken {
+		t.Fatalf("seed %d: %s", seed, b)
+	}
+	for id := range s.specs {
+		if state, _ := s.owner.core.Status(id); state == job.Failed {
+			failed++
+		}
+	}
+	return failed, jobs
+}
+
+// TestRetriesGoToWorkersThatDoWell: a task that failed at a bad worker does not meet the next one
+// that is known to fail.
+func TestRetriesGoToWorkersThatDoWell(t *testing.T) {
+	failed, jobs := 0, 0
+	for seed := range uint64(6) {
+		f, n := badWorkersRun(t, seed)
+		failed, jobs = failed+f, jobs+n
+	}
+	t.Logf("%d of %d jobs failed", failed, jobs)
+	if failed*10 > jobs {
+		t.Errorf("%d of %d jobs failed", failed, jobs)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -235,5 +235,5 @@
 	if slow {
 		score -= slowWeight
 	}
-	return score, ok
+	return score - failWeight*float64(w.failStreak), ok
 }
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -19,6 +19,10 @@
 	// mixWeight is the same of another serving image on a worker, in the
 	// choice for a lasting task.
 	mixWeight = 2.0
+	// failWeight is the weight of each failure in a row at a worker, more than all
+	// else that speaks for one: a worker that fails all it starts is known as such
+	// only after three of them, and a second failure may be a task's last.
+	failWeight = 3.0
 	// harmlessCost of headroom does not keep a fill out.
 	harmlessCost = 0.1
 )
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -20,6 +20,7 @@
 	born   time.Duration
 	alive  bool
 	cut    bool // calls to it get lost
+	bad    bool // it fails all that it starts
 	// cutAbove loses calls of later terms only, if set: the next owner can't
 	// reach a worker that this one reaches.
 	cutAbove uint64
@@ -157,7 +158,7 @@
 	if w.sim.specs[o.Task.Job].Steps[o.Task.Step].Lasting {
 		work = time.Hour
 	}
-	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.sim.rng.Float64() < w.sim.failShare}
+	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.bad || w.sim.rng.Float64() < w.sim.failShare}
 	w.running[o.Task] = r
 	w.sim.oracle.started(w, r)
 	return Answer{Outcome: OutcomeOK, ClockMS: clock}
