A next owner is not suspended after it read its state, and reads it at once

Ruled out: something that grows with the square. Reading grew by 0.73 s for 2,670 workers and 656 jobs to 1.08 s for 3,283 and 1,306, calls to all workers take 0.7 s. The suspension is what came on top.

Change: aliveLoop notices freezes from the start of an ownership on; readState reads the four parts of the state at once.

Test: TestLongLoadIsNoFreeze (needs the new loop; a pause is still noticed).

Reading the state stays the larger part.

--- a/node/load.go
+++ b/node/load.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"leverstile.dev/dispatch"
 	"leverstile.dev/job"
@@ -43,40 +45,61 @@
 	if config == nil {
 		return 0, errors.New("no configuration yet")
 	}
-	own, _, err := n.store.Range(o.ctx, ownPrefix)
-	if err != nil {
-		return 0, err
-	}
-	progress, _, err := n.store.Range(o.ctx, progressPrefix)
-	if err != nil {
-		return 0, err
-	}
-	intake, rev, err := n.store.Range(o.ctx, intakePrefix)
-	if err != nil {
-		return 0, err
-	}
-	workers, err := n.lister.ListWorkers(o.ctx)
+	s, err := n.readState(o.ctx)
 	if err != nil {
 		return 0, err
 	}
 	core := dispatch.New(n.opts.Params, o.own.lead.Term, n.logDecision)
 	now := n.instant()
-	if err := n.takeOver(core, own, now); err != nil {
+	if err := n.takeOver(core, s.own, now); err != nil {
 		return 0, err
 	}
-	o.noteWaveRecords(own)
+	o.noteWaveRecords(s.own)
 	core.SetConfig(config)
-	core.SetWorkers(workers, now)
-	if err := loadJobs(core, progress, intake, now); err != nil {
+	core.SetWorkers(s.workers, now)
+	if err := loadJobs(core, s.progress, s.intake, now); err != nil {
 		return 0, err
 	}
 	o.mu.Lock()
 	o.core = core
 	core.Renewed(o.own.renewed)
 	o.mu.Unlock()
-	n.log.Info().Str("event", "owner_loaded").Int("intake", len(intake)).Int("workers", len(workers)).
+	n.log.Info().Str("event", "owner_loaded").Int("intake", len(s.intake)).Int("workers", len(s.workers)).
 		Int("unresolved", core.Recovering()).Dur("took", n.clock()-began).Msg("")
-	return rev, nil
+	return s.revision, nil
+}
+
+// storedState is what a new owner reads: the records of its predecessors, the
+// progress of jobs, jobs and cancellations with the revision from which they are
+// watched, and the workers.
+type storedState struct {
+	own, progress, intake []kv.Pair
+	revision              int64
+	workers               []dispatch.WorkerInfo
+}
+
+// readState reads all parts at once. Their order does not matter: only the owner
+// writes the first two, and its predecessors no longer can.
+func (n *Node) readState(ctx context.Context) (*storedState, error) {
+	s := &storedState{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		s.own, _, err = n.store.Range(ctx, ownPrefix)
+		return err
+	})
+	group.Go(func() (err error) {
+		s.progress, _, err = n.store.Range(ctx, progressPrefix)
+		return err
+	})
+	group.Go(func() (err error) {
+		s.intake, s.revision, err = n.store.Range(ctx, intakePrefix)
+		return err
+	})
+	group.Go(func() (err error) {
+		s.workers, err = n.lister.ListWorkers(ctx)
+		return err
+	})
+	return s, group.Wait()
 }
 
 // takeOver reads what the previous owner left beside the jobs.
--- a/node/owner.go
+++ b/node/owner.go
@@ -69,6 +69,7 @@
 	}
 	n.log.Info().Str("event", "owner_begin").Uint64("term", own.lead.Term).Msg("")
 	o.running.Go(o.renewLoop)
+	o.running.Go(o.aliveLoop)
 	rev, err := o.load()
 	if err == nil {
 		n.current.Store(o)
@@ -185,12 +186,20 @@
 	}
 }
 
-func (o *owner) tickLoop() {
-	for began := o.node.clock(); sleep(o.ctx, tickPause); began = o.node.clock() {
-		late := max(o.node.clock()-began-tickPause, time.Duration(o.waited.Swap(0)))
+// aliveLoop notices freezes, from the first moment of an ownership on: reading the
+// state of 2,670 workers takes 0.9 s, which looked like a freeze afterwards, and
+// the first poll waited up to 0.5 s for the next renewal.
+func (o *owner) aliveLoop() {
+	for sleep(o.ctx, tickPause) {
 		o.mu.Lock()
 		o.noticeFreeze()
 		o.mu.Unlock()
+	}
+}
+
+func (o *owner) tickLoop() {
+	for began := o.node.clock(); sleep(o.ctx, tickPause); began = o.node.clock() {
+		late := max(o.node.clock()-began-tickPause, time.Duration(o.waited.Swap(0)))
 		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
 			c.Late(late, now)
 			c.Tick(now)
--- a/node/slots_test.go
+++ b/node/slots_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // TestOrdersWaitForASlotOnlyAWhile: without the bound, orders pile up behind
@@ -53,3 +55,24 @@
 		}
 	}
 }
+
+// TestLongLoadIsNoFreeze: an owner that takes a second to read its state runs all the while, and
+// sends its first orders at once; one that does not run for as long is suspended.
+func TestLongLoadIsNoFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		o := &owner{node: &Node{start: time.Now(), opts: Options{FreezeSlack: 300 * time.Millisecond}, log: &log.Logger{Level: log.PanicLevel}}, ctx: ctx}
+		o.running.Go(o.aliveLoop)
+		time.Sleep(time.Second) // the state is read
+		if !o.mayAct(ctx) || o.suspended {
+			t.Error("suspended after a long read of its state")
+		}
+		stop()
+		o.running.Wait()
+		time.Sleep(time.Second) // nothing runs
+		o.noticeFreeze()
+		if !o.suspended {
+			t.Error("a pause of a second is not noticed")
+		}
+	})
+}
