--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -194,6 +194,8 @@
 		share := 0.1 * float64(i%3-1)
 		first.model.learn("web", -5*share, []pressure{{"noisy", share}, {"calm", 0.1 * float64(i%2)}})
 	}
+	short := first.keptOf("svc")
+	short.peak, short.priority, short.piece.mean = 70_000, 2, 5000
 	value, err := first.Learnt(Instant{})
 	if err != nil {
 		t.Fatal(err)
@@ -202,6 +204,9 @@
 	if err := next.TakeLearnt(value); err != nil {
 		t.Fatal(err)
 	}
+	if k := next.keptOf("svc"); k.peak != 70_000 || k.priority != 2 || k.piece.mean != 5000 {
+		t.Errorf("of the short tasks' need the next owner knows %+v", k)
+	}
 	mean, deviation := next.model.coefficient("web", "noisy")
 	if mean < 4 || mean > 6 || deviation > 0.6 {
 		t.Errorf("noisy beside web: %.2f ± %.2f, want 5", mean, deviation)
--- a/dispatch/learnt.go
+++ b/dispatch/learnt.go
@@ -11,6 +11,16 @@
 	// Pairs are the coefficients by serving image and image beside it.
 	Pairs map[string]map[string]learntPair `json:"pairs,omitempty"`
 	Times []learntTime                     `json:"times,omitempty"`
+	Short []learntShort                    `json:"short,omitempty"`
+}
+
+// learntShort is what the short tasks of a service need, thousandths of a core.
+type learntShort struct {
+	Service  string  `json:"service"`
+	Peak     float64 `json:"peak"`
+	Demand   float64 `json:"demand"`
+	Piece    float64 `json:"piece"`
+	Priority int     `json:"priority"`
 }
 
 type learntPair struct {
@@ -37,7 +47,7 @@
 
 // LearntDue reports whether what was learnt should be recorded again.
 func (c *Core) LearntDue(now Instant) bool {
-	return len(c.model.images) > 0 && now.Steady-c.learntAt >= learntPause
+	return (len(c.model.images) > 0 || len(c.kept) > 0) && now.Steady-c.learntAt >= learntPause
 }
 
 // Learnt returns what was learnt, for the next owner.
@@ -54,6 +64,9 @@
 	for key, r := range c.perfByKey {
 		s.Times = append(s.Times, learntTime{key.queue, key.image, r.n, r.log})
 	}
+	for service, k := range c.kept {
+		s.Short = append(s.Short, learntShort{service, k.peak, k.demand.mean, k.piece.mean, k.priority})
+	}
 	return json.Marshal(&s)
 }
 
@@ -71,6 +84,12 @@
 			}
 		}
 	}
+	for _, x := range s.Short {
+		k := c.keptOf(x.Service)
+		k.peak, k.priority = x.Peak, x.Priority
+		k.demand = average{x.Demand, keepMemory}
+		k.piece = average{x.Piece, keepMemory}
+	}
 	for _, t := range s.Times {
 		c.perfByKey[perfKey{t.Queue, t.Image}] = &runTimes{n: t.N, log: t.Log}
 	}
