--- a/cmd/leverstile/main.go
+++ b/cmd/leverstile/main.go
@@ -44,7 +44,6 @@
 func commands() []command {
 	return []command{
 		{"load", "Put load on a service", "Sends requests at a rate that does not wait for answers, and checks that answers match and keys run once.", &loadCommand{}},
-		{"measure", "Measure the slopes of docs/CAPACITY.md", "Measures bytes, calls and processor time against the stand-ins; takes one to two minutes.", &measureCommand{}},
 		{"serve", "Run an entry process", "Runs an entry process until SIGTERM, which drains it; a second signal ends it at once.", &serveCommand{}},
 		{"node", "Run an entry on the users' platform", "Runs an entry that schedules jobs; the platform's settings file is named by the environment. Runs until SIGTERM, which drains it.", &nodeCommand{}},
 		{"standin", "Run stand-ins of the platform", "Runs stand-ins of the key-value service, workers, endpoints and VM list in one process.", &standinCommand{}},
