Demand of short tasks, and the parts of the simulation, in files of their own

dispatch/keep.go held two jobs: following what short tasks need (now demand.go) and choosing the workers to keep. What a plain walk over the workers takes for a step's view is now told by its caller, so that the rule stands once (plainView, sparesSlow, sparesKept).

--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -65,7 +65,7 @@
 
 func (c *Core) hasRoomElsewhere(t *task, now Instant) bool {
 	service := c.queues[t.step.job.spec.Queue].Service
-	return c.choose(t, c.poolOf(service, now), false, now) != nil
+	return c.choose(t, c.poolOf(service, now), c.plainView(t.step, now), now) != nil
 }
 
 func (c *Core) workersInOrder() []*worker {
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -48,9 +48,9 @@
 	amount := s.amount()
 	chosen := make([]*worker, 0, len(s.tasks))
 	spares := s.sparesSlow(now)
-	barred := c.barred(s, c.queues[s.job.spec.Queue].Priority, now)
+	sparesKept := c.sparesKept(s, now)
 	for _, w := range pool {
-		if now.Steady < w.slowUntil && spares || w.kept && barred || now.Steady < w.fullUntil || !s.allowed(w) {
+		if now.Steady < w.slowUntil && spares || w.kept && sparesKept || now.Steady < w.fullUntil || !s.allowed(w) {
 			continue
 		}
 		taken := resources{}
--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 )
@@ -20,11 +19,6 @@
 const (
 	// keepPause is the pause between two choices of the workers that are kept.
 	keepPause = 500 * time.Millisecond
-	// keepMemory is the time over which demand is averaged, and in which a peak
-	// of it fades to a third: a dozen lives of a short task, and less than a
-	// lasting one's. The peak is kept, not the mean: a pool that lasting tasks
-	// fill is full within seconds of the first short job.
-	keepMemory = 8 * time.Second
 	// keepMost is the largest part of a pool in workers that are kept. Beyond it
 	// short tasks and lasting ones take their turns by rank.
 	keepMost = 0.3
@@ -40,70 +34,19 @@
 	keptFromTask = 4 * time.Second
 )
 
-// keptRoom is the room that one service keeps for short tasks.
+// keptRoom is the room that one service keeps for short tasks, with the demand
+// that it follows.
 type keptRoom struct {
-	// demand is what short tasks on time hold and wait for, peak the most of it of
-	// late, thousandths of a core.
-	demand average
-	peak   float64
-	// piece is the mean of what one such task takes.
-	piece average
-	// waiting is what ready short tasks on time wait for as of the newest pass,
-	// waitingSince when that began.
-	waiting      int64
-	waitingSince time.Duration
-	// starts is what short tasks take that start in a second, left what lasting
-	// tasks give back that end; placed and ended are those since the last tick.
-	starts, left  average
-	placed, ended int64
-	// priority is that of the least urgent queue with such tasks of late, seenAt
-	// when one was seen.
-	priority int
-	seenAt   time.Duration
+	shortDemand
 	chosenAt time.Duration
 	// clearedAt is when lasting tasks were last moved off kept workers.
 	clearedAt time.Duration
-	sampled   time.Duration
 	workers   int // kept
 	// need is what is wanted, got what fits on the kept workers beside lasting
 	// tasks, told the amount last logged; thousandths of a core.
 	need, got, told int64
 }
 
-// average is a mean over keepMemory, weighted by time.
-type average struct {
-	mean float64
-	age  time.Duration // what it covers so far
-}
-
-// add takes in a value that held for a time.
-func (a *average) add(v float64, held time.Duration) {
-	a.age = min(a.age+held, keepMemory)
-	weight := min(1, float64(held)/float64(max(a.age, 1)))
-	a.mean += weight * (v - a.mean)
-}
-
-// short reports whether the step's tasks end by themselves and need room of
-// their own.
-func (s *stepRun) short() bool { return s.spec.ShortStep() }
-
-// noteDemand takes in the steps of a pass, after it.
-func (c *Core) noteDemand(list []candidate, now Instant) {
-	for _, k := range c.kept {
-		if k.waiting == 0 {
-			k.waitingSince = now.Steady
-		}
-		k.waiting = 0
-	}
-	for _, x := range list {
-		if x.step.short() && x.rank.class == rankOnTime {
-			k := c.keptOf(x.queue.Service)
-			k.waiting += int64(x.step.ready) * x.step.spec.CPUMilli
-			k.note(x.queue.Priority, now)
-		}
-	}
-}
-
 func (c *Core) keptOf(service string) *keptRoom {
 	k := c.kept[service]
 	if k == nil {
@@ -113,29 +56,11 @@
 	return k
 }
 
-// note takes in that short tasks of a priority were seen.
-func (k *keptRoom) note(priority int, now Instant) {
-	if now.Steady-k.seenAt > keepMemory {
-		k.priority = priority
-	}
-	k.priority, k.seenAt = max(k.priority, priority), now.Steady
-}
-
 // tickKept follows the demand of short tasks and chooses the workers to keep.
 func (c *Core) tickKept(now Instant) {
 	for service, k := range c.kept {
-		held := min(now.Steady-k.sampled, time.Second) // a pause says nothing of what came meanwhile
-		k.sampled = now.Steady
-		if held <= 0 {
-			continue
-		}
-		k.sample(held)
 		running, tasks := c.shortUse(service)
-		k.demand.add(float64(running+k.waiting), held)
-		k.peak = max(float64(running+k.waiting), k.peak*math.Exp(-held.Seconds()/keepMemory.Seconds()))
-		if tasks > 0 {
-			k.piece.add(float64(running)/float64(tasks), held)
-		}
+		k.follow(running, tasks, now)
 		if now.Steady-k.chosenAt >= keepPause {
 			k.chosenAt = now.Steady
 			c.chooseKept(service, k, now)
@@ -144,23 +69,6 @@
 	}
 }
 
-// sample takes in what started and ended since the last tick.
-func (k *keptRoom) sample(held time.Duration) {
-	k.starts.add(float64(k.placed)/held.Seconds(), held)
-	k.left.add(float64(k.ended)/held.Seconds(), held)
-	k.placed, k.ended = 0, 0
-}
-
-// shortUse returns what short tasks hold of a service's workers, and how many
-// they are.
-func (c *Core) shortUse(service string) (cpu int64, tasks int) {
-	for _, w := range c.members[service] {
-		cpu += w.used.cpu - w.lasting.cpu
-		tasks += w.shortTasks
-	}
-	return cpu, tasks
-}
-
 // chooseKept marks the workers that are left to short tasks: those that are
 // marked already, then those with the fewest lasting tasks, until the pieces
 // that fit beside the lasting tasks there are as many as are needed. In a pool
@@ -232,16 +140,17 @@
 		k.workers, k.got/1000, size/1000, k.demand.mean/1000, k.peak/1000, lasting/1000)})
 }
 
-// barred reports whether a step's tasks leave kept workers alone. Those of a
+// sparesKept reports whether a step's tasks leave kept workers alone. Those of a
 // queue more urgent than all short tasks don't, nor those that have waited long:
 // a job that has nothing running, and a task that is away, are worth more there
 // than what may come.
-func (c *Core) barred(s *stepRun, priority int, now Instant) bool {
+func (c *Core) sparesKept(s *stepRun, now Instant) bool {
 	if !s.spec.Lasting {
 		return false
 	}
-	k := c.kept[c.queues[s.job.spec.Queue].Service]
-	if k == nil || k.workers == 0 || priority < k.priority {
+	q := c.queues[s.job.spec.Queue]
+	k := c.kept[q.Service]
+	if k == nil || k.workers == 0 || q.Priority < k.priority {
 		return false
 	}
 	if s.job.active == 0 && now.Steady-s.job.idleSince > keptFromIdle {
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -240,7 +240,7 @@
 	spec := lastingJob(1, 1)
 	spec.Queue = "first"
 	core.AddJob(spec, nil, false, now)
-	if s := core.jobs[spec.ID].steps[0]; core.barred(s, -1, now) {
+	if s := core.jobs[spec.ID].steps[0]; core.sparesKept(s, now) {
 		t.Error("it leaves room to less urgent tasks")
 	}
 }
--- a/dispatch/learnt.go
+++ b/dispatch/learnt.go
@@ -87,8 +87,8 @@
 	for _, x := range s.Short {
 		k := c.keptOf(x.Service)
 		k.peak, k.priority = x.Peak, x.Priority
-		k.demand = average{x.Demand, keepMemory}
-		k.piece = average{x.Piece, keepMemory}
+		k.demand = average{x.Demand, demandMemory}
+		k.piece = average{x.Piece, demandMemory}
 	}
 	for _, t := range s.Times {
 		c.perfByKey[perfKey{t.Queue, t.Image}] = &runTimes{n: t.N, log: t.Log}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -123,10 +123,16 @@
 // nothing running takes what there is, unless the pool is full.
 func (c *Core) viewOf(s *stepRun, p *pool, now Instant) view {
 	starved := s.starved(now)
+	v := c.plainView(s, now)
+	v.starved = starved && p.usedPart() < starvedUse
+	return v
+}
+
+// plainView is viewOf for a job that takes no more than others.
+func (c *Core) plainView(s *stepRun, now Instant) view {
 	return view{
-		starved:    starved && p.usedPart() < starvedUse,
-		sparesSlow: !s.spec.Lasting && !starved,
-		sparesKept: c.barred(s, c.queues[s.job.spec.Queue].Priority, now),
+		sparesSlow: s.sparesSlow(now),
+		sparesKept: c.sparesKept(s, now),
 	}
 }
 
@@ -205,11 +211,7 @@
 }
 
 // choose returns the best worker for a task, or nil.
-func (c *Core) choose(t *task, pool []*worker, starved bool, now Instant) *worker {
-	v := view{
-		starved: starved, sparesSlow: !t.step.spec.Lasting && !t.step.starved(now),
-		sparesKept: c.barred(t.step, c.queues[t.step.job.spec.Queue].Priority, now),
-	}
+func (c *Core) choose(t *task, pool []*worker, v view, now Instant) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range pool {
--- a/dispatch/place_test.go
+++ b/dispatch/place_test.go
@@ -52,7 +52,7 @@
 			if x == nil || x.view != v {
 				x = c.newChooser(s, workers, v, now)
 			}
-			want, got := c.choose(task, workers, v.starved, now), x.best(task.avoid)
+			want, got := c.choose(task, workers, v, now), x.best(task.avoid)
 			if want != got {
 				t.Fatalf("task %d: %v, the plain walk chooses %v", task.index, idOf(got), idOf(want))
 			}
@@ -84,7 +84,7 @@
 			if t.phase != phaseReady || now.Steady < t.notBefore || t.concluded && !c.certain(now) {
 				continue
 			}
-			if c.choose(t, workers, v.starved, now) != nil {
+			if c.choose(t, workers, v, now) != nil {
 				return t
 			}
 		}
--- /dev/null
+++ b/dispatch/sim_worker_test.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// simWorker is a stand-in of a worker behind the port: it checks terms,
+// deadlines, run numbers and room, and lists ends until they are forgotten.
+type simWorker struct {
+	sim    *sim
+	info   WorkerInfo
+	rate   float64 // of its clock
+	offset int64
+	born   time.Duration
+	alive  bool
+	cut    bool // calls to it get lost
+	bad    bool // it fails all that it starts
+	// cutAbove loses calls of later terms only, if set: the next owner can't
+	// reach a worker that this one reaches.
+	cutAbove uint64
+	term     uint64
+	lease    int64
+	running  map[job.TaskID]*simRun
+	ended    []EndedTask
+	endedNo  uint64
+	highest  map[job.TaskID]uint64 // highest run stopped or ended here
+	seen     uint64
+	lapsed   time.Duration // when its lease was last found to be over
+}
+
+type simRun struct {
+	task  job.TaskID
+	run   uint64
+	ends  time.Duration // when its work is done
+	fails bool
+	since time.Duration
+}
+
+// percent returns the part of the run's work that is done.
+func (r *simRun) percent(now time.Duration) int {
+	return int(100 * (now - r.since) / max(r.ends-r.since, 1))
+}
+
+func (w *simWorker) clock() int64 {
+	return w.offset + int64(float64((w.sim.now-w.born).Milliseconds())*w.rate)
+}
+
+// advance ends what is over by now.
+func (w *simWorker) advance() {
+	if !w.alive {
+		return
+	}
+	if w.clock() >= w.lease {
+		w.lapsed = w.sim.now
+		for _, r := range w.sorted() {
+			w.end(r, EndLapsed)
+		}
+	}
+	for _, r := range w.sorted() {
+		if r.ends > w.sim.now {
+			continue
+		}
+		if r.fails {
+			w.end(r, EndFailed)
+		} else {
+			w.end(r, EndDone)
+		}
+	}
+}
+
+func (w *simWorker) sorted() []*simRun {
+	list := make([]*simRun, 0, len(w.running))
+	for _, r := range w.running {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].task.String() < list[j].task.String() })
+	return list
+}
+
+func (w *simWorker) end(r *simRun, kind EndKind) {
+	delete(w.running, r.task)
+	w.endedNo++
+	w.highest[r.task] = max(w.highest[r.task], r.run)
+	w.ended = append(w.ended, EndedTask{Number: w.endedNo, Task: r.task, Run: r.run, Kind: kind})
+	w.sim.oracle.ended(w, r, kind)
+}
+
+// hold carries out a HoldOrder.
+func (w *simWorker) hold(h HoldOrder) (HoldReply, Outcome) {
+	w.advance()
+	if !w.alive || h.Worker != w.info.ID {
+		return HoldReply{}, OutcomeOtherLife
+	}
+	if h.Term < w.term && !w.sim.noFence {
+		return HoldReply{}, OutcomeFenced
+	}
+	w.term = max(w.term, h.Term)
+	if h.DeadlineMS > 0 {
+		w.lease = max(w.lease, min(h.DeadlineMS, w.clock()+w.sim.params.MaxTaskLease.Milliseconds()))
+	}
+	if h.Seen > w.seen {
+		w.seen = h.Seen
+		w.sim.oracle.forgotten(w, h.Seen)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= w.seen {
+		w.ended = w.ended[1:]
+	}
+	reply := HoldReply{ClockMS: w.clock(), Ended: append([]EndedTask(nil), w.ended...)}
+	for _, r := range w.sorted() {
+		reply.Running = append(reply.Running, RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now)})
+	}
+	return reply, OutcomeOK
+}
+
+// order carries out an Order.
+func (w *simWorker) order(o Order) Answer {
+	w.advance()
+	if !w.alive || o.Worker != w.info.ID {
+		return Answer{Outcome: OutcomeOtherLife}
+	}
+	if o.Term < w.term && !w.sim.noFence {
+		return Answer{Outcome: OutcomeFenced, ClockMS: w.clock()}
+	}
+	w.term = max(w.term, o.Term)
+	switch o.Kind {
+	case OrderStart:
+		return w.startRun(o)
+	case OrderStop:
+		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
+		if r := w.running[o.Task]; r != nil && r.run <= o.Run {
+			w.end(r, EndStopped)
+		}
+	}
+	return Answer{Outcome: OutcomeOK, ClockMS: w.clock()}
+}
+
+func (w *simWorker) startRun(o Order) Answer {
+	w.lease = max(w.lease, min(o.DeadlineMS, w.clock()+w.sim.params.MaxTaskLease.Milliseconds()))
+	clock := w.clock()
+	if r := w.running[o.Task]; r != nil && r.run == o.Run {
+		return Answer{Outcome: OutcomeOK, ClockMS: clock}
+	}
+	switch {
+	case o.Run <= w.highest[o.Task]:
+		return Answer{Outcome: OutcomeOld, ClockMS: clock}
+	case clock >= o.DeadlineMS:
+		return Answer{Outcome: OutcomeLate, ClockMS: clock}
+	case w.running[o.Task] != nil:
+		return Answer{Outcome: OutcomeOld, ClockMS: clock}
+	}
+	work := time.Duration(200+w.sim.rng.IntN(2500)) * time.Millisecond
+	if w.sim.specs[o.Task.Job].Steps[o.Task.Step].Lasting {
+		work = time.Hour
+	}
+	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.bad || w.sim.rng.Float64() < w.sim.failShare}
+	w.running[o.Task] = r
+	w.sim.oracle.started(w, r)
+	return Answer{Outcome: OutcomeOK, ClockMS: clock}
+}
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -139,7 +139,7 @@
 	choose := func(step job.Step, idle time.Duration, pool ...*worker) *worker {
 		j := &jobState{spec: simpleJob(1, 1), idleSince: now.Steady - idle}
 		s := &stepRun{job: j, spec: &step}
-		return core.choose(&task{step: s}, pool, false, now)
+		return core.choose(&task{step: s}, pool, core.plainView(s, now), now)
 	}
 	short, lasting := job.Step{Count: 1, CPUMilli: 100}, job.Step{Count: 1, CPUMilli: 100, Lasting: true}
 	for name, x := range map[string]struct{ got, want *worker }{
