No room is kept for tasks that no worker can take

Cause: found in reading: steps whose tasks are larger than any worker, or need a label that none has, counted as waiting demand. One such job had three tenths of the pool kept, and lasting tasks moved off for it, for as long as it counts as on time.

Change: shortDemand knows the most that any worker of the pool has, and all labels; what goes beyond it is no demand. chooseKept is split.

Test: TestNothingIsKeptForTasksThatNoWorkerTakes failed first (12 and 7 workers of 40 kept).

--- a/dispatch/clear.go
+++ b/dispatch/clear.go
@@ -19,10 +19,10 @@
 	clearAge = 5 * time.Second
 )
 
-// clearKept moves lasting tasks off kept workers while short tasks wait and the
-// kept room falls short of their need. It keeps to what each step may miss, and
-// clears worker by worker, so that whole pieces become free. The moved tasks
-// take the places that others leave elsewhere.
+// clearKept moves lasting tasks off kept workers while short tasks wait that some
+// worker can take. It keeps to what each step may miss, and clears worker by
+// worker, so that whole pieces become free. The moved tasks take the places that
+// others leave elsewhere.
 func (c *Core) clearKept(service string, k *keptRoom, now Instant) {
 	if k.waiting == 0 || now.Steady-k.waitingSince < clearAfter || now.Steady-k.clearedAt < clearPause || !c.certain(now) {
 		return
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -36,6 +36,7 @@
 	priority int
 	seenAt   time.Duration
 	sampled  time.Duration
+	largest  largest
 }
 
 // average is a mean over demandMemory, weighted by time.
@@ -64,8 +65,10 @@
 		k.waiting = 0
 	}
 	for _, x := range list {
-		if x.step.short() && x.rank.class == rankOnTime {
-			k := c.keptOf(x.queue.Service)
+		if !x.step.short() || x.rank.class != rankOnTime {
+			continue
+		}
+		if k := c.keptOf(x.queue.Service); k.largest.takes(x.step) {
 			k.waiting += int64(x.step.ready) * x.step.spec.CPUMilli
 			k.note(x.queue.Priority, now)
 		}
@@ -99,6 +102,40 @@
 	}
 }
 
+// largest is the most that any worker of a pool has of each resource, and all
+// labels there. Tasks beyond it can never run, so no room is kept for them: one
+// job of them would have three tenths of the pool kept, and lasting tasks moved.
+type largest struct {
+	known  bool
+	size   resources
+	labels map[string]bool
+}
+
+// add takes in a worker.
+func (l *largest) add(info *WorkerInfo) {
+	if l.labels == nil {
+		l.labels = map[string]bool{}
+	}
+	l.known = true
+	l.size.cpu = max(l.size.cpu, info.CPUMilli)
+	l.size.memory = max(l.size.memory, info.MemoryMiB)
+	l.size.accelerators = max(l.size.accelerators, info.Accelerators)
+	for _, label := range info.Labels {
+		l.labels[label] = true
+	}
+}
+
+// takes reports whether a task of the step may fit some worker; if none is known
+// yet, it may.
+func (l *largest) takes(s *stepRun) bool {
+	if !l.known {
+		return true
+	}
+	a := s.amount()
+	return a.cpu <= l.size.cpu && a.memory <= l.size.memory && a.accelerators <= l.size.accelerators &&
+		(s.spec.Requires == "" || l.labels[s.spec.Requires])
+}
+
 // shortUse returns what short tasks hold of a service's workers, and how many
 // they are.
 func (c *Core) shortUse(service string) (cpu int64, tasks int) {
--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -84,53 +84,55 @@
 // that fit beside the lasting tasks there are as many as are needed. In a pool
 // that is full of lasting tasks it marks what will do once they have gone.
 func (c *Core) chooseKept(service string, k *keptRoom, now Instant) {
-	members := c.members[service]
-	var pool []*worker
-	var size int64
-	for _, w := range members {
-		if c.inPool(w, service, now) {
-			pool = append(pool, w)
-			size += w.info.CPUMilli
-		}
+	pool := c.poolOf(service, now)
+	var size, lasting int64
+	k.largest = largest{}
+	for _, w := range pool {
+		size += w.info.CPUMilli
+		lasting += w.lasting.cpu
+		k.largest.add(&w.info)
 	}
-	need := int64(k.peak)
-	if float64(need) < keepLeast*float64(size) {
-		need = 0
+	k.need = int64(k.peak)
+	if float64(k.need) < keepLeast*float64(size) {
+		k.need = 0
 	}
-	slices.SortStableFunc(pool, func(a, b *worker) int {
-		if a.kept != b.kept {
-			return cmp.Compare(boolRank(a.kept), boolRank(b.kept))
+	chosen := k.pick(pool, int64(keepMost*float64(size)))
+	for _, w := range c.members[service] {
+		if w.kept && !chosen[w] {
+			c.refusals.opened(w, false)
 		}
-		return cmp.Compare(b.info.CPUMilli-b.lasting.cpu, a.info.CPUMilli-a.lasting.cpu)
+		w.kept = chosen[w]
+	}
+	k.tell(c, service, lasting, size)
+}
+
+// pick returns the workers to keep, of at most so many thousandths of a core.
+func (k *keptRoom) pick(pool []*worker, most int64) map[*worker]bool {
+	slices.SortStableFunc(pool, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(boolRank(a.kept), boolRank(b.kept)), cmp.Compare(b.freeOfLasting(), a.freeOfLasting()))
 	})
 	piece := max(int64(k.piece.mean), 1)
-	most := int64(keepMost * float64(size))
 	chosen := make(map[*worker]bool, len(pool))
-	got, whole := int64(0), int64(0)
+	whole := int64(0)
+	k.got = 0
 	for _, w := range pool {
-		if got >= need || whole >= keepWhole*need {
+		if k.got >= k.need || whole >= keepWhole*k.need {
 			break
 		}
 		if whole+w.info.CPUMilli <= most {
 			chosen[w] = true
-			got += (w.info.CPUMilli - w.lasting.cpu) / piece * piece
 			whole += w.info.CPUMilli
+			k.got += w.freeOfLasting() / piece * piece
 		}
 	}
-	k.workers, k.need, k.got = len(chosen), need, got
-	for _, w := range members {
-		if w.kept && !chosen[w] {
-			c.refusals.opened(w, false)
-		}
-		w.kept = chosen[w]
-	}
-	var lasting int64
-	for _, w := range pool {
-		lasting += w.lasting.cpu
-	}
-	k.tell(c, service, lasting, size)
+	k.workers = len(chosen)
+	return chosen
 }
 
+// freeOfLasting returns what lasting tasks leave of a worker, thousandths of a
+// core.
+func (w *worker) freeOfLasting() int64 { return w.info.CPUMilli - w.lasting.cpu }
+
 // boolRank puts true first.
 func boolRank(b bool) int {
 	if b {
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -278,6 +278,33 @@
 	}
 }
 
+// TestNothingIsKeptForTasksThatNoWorkerTakes: a job whose tasks are larger than any worker, or
+// need a label that none has, must not hold lasting tasks off.
+func TestNothingIsKeptForTasksThatNoWorkerTakes(t *testing.T) {
+	for name, change := range map[string]func(s *job.Step){
+		"too large": func(s *job.Step) { s.CPUMilli = 1_000_000 },
+		"no memory": func(s *job.Step) { s.MemoryMiB = 1_000_000 },
+		"no label":  func(s *job.Step) { s.Requires = "none has it" },
+	} {
+		core, now := idleCore(t, 40)
+		core.Tick(now)
+		core.AddJob(simpleJob(1, 1), nil, false, now) // short tasks are known
+		now.Steady += keepPause
+		core.Tick(now)
+		spec := simpleJob(2, 50)
+		spec.AcceptedMS, spec.Steps[0].EstimateMS = now.UnixMS, 60_000
+		change(&spec.Steps[0])
+		core.AddJob(spec, nil, false, now)
+		for range 20 {
+			now.Steady += 100 * time.Millisecond
+			core.Tick(now)
+		}
+		if k := core.keptOf("svc"); k.waiting != 0 || core.keptWorkers() > 1 {
+			t.Errorf("%s: %d workers are kept, %d thousandths of a core waited for", name, core.keptWorkers(), k.waiting)
+		}
+	}
+}
+
 func stops(core *Core) int {
 	n := 0
 	for _, o := range core.TakeOrders() {
