Evacuated data centres get nothing

Ruled out: reading them at the owner only (the store may turn away the owner alone while it takes the operators' writes). Change: every entry follows the operators' keys, by revision a data centre, and tells the owner; a new owner reads them before its first start. The core asks one question of a worker (barrierOf) for choice, gangs, kept room, admission, moves and explanations. What runs there stays. Workers that say that they are cold come after warm ones. Gauges, log lines, a page for operators; the simulation evacuates, with two mutations that the oracle finds; node tests over a takeover, forgotten history, a value that can't be read, an owner that is turned away.

--- a/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
+++ b/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
@@ -48,6 +48,8 @@
 	OwnerCancelJobProcedure = "/leverstile.jobs.v1.Owner/CancelJob"
 	// OwnerNoteIntakeProcedure is the fully-qualified name of the Owner's NoteIntake RPC.
 	OwnerNoteIntakeProcedure = "/leverstile.jobs.v1.Owner/NoteIntake"
+	// OwnerNoteEvacuationsProcedure is the fully-qualified name of the Owner's NoteEvacuations RPC.
+	OwnerNoteEvacuationsProcedure = "/leverstile.jobs.v1.Owner/NoteEvacuations"
 	// OwnerExplainJobProcedure is the fully-qualified name of the Owner's ExplainJob RPC.
 	OwnerExplainJobProcedure = "/leverstile.jobs.v1.Owner/ExplainJob"
 	// JobsSubmitProcedure is the fully-qualified name of the Jobs's Submit RPC.
@@ -77,6 +79,9 @@
 	// NoteIntake tells the owner what the caller has just recorded, so that it
 	// need not wait for its watch of the store.
 	NoteIntake(context.Context, *connect.Request[v1.NoteIntakeRequest]) (*connect.Response[v1.NoteIntakeResponse], error)
+	// NoteEvacuations tells the owner of data centres that the operators have
+	// evacuated or taken back, in case its own watch of the store is silent.
+	NoteEvacuations(context.Context, *connect.Request[v1.NoteEvacuationsRequest]) (*connect.Response[v1.NoteEvacuationsResponse], error)
 	// ExplainJob tells where a job's tasks run and why others wait.
 	ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error)
 }
@@ -128,6 +133,12 @@
 			connect.WithSchema(ownerMethods.ByName("NoteIntake")),
 			connect.WithClientOptions(opts...),
 		),
+		noteEvacuations: connect.NewClient[v1.NoteEvacuationsRequest, v1.NoteEvacuationsResponse](
+			httpClient,
+			baseURL+OwnerNoteEvacuationsProcedure,
+			connect.WithSchema(ownerMethods.ByName("NoteEvacuations")),
+			connect.WithClientOptions(opts...),
+		),
 		explainJob: connect.NewClient[v1.ExplainJobRequest, v1.ExplainJobResponse](
 			httpClient,
 			baseURL+OwnerExplainJobProcedure,
@@ -139,13 +150,14 @@
 
 // ownerClient implements OwnerClient.
 type ownerClient struct {
-	getJob       *connect.Client[v1.GetJobRequest, v1.GetJobResponse]
-	countPending *connect.Client[v1.CountPendingRequest, v1.CountPendingResponse]
-	admitJob     *connect.Client[v1.AdmitJobRequest, v1.AdmitJobResponse]
-	submitJob    *connect.Client[v1.SubmitJobRequest, v1.SubmitJobResponse]
-	cancelJob    *connect.Client[v1.CancelJobRequest, v1.CancelJobResponse]
-	noteIntake   *connect.Client[v1.NoteIntakeRequest, v1.NoteIntakeResponse]
-	explainJob   *connect.Client[v1.ExplainJobRequest, v1.ExplainJobResponse]
+	getJob          *connect.Client[v1.GetJobRequest, v1.GetJobResponse]
+	countPending    *connect.Client[v1.CountPendingRequest, v1.CountPendingResponse]
+	admitJob        *connect.Client[v1.AdmitJobRequest, v1.AdmitJobResponse]
+	submitJob       *connect.Client[v1.SubmitJobRequest, v1.SubmitJobResponse]
+	cancelJob       *connect.Client[v1.CancelJobRequest, v1.CancelJobResponse]
+	noteIntake      *connect.Client[v1.NoteIntakeRequest, v1.NoteIntakeResponse]
+	noteEvacuations *connect.Client[v1.NoteEvacuationsRequest, v1.NoteEvacuationsResponse]
+	explainJob      *connect.Client[v1.ExplainJobRequest, v1.ExplainJobResponse]
 }
 
 // GetJob calls leverstile.jobs.v1.Owner.GetJob.
@@ -178,6 +190,11 @@
 	return c.noteIntake.CallUnary(ctx, req)
 }
 
+// NoteEvacuations calls leverstile.jobs.v1.Owner.NoteEvacuations.
+func (c *ownerClient) NoteEvacuations(ctx context.Context, req *connect.Request[v1.NoteEvacuationsRequest]) (*connect.Response[v1.NoteEvacuationsResponse], error) {
+	return c.noteEvacuations.CallUnary(ctx, req)
+}
+
 // ExplainJob calls leverstile.jobs.v1.Owner.ExplainJob.
 func (c *ownerClient) ExplainJob(ctx context.Context, req *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error) {
 	return c.explainJob.CallUnary(ctx, req)
@@ -198,6 +215,9 @@
 	// NoteIntake tells the owner what the caller has just recorded, so that it
 	// need not wait for its watch of the store.
 	NoteIntake(context.Context, *connect.Request[v1.NoteIntakeRequest]) (*connect.Response[v1.NoteIntakeResponse], error)
+	// NoteEvacuations tells the owner of data centres that the operators have
+	// evacuated or taken back, in case its own watch of the store is silent.
+	NoteEvacuations(context.Context, *connect.Request[v1.NoteEvacuationsRequest]) (*connect.Response[v1.NoteEvacuationsResponse], error)
 	// ExplainJob tells where a job's tasks run and why others wait.
 	ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error)
 }
@@ -245,6 +265,12 @@
 		connect.WithSchema(ownerMethods.ByName("NoteIntake")),
 		connect.WithHandlerOptions(opts...),
 	)
+	ownerNoteEvacuationsHandler := connect.NewUnaryHandler(
+		OwnerNoteEvacuationsProcedure,
+		svc.NoteEvacuations,
+		connect.WithSchema(ownerMethods.ByName("NoteEvacuations")),
+		connect.WithHandlerOptions(opts...),
+	)
 	ownerExplainJobHandler := connect.NewUnaryHandler(
 		OwnerExplainJobProcedure,
 		svc.ExplainJob,
@@ -265,6 +291,8 @@
 			ownerCancelJobHandler.ServeHTTP(w, r)
 		case OwnerNoteIntakeProcedure:
 			ownerNoteIntakeHandler.ServeHTTP(w, r)
+		case OwnerNoteEvacuationsProcedure:
+			ownerNoteEvacuationsHandler.ServeHTTP(w, r)
 		case OwnerExplainJobProcedure:
 			ownerExplainJobHandler.ServeHTTP(w, r)
 		default:
@@ -300,6 +328,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.NoteIntake is not implemented"))
 }
 
+func (UnimplementedOwnerHandler) NoteEvacuations(context.Context, *connect.Request[v1.NoteEvacuationsRequest]) (*connect.Response[v1.NoteEvacuationsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.NoteEvacuations is not implemented"))
+}
+
 func (UnimplementedOwnerHandler) ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.ExplainJob is not implemented"))
 }
--- a/cmd/leverstile/jobsdemo.go
+++ b/cmd/leverstile/jobsdemo.go
@@ -81,12 +81,12 @@
 	logger, flush := logging.New(io.Discard, "error", name, set)
 	client := platform.NewStore(store, set)
 	n := node.New(node.Options{
-		Entry: name, PeerAddress: l.Addr().String(), OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		Entry: name, PeerAddress: l.Addr().String(), OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeConfig: platform.DecodeConfig,
 		FreezeSlack: demoMaxLease, Params: dispatch.Params{MaxTaskLease: demoMaxLease, JobKept: demoJobKept, RemoteFactor: 1},
 	}, node.Ports{Store: client, Lister: client, Workers: platform.NewWorkers(set, 0), Advisor: platform.NewAdvisor("")}, logger, set)
 	srv := &http.Server{Handler: n.PeersHandler(), ReadHeaderTimeout: headerTimeout}
 	d.running.Go(func() { _ = srv.Serve(l) })
-	d.running.Go(func() { _ = n.RunConfig(ctx) })
+	d.running.Go(func() { _ = n.RunOperators(ctx) })
 	d.running.Go(func() {
 		_ = n.RunElection(ctx)
 		_ = srv.Close()
--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -80,7 +80,7 @@
 	for _, srv := range servers {
 		g.Add(srv.serve, srv.interrupt)
 	}
-	addLoop(&g, n.RunConfig)
+	addLoop(&g, n.RunOperators)
 	addLoop(&g, n.RunElection)
 	addSignals(&g, s, n, servers, logger)
 	err = g.Run()
@@ -92,7 +92,7 @@
 	b := s.Bounds
 	return node.Options{
 		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, LinkBytes: s.LinkBytes, DrainNotice: b.Drain, FreezeSlack: b.FreezeSlack,
-		OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeConfig: platform.DecodeConfig,
 		DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		Params: dispatch.Params{
 			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -80,11 +80,13 @@
 	unresolved     map[WorkerID]unresolvedWorker
 	openUnresolved int
 	// unknown is set while tasks in phaseUnknown wait for settleUnknown.
-	unknown  bool
-	roster   roster
-	open     []*stepRun // steps with tasks that may start
-	refusals refusals
-	overload overload
+	unknown bool
+	roster  roster
+	// evacuated holds the data centres whose workers get no new tasks.
+	evacuated map[string]bool
+	open      []*stepRun // steps with tasks that may start
+	refusals  refusals
+	overload  overload
 	// ratedScratch is reused by choosers, one at a time, candidateScratch by
 	// passes.
 	ratedScratch     ratedWorkers
@@ -221,7 +223,7 @@
 		c.tickWorker(w, now)
 	}
 	c.updateClosed()
-	c.evacuate(now)
+	c.moveOffLeaving(now)
 	c.tickUpkeep(now)
 	c.dropOldJobs(now)
 	c.rateOpenness()
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -31,16 +31,21 @@
 	if j == nil {
 		return Explanation{}
 	}
+	room := "room"
+	if barred := c.countBarriers(c.queues[j.spec.Queue].Service, now).String(); barred != "" {
+		room += "; workers that get nothing: " + barred
+	}
 	e := Explanation{Known: true, State: j.shown, Queue: j.spec.Queue, Persisted: j.persisted == j.version}
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			e.Tasks = append(e.Tasks, c.explainTask(t, now))
+			e.Tasks = append(e.Tasks, c.explainTask(t, room, now))
 		}
 	}
 	return e
 }
 
-func (c *Core) explainTask(t *task, now Instant) TaskInfo {
+// explainTask tells of one task; room is what a ready one waits for.
+func (c *Core) explainTask(t *task, room string, now Instant) TaskInfo {
 	info := TaskInfo{Task: t.id().String(), Phase: t.phase.String()}
 	if a := t.attempt; a != nil {
 		info.Worker, info.Run, info.Pace = a.worker.info.ID, a.run, a.percent
@@ -56,7 +61,7 @@
 		info.WaitsFor = "workers of the previous owner that have not answered"
 	case phaseReady:
 		info.ReadyMS = (now.Steady - t.readySince).Milliseconds()
-		info.WaitsFor = "room"
+		info.WaitsFor = room
 	}
 	return info
 }
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 // fault injects one fault.
 func (s *sim) fault() {
 	w := s.workers[s.rng.IntN(len(s.workers))]
-	switch s.rng.IntN(11) {
+	switch s.rng.IntN(13) {
 	case 0:
 		s.crash(s.rng.IntN(len(s.workers)))
 	case 1: // a cut worker runs on
@@ -75,6 +76,10 @@
 			}
 		}
 		s.later(time.Duration(4000+s.rng.IntN(5000))*time.Millisecond, func() { o.paused = false })
+	case 11, 12: // a data centre is evacuated, perhaps the last one or while another is
+		dc := fmt.Sprintf("dc%d", s.rng.IntN(simDataCentres))
+		s.setEvacuated(dc, true)
+		s.later(time.Duration(1000+s.rng.IntN(12_000))*time.Millisecond, func() { s.setEvacuated(dc, false) })
 	case 10: // the owner lacks processor time
 		o := s.owner
 		o.lag = time.Duration(200+s.rng.IntN(3000)) * time.Millisecond
@@ -90,6 +95,9 @@
 // calm ends all faults.
 func (s *sim) calm() {
 	s.lossShare, s.failShare, s.storeDown = 0, 0, false
+	for dc := range s.evacuated {
+		s.setEvacuated(dc, false)
+	}
 	for _, w := range s.workers {
 		w.cut, w.cutAbove = false, 0
 	}
@@ -171,6 +179,8 @@
 		{"ends are acknowledged before they are stored", func(s *sim) { s.ackEarly = true }},
 		{"workers do not check the term", func(s *sim) { s.noFence = true }},
 		{"what may run at silent workers is not handed on", func(s *sim) { s.dropTasks = true }},
+		{"a new owner does not know what is evacuated", func(s *sim) { s.blindTakeover = true }},
+		{"evacuations are not heard of", func(s *sim) { s.unevacuated = true }},
 		{"leases are taken for shorter than they are", func(s *sim) { s.shortLease = true }},
 	} {
 		t.Run(m.name, func(t *testing.T) {
--- a/dispatch/evacuate.go
+++ b/dispatch/leaving.go
@@ -10,10 +10,10 @@
 	// stopLead before a worker leaves, what still runs there is stopped: a
 	// stop takes up to 0.9 s and its end must still be read.
 	stopLead = 1500 * time.Millisecond
-	// evacuatePerTick bounds the lasting tasks that are moved at once, since
+	// leavingPerTick bounds the lasting tasks that are moved at once, since
 	// the room found for one is taken before the next is looked at only when
 	// it has started there.
-	evacuatePerTick = 4
+	leavingPerTick = 4
 )
 
 // noteLeaving takes in how long a draining worker stays. The figure was true
@@ -25,11 +25,11 @@
 	}
 }
 
-// evacuate moves tasks off workers that are about to leave: lasting tasks as
+// moveOffLeaving moves tasks off workers that are about to leave: lasting tasks as
 // soon as there is room elsewhere, others if they can't end in time. A stop
 // saves a checkpoint, so it comes as late as is safe for those that have one.
-func (c *Core) evacuate(now Instant) {
-	budget := evacuatePerTick
+func (c *Core) moveOffLeaving(now Instant) {
+	budget := leavingPerTick
 	for _, w := range c.workersInOrder() {
 		if w.leavesAt == 0 || len(w.attempts) == 0 {
 			continue
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -29,6 +29,7 @@
 			c.trace(Decision{Event: "worker_draining", Worker: info.ID, Reason: info.Leaving.String()})
 		}
 		c.setInfo(w, info)
+		w.coldUntil = now.Steady + info.Cold
 		w.listed = true
 		c.roster.want(info)
 	}
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -167,7 +167,7 @@
 	core.Schedule(now)
 	o := starts(core)[0]
 	core.OrderDone(o, Answer{Outcome: OutcomeNotSent}, now)
-	if w := core.workers[o.Worker]; w.unanswered != 0 || !w.takesWork(now) {
+	if w := core.workers[o.Worker]; w.unanswered != 0 || !(core.barrierOf(w, now) == barrierNone) {
 		t.Error("the worker is blamed")
 	}
 	core.Schedule(now)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -66,24 +66,6 @@
 	return p.use
 }
 
-// poolOf returns the workers of a service that take work, in a fixed order.
-func (c *Core) poolOf(service string, now Instant) []*worker {
-	members := c.members[service]
-	pool := make([]*worker, 0, len(members))
-	for _, w := range members {
-		if c.inPool(w, service, now) {
-			pool = append(pool, w)
-		}
-	}
-	return pool
-}
-
-// inPool reports whether a service's tasks may be sent to a worker: the next
-// owner must know of it before its first order.
-func (c *Core) inPool(w *worker, service string, now Instant) bool {
-	return w.info.Service == service && w.takesWork(now) && w.recorded
-}
-
 // placeStep starts as many ready tasks of a step as there is room for.
 func (c *Core) placeStep(s *stepRun, p *pool, now Instant) {
 	queue := c.queues[s.job.spec.Queue]
@@ -167,6 +149,9 @@
 			reason = "no worker has the processors"
 		}
 	}
+	if barred := c.countBarriers(c.queues[s.job.spec.Queue].Service, now).String(); barred != "" {
+		reason += "; workers that get nothing: " + barred
+	}
 	c.trace(Decision{Event: "step_waits", Job: s.job.spec.ID, Reason: reason, Age: now.Steady - s.job.idleSince})
 }
 
@@ -237,5 +222,8 @@
 	if slow {
 		score -= slowWeight
 	}
+	if now.Steady < w.coldUntil {
+		score -= coldWeight
+	}
 	return score - failWeight*float64(max(w.failStreak-1, 0)), ok
 }
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -31,6 +31,9 @@
 	// least time that is left.
 	Draining bool
 	Leaving  time.Duration
+	// Cold is for how long it still works slowly after its start or after its
+	// data centre was evacuated.
+	Cold time.Duration
 }
 
 // HoldOrder extends the lease on all that runs at a worker, acknowledges ends
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -26,6 +26,10 @@
 	// runs, and to leave each such worker to the end costs fills their harmless
 	// places (0.53 instead of 0.58 of the worth of a dense day, 4 and 5 plays).
 	failWeight = 3.0
+	// coldWeight puts a worker that is still cold behind all warm ones, whose
+	// scores differ by less, and before those that are slow or fail: a data centre
+	// that is taken back gets what the others can't take until it is warm.
+	coldWeight = 2.5
 	// harmlessCost of headroom does not keep a fill out.
 	harmlessCost = 0.1
 )
--- a/dispatch/sim_oracle_test.go
+++ b/dispatch/sim_oracle_test.go
@@ -87,6 +87,7 @@
 	if o.sim.cancelled[r.task.Job] > 0 && o.sim.now > o.sim.cancelled[r.task.Job]+simHorizon+2*time.Second {
 		o.fail("task %s starts long after its job was cancelled", r.task)
 	}
+	o.checkEvacuated(w, r)
 	taken := int64(0)
 	for id := range w.running {
 		taken += amountOf(&o.sim.specs[id.Job].Steps[id.Step]).cpu
@@ -103,6 +104,22 @@
 	}
 }
 
+// evacuationBound after an evacuation, an owner that hears of it starts nothing
+// there: a start may be under way for its window.
+const evacuationBound = startWindow + time.Second
+
+func (o *oracle) checkEvacuated(w *simWorker, r *simRun) {
+	since, evacuated := o.sim.evacuated[w.info.DataCentre]
+	if !evacuated || o.sim.now < since+evacuationBound {
+		return
+	}
+	for _, owner := range append(slices.Clone(o.sim.old), o.sim.owner) {
+		if owner.core.Term() == r.run>>runBits && o.sim.now > owner.troubledAt+evacuationBound {
+			o.fail("task %s run %d starts at %s, whose data centre is evacuated since %v", r.task, r.run, w.info.ID, since)
+		}
+	}
+}
+
 func (o *oracle) ended(w *simWorker, r *simRun, kind EndKind) {
 	list := o.runs[r.task][:0]
 	for _, x := range o.runs[r.task] {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,9 +26,11 @@
 	dead     bool
 	paused   bool
 	cutStore bool
-	polling  map[WorkerID]bool
-	leadEnd  time.Duration // when its lease at the store is over
-	writing  bool
+	// troubledAt is when it was last cut off, paused, late or without the store.
+	troubledAt time.Duration
+	polling    map[WorkerID]bool
+	leadEnd    time.Duration // when its lease at the store is over
+	writing    bool
 }
 
 // sim drives owners against workers and a store, with faults, in virtual time.
@@ -53,9 +56,13 @@
 	roster       []byte
 	storeDown    bool
 	takeovers    int
-	renewalsLost time.Duration // until then
+	renewalsLost time.Duration            // until then
+	evacuated    map[string]time.Duration // since when, by data centre
 	// Safeguards that are off.
 	dropRoster, ackEarly, noFence, shortLease, dropTasks, unawareLate, hastyRetry bool
+	// blindTakeover: a new owner does not read what is evacuated; unevacuated: nobody
+	// is told.
+	blindTakeover, unevacuated bool
 	// strict: no task starts again that has ended done, known to the owner or
 	// not. That holds while workers can be reached and the owner lives.
 	strict bool
@@ -65,6 +72,9 @@
 	trace   []string
 }
 
+// simDataCentres is how many data centres the workers are in.
+const simDataCentres = 2
+
 const (
 	simTTL     = 2500 * time.Millisecond
 	simHorizon = 12 * time.Second
@@ -73,7 +83,7 @@
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), specs: map[string]*job.Spec{}, progress: map[string][]byte{},
-		cancelled: map[string]time.Duration{}, maxAttempts: 50,
+		cancelled: map[string]time.Duration{}, evacuated: map[string]time.Duration{}, maxAttempts: 50,
 		params: Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, OwnerTTL: simTTL, OwnerHorizon: simHorizon, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
 	}
 	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}, startedAt: map[job.TaskID]time.Duration{}, doneSince: map[*simWorker]map[uint64]time.Duration{}, failures: map[job.TaskID][]*simFailure{}}
@@ -91,7 +101,7 @@
 	}
 	return &simWorker{
 		sim: s, alive: true, rate: rate, offset: int64(s.rng.IntN(1_000_000)) + 1, born: s.now,
-		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), VM: fmt.Sprintf("m%d", place), Address: fmt.Sprintf("addr%d", place), Service: "svc", CPUMilli: 4000, MemoryMiB: 8000},
+		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), VM: fmt.Sprintf("m%d", place), Address: fmt.Sprintf("addr%d", place), Service: "svc", DataCentre: fmt.Sprintf("dc%d", place%simDataCentres), CPUMilli: 4000, MemoryMiB: 8000},
 		running: map[job.TaskID]*simRun{}, highest: map[job.TaskID]uint64{},
 	}
 }
@@ -192,6 +202,9 @@
 	}
 	o.core.Recover(list, s.instant())
 	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: 2}}})
+	if !s.blindTakeover {
+		s.tellEvacuated(o)
+	}
 	s.list(o)
 	for _, id := range s.order {
 		var p *job.Progress
@@ -249,6 +262,27 @@
 	}
 }
 
+// setEvacuated evacuates a data centre or takes that back; owners hear of it as
+// they hear of jobs.
+func (s *sim) setEvacuated(dc string, evacuated bool) {
+	if !evacuated {
+		delete(s.evacuated, dc)
+	} else if s.evacuated[dc] == 0 {
+		s.evacuated[dc] = s.now
+	}
+	for _, o := range append(slices.Clone(s.old), s.owner) {
+		if o != nil {
+			s.watched(o, func() { s.tellEvacuated(o) })
+		}
+	}
+}
+
+func (s *sim) tellEvacuated(o *simOwner) {
+	if !s.unevacuated {
+		o.core.SetEvacuated(slices.Sorted(maps.Keys(s.evacuated)))
+	}
+}
+
 // flush writes progress, unless the store is down or another owner has taken
 // over: the store checks that.
 func (s *sim) flush(o *simOwner) {
@@ -298,6 +332,9 @@
 
 // drive lets one owner act.
 func (s *sim) drive(o *simOwner) {
+	if o.dead || o.paused || o.lag > 0 || o.cutStore || s.storeDown {
+		o.troubledAt = s.now
+	}
 	if o.dead || o.paused || o.core.Deposed() {
 		return
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -73,6 +73,7 @@
 	cordoned        bool          // its VM waits for upkeep: no new tasks
 	takenDown       bool          // its VM's upkeep has ended this life
 	slowUntil       time.Duration // until then short tasks go elsewhere if they can
+	coldUntil       time.Duration // see WorkerInfo.Cold
 	slowStrikes     int
 	slowness        float64 // logarithm of run times over the usual ones, smoothed
 	speedMeasures   int
@@ -157,12 +158,6 @@
 		used.accelerators+r.accelerators <= w.info.Accelerators
 }
 
-// takesWork reports whether new tasks may be sent to the worker.
-func (w *worker) takesWork(now Instant) bool {
-	return w.listed && w.overReason == "" && !w.info.Draining && !w.cordoned && w.synced && w.unanswered < suspectAfter &&
-		now.Steady >= w.avoidUntil
-}
-
 // noteClock takes in a clock reading; it reports false if it is older than one
 // that was seen before, because answers overtook each other.
 func (w *worker) noteClock(clock int64, now Instant) bool {
--- a/node/hint.go
+++ b/node/hint.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
+	"leverstile.dev/api/gen/leverstile/jobs/v1/jobsv1connect"
 	"leverstile.dev/dispatch"
 	"leverstile.dev/job"
 	"leverstile.dev/kv"
@@ -30,6 +31,18 @@
 		o.takeHint(id, record)
 		return
 	}
+	n.tellOwner(id, func(ctx context.Context, client jobsv1connect.OwnerClient) error {
+		resp, err := client.NoteIntake(ctx, connect.NewRequest(&jobsv1.NoteIntakeRequest{Id: id, Record: record}))
+		if err == nil {
+			n.noteCrowded(resp.Msg.GetCrowded())
+		}
+		return err
+	})
+}
+
+// tellOwner makes a call to the owner beside the caller's own work, if one is
+// known and few are under way.
+func (n *Node) tellOwner(what string, call func(context.Context, jobsv1connect.OwnerClient) error) {
 	client := n.ownerClient()
 	if client == nil {
 		return
@@ -37,19 +50,16 @@
 	select {
 	case n.hints <- struct{}{}:
 	default:
-		n.log.Warn().Str("event", "hint_dropped").Str("job", id).Int("under_way", mostHints).Msg("")
+		n.log.Warn().Str("event", "hint_dropped").Str("job", what).Int("under_way", mostHints).Msg("")
 		return
 	}
 	go func() {
 		defer func() { <-n.hints }()
 		ctx, cancel := context.WithTimeout(context.Background(), peerAskTimeout)
 		defer cancel()
-		resp, err := client.NoteIntake(ctx, connect.NewRequest(&jobsv1.NoteIntakeRequest{Id: id, Record: record}))
-		if err != nil {
-			n.log.Warn().Str("event", "hint_unanswered").Str("job", id).Err(err).Msg("")
-			return
+		if err := call(ctx, client); err != nil {
+			n.log.Warn().Str("event", "hint_unanswered").Str("job", what).Err(err).Msg("")
 		}
-		n.noteCrowded(resp.Msg.GetCrowded())
 	}()
 }
 
--- a/node/load.go
+++ b/node/load.go
@@ -56,6 +56,8 @@
 	}
 	o.noteWaveRecords(s.own)
 	core.SetConfig(config)
+	n.evacuations.note(s.evacuations)
+	core.SetEvacuated(n.evacuations.evacuated())
 	core.SetWorkers(s.workers, now)
 	if err := loadJobs(core, s.progress, s.intake, now); err != nil {
 		return 0, err
@@ -71,10 +73,11 @@
 
 // storedState is what a new owner reads: the records of its predecessors, the
 // progress of jobs, jobs and cancellations with the revision from which they are
-// watched, and the workers.
+// watched, evacuated data centres, and the workers.
 type storedState struct {
 	own, progress, intake []kv.Pair
 	revision              int64
+	evacuations           []evacuation
 	workers               []dispatch.WorkerInfo
 }
 
@@ -95,6 +98,14 @@
 		s.intake, s.revision, err = n.store.Range(ctx, intakePrefix)
 		return err
 	})
+	group.Go(func() error {
+		if n.opts.EvacuationPrefix == "" {
+			return nil
+		}
+		pairs, revision, err := n.store.Range(ctx, n.opts.EvacuationPrefix)
+		s.evacuations = n.evacuationsListed(pairs, revision)
+		return err
+	})
 	group.Go(func() (err error) {
 		s.workers, err = n.lister.ListWorkers(ctx)
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -33,7 +33,10 @@
 	// OperatorPrefix is where the operators write to the store, ConfigKey the
 	// key of their configuration below it.
 	OperatorPrefix, ConfigKey string
-	DecodeConfig              func([]byte) (*job.Config, error)
+	// EvacuationPrefix is where the operators name data centres whose workers get
+	// no new tasks while the key is there.
+	EvacuationPrefix string
+	DecodeConfig     func([]byte) (*job.Config, error)
 	// DecodeWave reads a wave of upkeep; ok is false for keys of other things.
 	// It may be nil where there are none.
 	DecodeWave func(key string, value []byte) (wave dispatch.Wave, ok bool, err error)
@@ -64,7 +67,9 @@
 	peers   *http.Client
 	pending pendingCache
 	waves   waveList
-	hints   chan struct{} // holds one value a hint under way
+	// evacuations is what is known of evacuated data centres.
+	evacuations evacuationList
+	hints       chan struct{} // holds one value a hint under way
 	// crowdedUntil is until when short jobs are to be admitted by the owner.
 	crowdedUntil atomic.Int64
 }
@@ -155,6 +160,7 @@
 		})
 		return cores
 	})
+	n.registerBarrierMetrics()
 	n.metrics.set.NewGauge("leverstile_owner_lateness_seconds", func() (late float64) {
 		n.readCore(func(c *dispatch.Core) {
 			_, d := c.Load()
@@ -164,6 +170,19 @@
 	})
 }
 
+// registerBarrierMetrics exposes how many workers get no new tasks, by reason.
+func (n *Node) registerBarrierMetrics() {
+	for _, reason := range dispatch.BarrierNames() {
+		n.metrics.set.NewGauge("leverstile_workers_barred{reason=\""+reason+"\"}", func() (count float64) {
+			n.readCore(func(c *dispatch.Core) { count = float64(c.WorkersBarred(reason, n.instant())) })
+			return count
+		})
+	}
+	n.metrics.set.NewGauge("leverstile_evacuated_data_centres", func() float64 {
+		return float64(len(n.evacuations.evacuated()))
+	})
+}
+
 func (n *Node) coreStats() dispatch.Stats {
 	var stats dispatch.Stats
 	n.readCore(func(c *dispatch.Core) { stats = c.Stats() })
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -42,6 +42,8 @@
 	jobKept time.Duration
 	advisor string // address of the placement policy
 	cloud   string // address that takes orders for VMs
+	// wrap, if set, stands between a node and the store.
+	wrap func(node string, s node.Store) node.Store
 }
 
 type testNode struct {
@@ -87,17 +89,21 @@
 	set := metrics.NewSet()
 	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	store := platform.NewStore(c.store.Address(), set)
+	var seen node.Store = store
+	if c.wrap != nil {
+		seen = c.wrap(name, store)
+	}
 	n := node.New(node.Options{
-		Entry: name, PeerAddress: l.Addr().String(), OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey,
+		Entry: name, PeerAddress: l.Addr().String(), OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, EvacuationPrefix: platform.EvacuationPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		FreezeSlack: 5 * time.Second, // a loaded machine is no freeze
 		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1},
-	}, node.Ports{Store: store, Lister: store, Workers: platform.NewWorkers(set, 0), Advisor: platform.NewAdvisor(c.advisor), VMs: platform.NewVMs(c.cloud, name)}, logger, set)
+	}, node.Ports{Store: seen, Lister: store, Workers: platform.NewWorkers(set, 0), Advisor: platform.NewAdvisor(c.advisor), VMs: platform.NewVMs(c.cloud, name)}, logger, set)
 	tn := &testNode{node: n, address: l.Addr().String(), peers: &http.Server{Handler: n.PeersHandler()}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.stop = cancel
 	tn.done.Go(func() { _ = tn.peers.Serve(l) })
-	tn.done.Go(func() { _ = n.RunConfig(ctx) })
+	tn.done.Go(func() { _ = n.RunOperators(ctx) })
 	tn.done.Go(func() { _ = n.RunElection(ctx) })
 	tn.front = httptest.NewServer(platform.NewFront(n, logger, set))
 	return tn
--- a/node/owner.go
+++ b/node/owner.go
@@ -94,6 +94,7 @@
 	if err == nil {
 		n.current.Store(o)
 		o.locked(o.takeWaves) // one may have been seen since the load
+		o.locked(o.takeEvacuations)
 		o.running.Go(func() { o.intakeLoop(rev) })
 		o.running.Go(o.listLoop)
 		o.running.Go(o.tickLoop)
