Entries of other writers and damaged records hide and block nothing

Cause: the list of workers failed as a whole on one entry that can't be decoded, so one hid every worker; a state that is not 'ready' read as draining, which moves tasks off a worker that said nothing of the kind; one damaged record of a job, of its progress or of the owner kept every next owner from taking over. Ruled out: taking a damaged entry for the end of its worker (leases and lists tell what runs there). Change: entries are decoded one by one and checked; what can't be used counts as not listed. Workers of services that no queue names are not called. Damaged jobs and progress are left alone with a line, a damaged roster waits for all leases. Lines once for each change, bounded. A progress record is checked against its job before it is used (a short bitmap was written out of bounds).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -64,11 +64,13 @@
 	// deposed is set once a worker has told of a higher term.
 	deposed bool
 
-	config  *job.Config
-	queues  map[string]job.Queue // every queue ever seen, newest terms
-	jobs    map[string]*jobState
-	workers map[WorkerID]*worker
-	lives   map[string][]*worker // of workers, by VM where that is known
+	config *job.Config
+	queues map[string]job.Queue // every queue ever seen, newest terms
+	// services holds those of all queues.
+	services map[string]bool
+	jobs     map[string]*jobState
+	workers  map[WorkerID]*worker
+	lives    map[string][]*worker // of workers, by VM where that is known
 	// order holds all workers, members those of each service, by id.
 	order   []*worker
 	members map[string][]*worker
@@ -162,7 +164,7 @@
 	}
 	return &Core{
 		params: params, term: term,
-		queues: map[string]job.Queue{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{},
+		queues: map[string]job.Queue{}, services: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{},
 		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, kept: map[string]*keptRoom{}, perfByKey: map[perfKey]*runTimes{},
@@ -204,6 +206,7 @@
 	c.config = config
 	for _, q := range config.Queues {
 		c.queues[q.Name] = q
+		c.services[q.Service] = true
 	}
 }
 
--- a/dispatch/learnt.go
+++ b/dispatch/learnt.go
@@ -70,6 +70,13 @@
 	return json.Marshal(&s)
 }
 
+// Bounds of what is taken over, far outside of what is learnt: a damaged record
+// must not lead to figures that are none. A run time of e^12 s is two days.
+const (
+	mostCoefficient = 100.0
+	mostLogTime     = 12.0
+)
+
 // TakeLearnt takes over what the previous owner has learnt.
 func (c *Core) TakeLearnt(value []byte) error {
 	var s learntState
@@ -80,7 +87,7 @@
 		r := c.model.regression(serving)
 		for image, p := range pairs {
 			if i := r.find(image); i >= 0 {
-				r.mean[i], r.cov[i][i] = p.Mean, min(p.Variance*learntDoubt, priorPairVar)
+				r.mean[i], r.cov[i][i] = min(max(p.Mean, 0), mostCoefficient), min(max(p.Variance, 0)*learntDoubt, priorPairVar)
 			}
 		}
 	}
@@ -91,7 +98,7 @@
 		k.piece = average{x.Piece, demandMemory}
 	}
 	for _, t := range s.Times {
-		c.perfByKey[perfKey{t.Queue, t.Image}] = &runTimes{n: t.N, log: t.Log}
+		c.perfByKey[perfKey{t.Queue, t.Image}] = &runTimes{n: max(t.N, 0), log: min(max(t.Log, -mostLogTime), mostLogTime)}
 	}
 	return nil
 }
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -31,7 +31,9 @@
 		c.setInfo(w, info)
 		w.coldUntil = now.Steady + info.Cold
 		w.listed = true
-		c.roster.want(info)
+		if c.services[info.Service] {
+			c.roster.want(info)
+		}
 	}
 	for id := range c.over {
 		if !listed[id] {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -25,6 +25,9 @@
 	if w.overReason != "" {
 		return HoldPlan{Pause: idlePause}
 	}
+	if c.needless(w) {
+		return HoldPlan{Pause: idlePause}
+	}
 	if w.synced && len(w.attempts) == 0 && len(w.foreign) == 0 && len(w.ends) == 0 {
 		return HoldPlan{Pause: idlePause}
 	}
@@ -39,6 +42,14 @@
 	return HoldPlan{Order: h, Send: true}
 }
 
+// needless reports whether no queue uses the worker's service and nothing of the
+// owner's or its predecessor's can run there. Another writer may list workers of
+// services that do not exist; the owner calls no address for them.
+func (c *Core) needless(w *worker) bool {
+	_, waits := c.unresolved[w.info.ID]
+	return !c.services[w.info.Service] && !waits && !w.synced && len(w.attempts) == 0
+}
+
 func (w *worker) pollWait(load Load) time.Duration {
 	if len(w.ends) > 0 {
 		return 0
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -36,6 +36,19 @@
 	Cold time.Duration
 }
 
+// WorkerList is what the platform lists. An entry that can't be used names no
+// worker to use, and says nothing of what runs there.
+type WorkerList struct {
+	Workers  []WorkerInfo
+	Unusable []UnusableEntry
+}
+
+// UnusableEntry is an entry that another writer left, or that is damaged.
+type UnusableEntry struct {
+	ID     WorkerID
+	Reason string
+}
+
 // HoldOrder extends the lease on all that runs at a worker, acknowledges ends
 // and asks for the worker's lists.
 type HoldOrder struct {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// unknownWorker stands for workers that no roster names.
+const unknownWorker WorkerID = ""
+
+// RecoverUnknown is Recover for a roster that can't be read: until all leases of
+// the previous owner are over, any task may run anywhere.
+func (c *Core) RecoverUnknown(now Instant) {
+	c.unresolved[unknownWorker] = unresolvedWorker{until: now.Steady + c.params.RecoveryWait, open: true}
+	c.openUnresolved++
+	c.trace(Decision{Event: "recovery_begun", Reason: "the roster can't be read", Age: c.params.RecoveryWait})
+}
+
 // resolve takes a worker off the list of those that may run unknown tasks.
 func (c *Core) resolve(id WorkerID, reason string, now Instant) {
 	u, ok := c.unresolved[id]
--- a/dispatch/recover_test.go
+++ b/dispatch/recover_test.go
@@ -257,3 +257,29 @@
 		t.Errorf("%d starts of a task with one failure of two, after all have answered", n)
 	}
 }
+
+// A next owner that can't read which workers had orders waits, with all that may
+// have begun, until every lease of the previous owner is over.
+func TestUnreadableRosterHoldsUpWhatMayRun(t *testing.T) {
+	now := Instant{Steady: time.Minute}
+	core := sureCore(Params{RecoveryWait: 10 * time.Second}, 2, now)
+	core.RecoverUnknown(now)
+	core.SetWorkers([]WorkerInfo{{ID: "w1", Address: "a", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000}}, now)
+	_, open, err := core.Roster()
+	if err != nil {
+		t.Fatal(err)
+	}
+	core.RosterStored(open)
+	core.HoldDone(core.PlanHold("w1", now).Order, HoldReply{ClockMS: 500_000}, OutcomeOK, now)
+	core.AddJob(simpleJob(1, 1), nil, true, now)
+	core.AddJob(simpleJob(2, 1), nil, false, now)
+	core.Tick(now)
+	if list := starts(core); len(list) != 1 || list[0].Task.Job != simpleJob(2, 1).ID {
+		t.Errorf("starts %v, want that of the new job", list)
+	}
+	now.Steady += 10 * time.Second
+	core.Tick(now)
+	if list := starts(core); len(list) != 1 || list[0].Task.Job != simpleJob(1, 1).ID {
+		t.Errorf("starts %v, want that of the job from before", list)
+	}
+}
--- a/job/progress.go
+++ b/job/progress.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
 )
 
 // State is what a caller is told of a job.
@@ -81,3 +85,60 @@
 
 // FailureCount returns how many runs of a task have failed.
 func (p *Progress) FailureCount(t TaskID) int { return len(p.Failures[t.FailureKey()]) }
+
+// Check reports whether the progress can be that of a job: each bitmap is of one of
+// its steps and as long as that, and each failure of one of its tasks. A damaged
+// record would make tasks run again, or a bit be set outside of its bitmap.
+func (p *Progress) Check(spec *Spec) error {
+	switch p.State {
+	case Queued, Running, Succeeded, Failed, Cancelled:
+	default:
+		return errors.Errorf("state %q", p.State)
+	}
+	for key, bits := range p.Done {
+		at, err := parseNumbers(key, 2)
+		if err != nil {
+			return err
+		}
+		count, ok := spec.tasksOf(at[0], at[1])
+		if !ok || len(bits) != (count+7)/8 {
+			return errors.Errorf("bitmap %s of %d bytes", key, len(bits))
+		}
+	}
+	for key := range p.Failures {
+		at, err := parseNumbers(key, 3)
+		if err != nil {
+			return err
+		}
+		if count, ok := spec.tasksOf(at[0], at[1]); !ok || at[2] >= count {
+			return errors.Errorf("failures of %s", key)
+		}
+	}
+	return nil
+}
+
+// tasksOf returns how many tasks a step of an occurrence has; ok is false if there
+// is none.
+func (s *Spec) tasksOf(occurrence, step int) (count int, ok bool) {
+	if occurrence >= s.Times() || step >= len(s.Steps) {
+		return 0, false
+	}
+	return s.Steps[step].Count, true
+}
+
+// parseNumbers reads so many numbers from 0 with points between them.
+func parseNumbers(key string, count int) ([]int, error) {
+	parts := strings.Split(key, ".")
+	if len(parts) != count {
+		return nil, errors.Errorf("key %q", key)
+	}
+	numbers := make([]int, count)
+	for i, part := range parts {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return nil, errors.Errorf("key %q", key)
+		}
+		numbers[i] = n
+	}
+	return numbers, nil
+}
--- a/job/spec.go
+++ b/job/spec.go
@@ -204,5 +204,8 @@
 		numbers[i] = n
 		rest = rest[:dot]
 	}
+	if rest == "" {
+		return t, errors.Errorf("task id %q names no job", s)
+	}
 	return TaskID{Job: rest, Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
--- a/node/config.go
+++ b/node/config.go
@@ -10,7 +10,7 @@
 func (n *Node) putConfig(p kv.Pair) {
 	c, err := n.opts.DecodeConfig(p.Value)
 	if err != nil {
-		n.log.Error().Str("event", "config_unreadable").Int64("revision", p.ModRevision).Err(err).Msg("")
+		n.noteUnreadable("config_unreadable", p.Key, p.ModRevision, err)
 		return
 	}
 	before := n.config.Load()
--- a/node/election.go
+++ b/node/election.go
@@ -126,13 +126,12 @@
 	for _, p := range pairs {
 		switch p.Key {
 		case leadKey:
-			s.lead, s.leadRev = &leadRecord{}, p.ModRevision
-			if err := json.Unmarshal(p.Value, s.lead); err != nil {
-				return s, errors.Annotate(err, leadKey)
-			}
+			s.leadRev = p.ModRevision
+			s.lead = e.node.decodeLead(p)
 		case termKey:
 			s.termRev = p.ModRevision
 			if s.term, err = strconv.ParseUint(string(p.Value), 10, 64); err != nil {
+				// Without it a new owner could give orders under an old term.
 				return s, errors.Annotate(err, termKey)
 			}
 		}
@@ -140,6 +139,21 @@
 	return s, nil
 }
 
+// decodeLead reads who owns the cell. A damaged record under a lease is of some
+// owner that will go with it; one without a lease is nobody's.
+func (n *Node) decodeLead(p kv.Pair) *leadRecord {
+	lead := &leadRecord{}
+	err := json.Unmarshal(p.Value, lead)
+	if err == nil {
+		return lead
+	}
+	n.noteUnreadable("lead_unreadable", p.Key, p.ModRevision, err)
+	if p.Lease == 0 {
+		return nil
+	}
+	return &leadRecord{}
+}
+
 // awaitChange returns once the owner's key has changed or the watch broke off.
 func (e *election) awaitChange(ctx context.Context, s ownState) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -186,7 +200,7 @@
 	}
 	res, err := e.node.store.Do(ctx, kv.Txn{
 		If: []kv.Compare{
-			{Key: leadKey, Missing: s.lead == nil, ModRevision: s.leadRev},
+			{Key: leadKey, Missing: s.leadRev == 0, ModRevision: s.leadRev},
 			{Key: termKey, Missing: s.termRev == 0, ModRevision: s.termRev},
 		},
 		Then: []kv.Op{
--- a/node/feed.go
+++ b/node/feed.go
@@ -82,7 +82,7 @@
 			if strings.HasPrefix(ev.Pair.Key, jobPrefix) {
 				spec, err := decodeSpec(ev.Pair)
 				if err != nil {
-					o.node.log.Error().Str("event", "job_unreadable").Str("key", ev.Pair.Key).Err(err).Msg("")
+					o.node.noteUnreadable("job_unreadable", ev.Pair.Key, ev.Pair.ModRevision, err)
 					continue
 				}
 				c.AddJob(spec, nil, false, now)
@@ -110,11 +110,12 @@
 			}
 			continue
 		}
-		known = len(list)
+		known = len(list.Workers)
+		o.node.noteUnusable(list.Unusable)
 		config := o.node.config.Load()
 		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
-			c.SetWorkers(list, now)
 			c.SetConfig(config)
+			c.SetWorkers(list.Workers, now)
 		})
 		o.syncPollers()
 	}
--- /dev/null
+++ b/node/foreign_test.go
@@ -0,0 +1,102 @@
+package node_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+	"leverstile.dev/platform/wiretest"
+)
+
+// Entries of other writers hide no worker, whatever they hold, and the owner calls
+// no address of a service that does not exist.
+func TestForeignEntriesHideNoWorker(t *testing.T) {
+	c := newCell(t, 0, 2)
+	for i, value := range []string{"null", "[1", "\xff", `{"service":7}`, `{"service":"svc","state":"parked","zone":"a","address":"127.0.0.1:1","capacity":{"cpu":1}}`} {
+		c.store.Put(fmt.Sprintf("servers/i-bad-%d", i), []byte(value))
+	}
+	c.store.Put("servers/i-other", fmt.Appendf(nil, `{"service":"other","state":"ready","zone":"a","address":"%s","capacity":{"cpu":1000}}`, c.store.Address()))
+	c.nodes = append(c.nodes, c.startNode("entry-0"))
+	c.play(1, 5)
+	c.checkRuns()
+}
+
+// A worker whose entry is overwritten by something that can't be read gets nothing
+// new, and what runs there runs on: such an entry is no word that it drains.
+func TestOverwrittenEntryStopsNothing(t *testing.T) {
+	c := newCell(t, 0, 0)
+	for i := range 2 {
+		c.workers = append(c.workers, wiretest.NewWorker(c.store, fmt.Sprintf("i-%d", i), "svc", time.Hour))
+	}
+	c.nodes = append(c.nodes, c.startNode("entry-0"))
+	const started = 4
+	c.submit(0, id(1), `{"spec":"s","steps":[{"count":4,"cpu":500}]}`)
+	c.await("the starts", func() bool { return startsAt(c.workers) == started })
+	for _, w := range c.workers {
+		c.store.Put("servers/"+w.ID, []byte(`{"service":"svc","state":"??"`))
+	}
+	next := 20
+	c.await("a job that waits, since no worker can be used", func() bool {
+		c.submit(0, id(next), `{"spec":"s","steps":[{"count":1,"cpu":500}]}`)
+		next++
+		status, text, _ := c.call(0, "GET", "", "")
+		return status == http.StatusOK && text != `{"pending":0}`
+	})
+	for _, w := range c.workers {
+		for task, starts := range w.Starts() {
+			if starts != 1 {
+				t.Errorf("task %s was started %d times", task, starts)
+			}
+		}
+		if n := w.Running(); n == 0 {
+			t.Errorf("nothing runs at %s any more", w.ID)
+		}
+	}
+}
+
+// A next owner goes on with all other jobs when one job's record, one's progress,
+// the list of workers with orders and what was learnt are damaged, and starts
+// nothing again.
+func TestDamagedRecordsBlockNothing(t *testing.T) {
+	c := newCell(t, 1, 2)
+	c.play(1, 4)
+	c.await("the stored progress", func() bool {
+		_, ok := c.store.Value("ls/progress/" + id(3))
+		return ok
+	})
+	c.nodes[0].close()
+	c.nodes = nil
+	c.store.Put("ls/in/job/"+id(1), []byte("{"))
+	c.store.Put("ls/in/job/"+id(8), []byte(`{"id":"x"}`))
+	progress := job.Progress{State: job.Running, Done: map[string][]byte{"0.9": {255}}}
+	c.store.Put("ls/progress/"+id(2), marshal(t, &progress))
+	c.store.Put("ls/progress/"+id(3), []byte(`"gone"`))
+	c.store.Put("ls/own/roster", []byte("[{"))
+	c.store.Put("ls/own/learnt", []byte("7"))
+	c.store.Put("ls/own/lead", []byte("nobody"))
+	before := startsAt(c.workers)
+	c.nodes = append(c.nodes, c.startNode("entry-next"))
+	c.play(10, 12)
+	if n := startsAt(c.workers) - before; n != 12 {
+		t.Errorf("%d starts for 12 new tasks: something was started again", n)
+	}
+	if status, _, _ := c.call(0, "GET", id(3), ""); status != http.StatusServiceUnavailable {
+		t.Errorf("the state of a job with damaged progress is told with %d", status)
+	}
+	if status, text, _ := c.call(0, "GET", id(1), ""); status != http.StatusOK {
+		t.Errorf("a job whose progress is sound: %d %s", status, text)
+	}
+	c.checkRuns()
+}
+
+func marshal(t *testing.T, v any) []byte {
+	t.Helper()
+	value, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
--- a/node/intake.go
+++ b/node/intake.go
@@ -161,7 +161,11 @@
 	}
 	if p != nil {
 		progress, err := dispatch.DecodeProgress(p.Value)
-		return progress.State, err == nil, errors.Trace(err)
+		if err != nil {
+			n.noteUnreadable("progress_unreadable", p.Key, p.ModRevision, err)
+			return "", false, errors.Trace(err)
+		}
+		return progress.State, true, nil
 	}
 	p, err = n.store.Get(ctx, jobPrefix+id)
 	if err != nil || p == nil {
--- a/node/load.go
+++ b/node/load.go
@@ -51,22 +51,19 @@
 	}
 	core := dispatch.New(n.opts.Params, o.own.lead.Term, n.logDecision)
 	now := n.instant()
-	if err := n.takeOver(core, s.own, now); err != nil {
-		return 0, err
-	}
+	n.takeOver(core, s.own, now)
 	o.noteWaveRecords(s.own)
 	core.SetConfig(config)
 	n.evacuations.note(s.evacuations)
 	core.SetEvacuated(n.evacuations.evacuated())
-	core.SetWorkers(s.workers, now)
-	if err := loadJobs(core, s.progress, s.intake, now); err != nil {
-		return 0, err
-	}
+	n.noteUnusable(s.workers.Unusable)
+	core.SetWorkers(s.workers.Workers, now)
+	n.loadJobs(core, s.progress, s.intake, now)
 	o.mu.Lock()
 	o.core = core
 	core.Renewed(o.own.renewed)
 	o.mu.Unlock()
-	n.log.Info().Str("event", "owner_loaded").Int("intake", len(s.intake)).Int("workers", len(s.workers)).
+	n.log.Info().Str("event", "owner_loaded").Int("intake", len(s.intake)).Int("workers", len(s.workers.Workers)).
 		Int("unresolved", core.Recovering()).Dur("took", n.clock()-began).Msg("")
 	return s.revision, nil
 }
@@ -78,7 +75,7 @@
 	own, progress, intake []kv.Pair
 	revision              int64
 	evacuations           []evacuation
-	workers               []dispatch.WorkerInfo
+	workers               dispatch.WorkerList
 }
 
 // readState reads all parts at once. Their order does not matter: only the owner
@@ -114,52 +111,78 @@
 }
 
 // takeOver reads what the previous owner left beside the jobs.
-func (n *Node) takeOver(core *dispatch.Core, own []kv.Pair, now dispatch.Instant) error {
+func (n *Node) takeOver(core *dispatch.Core, own []kv.Pair, now dispatch.Instant) {
 	for _, p := range own {
 		switch p.Key {
 		case rosterKey:
 			list, err := dispatch.DecodeRoster(p.Value)
 			if err != nil {
-				return errors.Annotate(err, rosterKey)
+				// Any worker may have orders of the previous owner.
+				n.noteUnreadable("roster_unreadable", p.Key, p.ModRevision, err)
+				core.RecoverUnknown(now)
+				continue
 			}
 			core.Recover(list, now)
 		case learntKey:
 			if err := core.TakeLearnt(p.Value); err != nil {
 				// It only saves time: the new owner learns again.
-				n.log.Warn().Str("event", "learnt_unreadable").Err(err).Msg("")
+				n.noteUnreadable("learnt_unreadable", p.Key, p.ModRevision, err)
 			}
 		}
 	}
-	return nil
 }
 
-func loadJobs(core *dispatch.Core, progress, intake []kv.Pair, now dispatch.Instant) error {
-	done := make(map[string]*job.Progress, len(progress))
+// loadJobs takes in the stored jobs. One whose record or progress is damaged is
+// left alone, with a line: it is not known which of its tasks are done, and to
+// start one again may do its work twice. It blocks no other, and stays in the
+// store for whoever can mend it.
+func (n *Node) loadJobs(core *dispatch.Core, progress, intake []kv.Pair, now dispatch.Instant) {
+	stored := make(map[string]kv.Pair, len(progress))
 	for _, p := range progress {
-		r, err := dispatch.DecodeProgress(p.Value)
-		if err != nil {
-			return errors.Annotate(err, p.Key)
-		}
-		done[strings.TrimPrefix(p.Key, progressPrefix)] = r
+		stored[strings.TrimPrefix(p.Key, progressPrefix)] = p
 	}
 	for _, p := range intake {
-		if id, ok := strings.CutPrefix(p.Key, jobPrefix); ok {
-			spec, err := decodeSpec(p)
-			if err != nil {
-				return err
+		id, ok := strings.CutPrefix(p.Key, jobPrefix)
+		if !ok {
+			continue
+		}
+		spec, err := decodeSpec(p)
+		if err != nil {
+			n.noteUnreadable("job_unreadable", p.Key, p.ModRevision, err)
+			continue
+		}
+		var done *job.Progress
+		if record, ok := stored[id]; ok {
+			if done, err = decodeProgress(record, spec); err != nil {
+				n.noteUnreadable("progress_unreadable", record.Key, record.ModRevision, err)
+				continue
 			}
-			core.AddJob(spec, done[id], true, now)
 		}
+		core.AddJob(spec, done, true, now)
 	}
 	for _, p := range intake {
 		if id, ok := strings.CutPrefix(p.Key, cancelPrefix); ok {
 			core.Cancel(id, now)
 		}
 	}
-	return nil
 }
 
+func decodeProgress(p kv.Pair, spec *job.Spec) (*job.Progress, error) {
+	progress, err := dispatch.DecodeProgress(p.Value)
+	if err != nil {
+		return nil, errors.Annotate(err, p.Key)
+	}
+	return progress, errors.Annotate(progress.Check(spec), p.Key)
+}
+
+// decodeSpec reads and checks a job's record.
 func decodeSpec(p kv.Pair) (*job.Spec, error) {
 	spec := &job.Spec{}
-	return spec, errors.Annotate(json.Unmarshal(p.Value, spec), p.Key)
+	if err := json.Unmarshal(p.Value, spec); err != nil {
+		return nil, errors.Annotate(err, p.Key)
+	}
+	if id := strings.TrimPrefix(p.Key, jobPrefix); spec.ID != id {
+		return nil, errors.Errorf("%s is of job %q", p.Key, spec.ID)
+	}
+	return spec, errors.Annotate(spec.Validate(), p.Key)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,10 @@
 	peers   *http.Client
 	pending pendingCache
 	waves   waveList
+	// badEntries are entries of workers, badKeys other keys that can't be read;
+	// unusable is the number of the former.
+	badEntries, badKeys complaints
+	unusable            atomic.Int64
 	// evacuations is what is known of evacuated data centres.
 	evacuations evacuationList
 	hints       chan struct{} // holds one value a hint under way
@@ -79,6 +83,7 @@
 	flush         *metrics.Histogram
 	submit        *metrics.Histogram
 	notAdmitted   *metrics.Counter
+	unreadable    *metrics.Counter
 	decisions     *metrics.Counter
 	unlogged      *metrics.Counter
 	ownerTerm     *metrics.Gauge
@@ -101,6 +106,7 @@
 		flush:       set.NewHistogram("leverstile_record_write_seconds"),
 		submit:      set.NewHistogram("leverstile_submit_seconds"),
 		notAdmitted: set.NewCounter("leverstile_jobs_not_admitted_total"),
+		unreadable:  set.NewCounter("leverstile_unreadable_keys_total"),
 		decisions:   set.NewCounter("leverstile_decisions_total"),
 		unlogged:    set.NewCounter("leverstile_decisions_unlogged_total"),
 		storeUp:     set.NewGauge("leverstile_store_up", func() float64 { return boolGauge(n.store.quiet() == 0) }),
@@ -178,6 +184,7 @@
 			return count
 		})
 	}
+	n.metrics.set.NewGauge("leverstile_unusable_entries", func() float64 { return float64(n.unusable.Load()) })
 	n.metrics.set.NewGauge("leverstile_evacuated_data_centres", func() float64 {
 		return float64(len(n.evacuations.evacuated()))
 	})
--- a/node/peers.go
+++ b/node/peers.go
@@ -33,7 +33,7 @@
 // ownerClient returns a client of the owner, nil if it is this node or unknown.
 func (n *Node) ownerClient() jobsv1connect.OwnerClient {
 	lead := n.lead.Load()
-	if lead == nil || lead.Entry == n.opts.Entry {
+	if lead == nil || lead.Address == "" || lead.Entry == n.opts.Entry {
 		return nil
 	}
 	return jobsv1connect.NewOwnerClient(n.peers, "http://"+lead.Address)
--- a/node/store.go
+++ b/node/store.go
@@ -23,7 +23,7 @@
 
 // Lister reads the platform's list of workers.
 type Lister interface {
-	ListWorkers(ctx context.Context) ([]dispatch.WorkerInfo, error)
+	ListWorkers(ctx context.Context) (dispatch.WorkerList, error)
 }
 
 // Workers sends orders to workers.
--- a/node/upkeep.go
+++ b/node/upkeep.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if err != nil {
-		n.log.Error().Str("event", "wave_unreadable").Str("key", p.Key).Err(err).Msg("")
+		n.noteUnreadable("wave_unreadable", p.Key, p.ModRevision, err)
 		return
 	}
 	if !n.waves.add(wave) {
