Jumps of the time of day remove no states and reorder nothing

Cause: the removal of ended jobs, the slack of steps and due times read the time of day. An owner whose clock jumped ahead by more than 150 s removed the states of jobs that had just ended, and their customers heard 410; an entry an hour behind made all of its jobs hopeless; an hour ahead the most patient; timed jobs started early by the jump. Change: ages are kept by the owner's steady clock from when it hears of a job, what the clocks of two VMs say of the time before is bounded (3 s, 60 s for jobs from before a takeover); states are kept 150 s from the end or the takeover, whichever is later. The time of day that is left, for due times and waves, holds off jumps for 30 s. The acceptance time is set where a job is recorded. TestShortTasksOnTimeGoBeforeLastingOnes adds each job when it is accepted, as watches do, instead of all 20 s later; its order is checked as before. Left: a process that starts while its clock is off believes it until it comes back.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -96,7 +96,7 @@
 	asks             []AdviceRequest // not taken yet
 	learntAt         time.Duration   // when it was last recorded what was learnt
 	expired          []string        // jobs whose records can be removed
-	deferred         []*job.Spec     // jobs that came while the lease was not sure
+	deferred         []deferredJob   // jobs that came while the lease was not sure
 	cancelled        map[string]bool // jobs that were cancelled before they came
 	// dirty holds the jobs whose progress is not stored, with their turn.
 	dirty     map[*jobState]uint64
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -24,6 +24,9 @@
 	// idleSince is when the job's last attempt ended, for jobs that have
 	// tasks to run.
 	idleSince time.Duration
+	// acceptedAt is when it was accepted, by the owner's steady clock; endedAt when
+	// it became final, or at the latest when this owner took over.
+	acceptedAt, endedAt time.Duration
 }
 
 // stepRun is one step of one occurrence of a job.
@@ -141,10 +144,20 @@
 	if !before && !c.certain(now) {
 		// Another owner may be there, and take this for a job that nobody
 		// else can have started.
-		c.deferred = append(c.deferred, spec)
+		c.deferred = append(c.deferred, deferredJob{spec, now.Steady - ageAtIntake(spec, before, now)})
 		return
 	}
-	j := &jobState{spec: spec, shown: job.Queued, idleSince: now.Steady}
+	c.addJob(spec, progress, before, now.Steady-ageAtIntake(spec, before, now), now)
+}
+
+// deferredJob is a job that waits until the lease is sure.
+type deferredJob struct {
+	spec       *job.Spec
+	acceptedAt time.Duration
+}
+
+func (c *Core) addJob(spec *job.Spec, progress *job.Progress, before bool, acceptedAt time.Duration, now Instant) {
+	j := &jobState{spec: spec, shown: job.Queued, idleSince: now.Steady, acceptedAt: acceptedAt, endedAt: now.Steady}
 	j.progress.State = job.Queued
 	c.jobs[spec.ID] = j
 	if progress != nil {
@@ -167,6 +180,27 @@
 	}
 }
 
+// Bounds of the age of a job when the owner hears of it: of a new one, of which a
+// watch tells within 2.4 s even if its connection is silent, and of one from before
+// a takeover, whose customer does not care for a minute more.
+const (
+	mostNewAge    = 3 * time.Second
+	mostStoredAge = 60 * time.Second
+)
+
+// ageAtIntake returns how long ago a job was accepted, as far as the clocks of the
+// entry that accepted it and of the owner can be believed: from then on only the
+// steady clock counts. A clock that is hours ahead made all jobs of its entry
+// hopeless, or the most pressing of all.
+func ageAtIntake(spec *job.Spec, before bool, now Instant) time.Duration {
+	most := mostNewAge
+	if before {
+		most = mostStoredAge
+	}
+	age := time.Duration(now.UnixMS-spec.AcceptedMS) * time.Millisecond
+	return min(max(age, 0), most)
+}
+
 // addDeferred takes in the jobs that came while the lease was not sure.
 func (c *Core) addDeferred(now Instant) {
 	if len(c.deferred) == 0 || !c.certain(now) {
@@ -174,8 +208,10 @@
 	}
 	list := c.deferred
 	c.deferred = nil
-	for _, spec := range list {
-		c.AddJob(spec, nil, false, now)
+	for _, d := range list {
+		if c.jobs[d.spec.ID] == nil {
+			c.addJob(d.spec, nil, false, d.acceptedAt, now)
+		}
 	}
 }
 
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -83,7 +83,7 @@
 		return
 	}
 	j.progress.State = state
-	j.progress.EndedMS = now.UnixMS
+	j.progress.EndedMS, j.endedAt = now.UnixMS, now.Steady
 	c.touch(j)
 	c.trace(Decision{Event: "job_" + string(state), Job: j.spec.ID, Reason: reason})
 	for _, s := range j.steps {
@@ -122,7 +122,9 @@
 		if j.active == 0 {
 			j.steps = nil
 		}
-		if now.UnixMS-j.progress.EndedMS > c.params.JobKept.Milliseconds() && j.active == 0 {
+		// In steady time, from the takeover on for jobs that ended before it: a clock
+		// that jumps ahead would remove the states of jobs that have just ended.
+		if now.Steady-j.endedAt > c.params.JobKept && j.active == 0 {
 			delete(c.jobs, id)
 			c.expired = append(c.expired, id)
 		}
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -76,12 +76,11 @@
 func (c *Core) rankOf(s *stepRun, q job.Queue, now Instant) rank {
 	r := rank{priority: q.Priority}
 	j := s.job
-	from := j.spec.AcceptedMS
+	waited := now.Steady - j.acceptedAt
 	if due := j.spec.DueMS(s.occurrence); due > 0 {
-		from = due
+		waited = time.Duration(now.UnixMS-due) * time.Millisecond
 	}
 	b := c.basisOf(s, q, now)
-	waited := time.Duration(now.UnixMS-from) * time.Millisecond
 	r.slack = b.whole - waited - b.chain
 	switch {
 	case s.spec.Lasting:
--- a/dispatch/rank_test.go
+++ b/dispatch/rank_test.go
@@ -15,7 +15,7 @@
 	add := func(n int, acceptedMS int64, step job.Step) *stepRun {
 		spec := simpleJob(n, 1)
 		spec.AcceptedMS, spec.Steps = acceptedMS, []job.Step{step}
-		core.AddJob(spec, nil, false, now)
+		core.AddJob(spec, nil, false, Instant{Steady: time.Duration(acceptedMS) * time.Millisecond, UnixMS: acceptedMS})
 		return core.jobs[spec.ID].steps[0]
 	}
 	hopeless := add(1, 0, job.Step{Count: 1, EstimateMS: 1000})
--- a/node/intake.go
+++ b/node/intake.go
@@ -53,9 +53,11 @@
 	RetryAfter time.Duration
 }
 
-// Submit records a job. Submitting it again is safe.
+// Submit records a job, with the time of its acceptance. Submitting it again is
+// safe.
 func (n *Node) Submit(ctx context.Context, spec *job.Spec) Submission {
 	began := n.clock()
+	spec.AcceptedMS = n.instant().UnixMS
 	value, err := json.Marshal(spec)
 	if err != nil {
 		n.log.Error().Str("event", "job_unwritable").Str("job", spec.ID).Err(err).Msg("")
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/juju/errors"
@@ -24,7 +23,6 @@
 	if err := s.node.checkSpec(spec); err != nil {
 		return nil, err
 	}
-	spec.AcceptedMS = time.Now().UnixMilli()
 	result := s.node.Submit(context.WithoutCancel(ctx), spec)
 	return connect.NewResponse(&jobsv1.SubmitResponse{
 		Recorded: recordedWire[result.Recorded], RetryAfterMs: result.RetryAfter.Milliseconds(),
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 	sparing atomic.Bool
 	peers   *http.Client
 	pending pendingCache
+	wall    wallClock
 	waves   waveList
 	// badEntries are entries of workers, badKeys other keys that can't be read;
 	// unusable is the number of the former.
@@ -211,7 +212,12 @@
 func (n *Node) clock() time.Duration { return time.Since(n.start) }
 
 func (n *Node) instant() dispatch.Instant {
-	return dispatch.Instant{Steady: n.clock(), UnixMS: time.Now().UnixMilli()}
+	steady := n.clock()
+	ms, adopted := n.wall.read(steady, time.Now().UnixMilli())
+	if adopted != 0 {
+		n.log.Warn().Str("event", "clock_jump_adopted").Dur("by", adopted).Msg("")
+	}
+	return dispatch.Instant{Steady: steady, UnixMS: ms}
 }
 
 // RunElection takes part in the election until ctx ends.
