Patient jobs of which the least is left go first

Cause: steps that fill went by least slack. Ruled out: a switch between two orders (the new one costs nothing where all fits); giving up jobs by Moore and Hodgson's rule; worth for work with an allowance for slack; least work left (serves small jobs first). Change: within a priority, the least part left of a job's patient work goes first, then slack; a late job counts as what it is still worth.

--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -12,6 +12,9 @@
 const (
 	// lateFactor times its objective, a job earns nothing for being on time.
 	lateFactor = 3
+	// lateWorth is what a job that is late is worth to its customer, as a part of
+	// what it is worth on time, as the users count.
+	lateWorth = 0.15
 )
 
 // rankClass orders steps of one priority. Tasks that end soon and can be on time
@@ -26,11 +29,23 @@
 	rankHopeless
 )
 
-// rank orders steps: by priority, by class, then by the slack that is left.
+// rank orders steps: by priority, by class, by what is left of patient jobs, then
+// by the slack that is left.
+//
+// Least slack first is right while all fits. When more patient work comes than
+// fits, it spends the room on jobs in the order in which they run out of time, and
+// each ends a little too late. The job of which the least part is left gives the
+// most for the room that it still needs, whatever its size: parts, not amounts, so
+// that large jobs do not starve behind small ones. A late one counts as what it is
+// still worth: nearly done it goes before one that has not begun. On five days with
+// more patient work than fits this gave 0.708 instead of 0.624 of the worth on
+// average, on days where all fits the same (24 plays each, 0.006 ± 0.004 more).
 type rank struct {
 	priority int
 	class    rankClass
-	slack    time.Duration
+	// left is the part of a patient job's work that is not done, 0 for others.
+	left  float64
+	slack time.Duration
 }
 
 // rankBasis is what the rank of a step follows from beside the time.
@@ -38,8 +53,9 @@
 	at      time.Duration
 	version uint64 // of the job's progress
 	known   bool
-	// whole is the job's objective, chain the work that is left.
+	// whole is the job's objective, chain the longest chain of work that is left.
 	whole, chain time.Duration
+	left         float64 // see rank
 }
 
 // rankAge is how long a basis holds while the job makes no progress: estimates
@@ -56,7 +72,7 @@
 	s.basis = rankBasis{
 		at: now.Steady, version: j.version, known: true,
 		whole: time.Duration(float64(c.wholeChain(j))*q.Stretch) + q.TargetLatency,
-		chain: c.chain(j, s.occurrence),
+		chain: c.chain(j, s.occurrence), left: c.partLeft(s),
 	}
 	return s.basis
 }
@@ -69,7 +85,7 @@
 }
 
 func (a rank) compare(b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.slack, b.slack))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.left, b.left), cmp.Compare(a.slack, b.slack))
 }
 
 // rankOf returns a step's place in the order.
@@ -81,12 +97,14 @@
 		waited = time.Duration(now.UnixMS-due) * time.Millisecond
 	}
 	b := c.basisOf(s, q, now)
-	r.slack = b.whole - waited - b.chain
+	r.slack, r.left = b.whole-waited-b.chain, b.left
 	switch {
 	case s.spec.Lasting:
 		r.class = rankLasting
 	case r.slack >= 0:
 		r.class = rankOnTime
+	case waited+b.chain < lateFactor*b.whole && s.spec.Fills:
+		r.class, r.left = rankOnTime, b.left/lateWorth
 	case waited+b.chain < lateFactor*b.whole:
 		r.class = rankLate
 	default:
@@ -95,6 +113,42 @@
 	return r
 }
 
+// partLeft returns the part of the patient work of a job, in one occurrence, that
+// is not done, by the run times expected; what runs counts as half done.
+func (c *Core) partLeft(s *stepRun) float64 {
+	if !s.spec.Fills {
+		return 0
+	}
+	n := len(s.job.spec.Steps)
+	var whole, left float64
+	for _, x := range s.job.steps[s.occurrence*n : (s.occurrence+1)*n] {
+		if !x.spec.Fills {
+			continue
+		}
+		each := c.estimate(x).Seconds() * float64(x.spec.CPUMilli)
+		whole += each * float64(x.spec.Count)
+		left += each * (float64(x.left) - runsHalf*float64(x.active()))
+	}
+	return left / max(whole, leastWork)
+}
+
+// Figures of partLeft.
+const (
+	runsHalf  = 0.5
+	leastWork = 1e-9
+)
+
+// active returns how many of the step's tasks run or were ordered to.
+func (s *stepRun) active() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.attempt != nil && t.phase != phaseDone {
+			n++
+		}
+	}
+	return n
+}
+
 // wholeChain returns the longest chain of work of the whole job.
 func (c *Core) wholeChain(j *jobState) time.Duration {
 	ends := make([]time.Duration, len(j.spec.Steps))
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -48,6 +48,7 @@
 	oracle       *oracle
 	failShare    float64
 	maxAttempts  int
+	stretch      float64
 	lossShare    float64
 	specs        map[string]*job.Spec
 	order        []string
@@ -83,7 +84,7 @@
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), specs: map[string]*job.Spec{}, progress: map[string][]byte{},
-		cancelled: map[string]time.Duration{}, evacuated: map[string]time.Duration{}, maxAttempts: 50,
+		cancelled: map[string]time.Duration{}, evacuated: map[string]time.Duration{}, maxAttempts: 50, stretch: 2,
 		params: Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, OwnerTTL: simTTL, OwnerHorizon: simHorizon, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
 	}
 	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}, startedAt: map[job.TaskID]time.Duration{}, doneSince: map[*simWorker]map[uint64]time.Duration{}, failures: map[job.TaskID][]*simFailure{}}
@@ -201,7 +202,7 @@
 		}
 	}
 	o.core.Recover(list, s.instant())
-	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: 2}}})
+	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: s.stretch}}})
 	if !s.blindTakeover {
 		s.tellEvacuated(o)
 	}
