--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Evacuated data centres. From when the operators evacuate a data centre until
 // they take that back, its workers get no new tasks: no first start, no restart,
@@ -35,16 +32,7 @@
 	}
 }
 
-// Evacuated returns the data centres that are evacuated, sorted.
-func (c *Core) Evacuated() []string {
-	list := make([]string, 0, len(c.evacuated))
-	for dc := range c.evacuated {
-		list = append(list, dc)
-	}
-	slices.Sort(list)
-	return list
-}
-
+// describeDataCentre tells how much of the cell a data centre is, for the log.
 func (c *Core) describeDataCentre(name string) string {
 	workers, running := 0, 0
 	for _, w := range c.order {
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // tickWorker gives up on a worker that is silent for longer than its leases.
 func (c *Core) tickWorker(w *worker, now Instant) {
@@ -77,10 +80,5 @@
 
 // Workers returns the ids of all workers to poll.
 func (c *Core) Workers() []WorkerID {
-	ids := make([]WorkerID, 0, len(c.workers))
-	for id := range c.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(c.workers))
 }
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"leverstile.dev/dispatch"
+)
+
+// nodeMetrics are the counters and gauges of an entry; docs/METRICS.md tells what
+// each means.
+type nodeMetrics struct {
+	set           *metrics.Set
+	flush         *metrics.Histogram
+	submit        *metrics.Histogram
+	notAdmitted   *metrics.Counter
+	unreadable    *metrics.Counter
+	decisions     *metrics.Counter
+	unlogged      *metrics.Counter
+	ownerTerm     *metrics.Gauge
+	storeUp       *metrics.Gauge
+	configVersion *metrics.Gauge
+}
+
+// registerMetrics registers the counters, and the gauges that are read when they
+// are asked for.
+func (n *Node) registerMetrics(set *metrics.Set) {
+	n.metrics = nodeMetrics{
+		set:         set,
+		flush:       set.NewHistogram("leverstile_record_write_seconds"),
+		submit:      set.NewHistogram("leverstile_submit_seconds"),
+		notAdmitted: set.NewCounter("leverstile_jobs_not_admitted_total"),
+		unreadable:  set.NewCounter("leverstile_unreadable_keys_total"),
+		decisions:   set.NewCounter("leverstile_decisions_total"),
+		unlogged:    set.NewCounter("leverstile_decisions_unlogged_total"),
+		storeUp:     set.NewGauge("leverstile_store_up", func() float64 { return boolGauge(n.store.quiet() == 0) }),
+		ownerTerm: set.NewGauge("leverstile_owned_term", func() float64 {
+			if o := n.current.Load(); o != nil {
+				return float64(o.own.lead.Term)
+			}
+			return 0
+		}),
+		configVersion: set.NewGauge("leverstile_config_version", func() float64 {
+			if c := n.config.Load(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+	}
+	set.NewGauge("leverstile_unusable_entries", func() float64 { return float64(n.unusable.Load()) })
+	set.NewGauge("leverstile_evacuated_data_centres", func() float64 { return float64(len(n.evacuations.evacuated())) })
+	n.registerRunMetrics()
+	n.registerLoadMetrics()
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// registerRunMetrics exposes the counters of the core while this is the owner.
+func (n *Node) registerRunMetrics() {
+	for name, field := range map[string]func(dispatch.Stats) uint64{
+		"starts": func(s dispatch.Stats) uint64 { return s.Starts }, "done": func(s dispatch.Stats) uint64 { return s.Done },
+		"failed": func(s dispatch.Stats) uint64 { return s.Failed }, "stopped": func(s dispatch.Stats) uint64 { return s.Stopped },
+		"lapsed": func(s dispatch.Stats) uint64 { return s.Lapsed }, "lost": func(s dispatch.Stats) uint64 { return s.Lost },
+		"refused": func(s dispatch.Stats) uint64 { return s.Refused }, "unanswered": func(s dispatch.Stats) uint64 { return s.Unanswered },
+		"moved": func(s dispatch.Stats) uint64 { return s.Moved }, "paced": func(s dispatch.Stats) uint64 { return s.Paced },
+	} {
+		n.ownerGauge("leverstile_runs{event=\""+name+"\"}", func(c *dispatch.Core) float64 { return float64(field(c.Stats())) })
+	}
+}
+
+// registerLoadMetrics exposes the owner's load, the room that it keeps, and the
+// workers that get nothing.
+func (n *Node) registerLoadMetrics() {
+	n.ownerGauge("leverstile_overload_step", func(c *dispatch.Core) float64 {
+		load, _ := c.Load()
+		return float64(load)
+	})
+	n.ownerGauge("leverstile_owner_lateness_seconds", func(c *dispatch.Core) float64 {
+		_, late := c.Load()
+		return late.Seconds()
+	})
+	n.ownerGauge("leverstile_kept_cores", func(c *dispatch.Core) float64 {
+		kept, _ := c.KeptCPU()
+		return float64(kept) / milliPerCore
+	})
+	n.ownerGauge("leverstile_short_demand_cores", func(c *dispatch.Core) float64 {
+		_, demand := c.KeptCPU()
+		return float64(demand) / milliPerCore
+	})
+	for _, reason := range dispatch.BarrierNames() {
+		n.ownerGauge("leverstile_workers_barred{reason=\""+reason+"\"}", func(c *dispatch.Core) float64 {
+			return float64(c.WorkersBarred(reason, n.instant()))
+		})
+	}
+}
+
+// milliPerCore turns thousandths of a core into cores.
+const milliPerCore = 1000
+
+// ownerGauge registers a gauge that is read from the core while this entry is the
+// owner, and is 0 otherwise.
+func (n *Node) ownerGauge(name string, read func(c *dispatch.Core) float64) {
+	n.metrics.set.NewGauge(name, func() (value float64) {
+		n.readCore(func(c *dispatch.Core) { value = read(c) })
+		return value
+	})
+}
+
+// readCore calls read with the core while this entry is the owner.
+func (n *Node) readCore(read func(c *dispatch.Core)) {
+	o := n.current.Load()
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	read(o.core)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -79,19 +79,6 @@
 	crowdedUntil atomic.Int64
 }
 
-type nodeMetrics struct {
-	set           *metrics.Set
-	flush         *metrics.Histogram
-	submit        *metrics.Histogram
-	notAdmitted   *metrics.Counter
-	unreadable    *metrics.Counter
-	decisions     *metrics.Counter
-	unlogged      *metrics.Counter
-	ownerTerm     *metrics.Gauge
-	storeUp       *metrics.Gauge
-	configVersion *metrics.Gauge
-}
-
 // New returns a node. Run starts it.
 func New(opts Options, ports Ports, logger *log.Logger, set *metrics.Set) *Node {
 	n := &Node{
@@ -102,112 +89,10 @@
 	p.OwnerTTL, p.OwnerHorizon = max(ownerTTL, opts.MinLeaseTTL), ownerHorizon
 	p.RecoveryWait = dispatch.RecoveryWaitFor(p.OwnerTTL, p.OwnerHorizon)
 	n.store = &storeHealth{Store: ports.Store, clock: n.clock, changed: n.storeChanged}
-	n.metrics = nodeMetrics{
-		set:         set,
-		flush:       set.NewHistogram("leverstile_record_write_seconds"),
-		submit:      set.NewHistogram("leverstile_submit_seconds"),
-		notAdmitted: set.NewCounter("leverstile_jobs_not_admitted_total"),
-		unreadable:  set.NewCounter("leverstile_unreadable_keys_total"),
-		decisions:   set.NewCounter("leverstile_decisions_total"),
-		unlogged:    set.NewCounter("leverstile_decisions_unlogged_total"),
-		storeUp:     set.NewGauge("leverstile_store_up", func() float64 { return boolGauge(n.store.quiet() == 0) }),
-		ownerTerm: set.NewGauge("leverstile_owned_term", func() float64 {
-			if o := n.current.Load(); o != nil {
-				return float64(o.own.lead.Term)
-			}
-			return 0
-		}),
-		configVersion: set.NewGauge("leverstile_config_version", func() float64 {
-			if c := n.config.Load(); c != nil {
-				return float64(c.Version)
-			}
-			return 0
-		}),
-	}
-	n.registerCoreMetrics()
+	n.registerMetrics(set)
 	return n
 }
 
-func boolGauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// registerCoreMetrics exposes the counters of the core while this is the owner.
-func (n *Node) registerCoreMetrics() {
-	for name, field := range map[string]func(dispatch.Stats) uint64{
-		"starts": func(s dispatch.Stats) uint64 { return s.Starts }, "done": func(s dispatch.Stats) uint64 { return s.Done },
-		"failed": func(s dispatch.Stats) uint64 { return s.Failed }, "stopped": func(s dispatch.Stats) uint64 { return s.Stopped },
-		"lapsed": func(s dispatch.Stats) uint64 { return s.Lapsed }, "lost": func(s dispatch.Stats) uint64 { return s.Lost },
-		"refused": func(s dispatch.Stats) uint64 { return s.Refused }, "unanswered": func(s dispatch.Stats) uint64 { return s.Unanswered },
-		"moved": func(s dispatch.Stats) uint64 { return s.Moved }, "paced": func(s dispatch.Stats) uint64 { return s.Paced },
-	} {
-		n.metrics.set.NewGauge("leverstile_runs{event=\""+name+"\"}", func() float64 { return float64(field(n.coreStats())) })
-	}
-	n.metrics.set.NewGauge("leverstile_overload_step", func() (step float64) {
-		n.readCore(func(c *dispatch.Core) {
-			load, _ := c.Load()
-			step = float64(load)
-		})
-		return step
-	})
-	n.metrics.set.NewGauge("leverstile_kept_cores", func() (cores float64) {
-		n.readCore(func(c *dispatch.Core) {
-			kept, _ := c.KeptCPU()
-			cores = float64(kept) / 1000
-		})
-		return cores
-	})
-	n.metrics.set.NewGauge("leverstile_short_demand_cores", func() (cores float64) {
-		n.readCore(func(c *dispatch.Core) {
-			_, demand := c.KeptCPU()
-			cores = float64(demand) / 1000
-		})
-		return cores
-	})
-	n.registerBarrierMetrics()
-	n.metrics.set.NewGauge("leverstile_owner_lateness_seconds", func() (late float64) {
-		n.readCore(func(c *dispatch.Core) {
-			_, d := c.Load()
-			late = d.Seconds()
-		})
-		return late
-	})
-}
-
-// registerBarrierMetrics exposes how many workers get no new tasks, by reason.
-func (n *Node) registerBarrierMetrics() {
-	for _, reason := range dispatch.BarrierNames() {
-		n.metrics.set.NewGauge("leverstile_workers_barred{reason=\""+reason+"\"}", func() (count float64) {
-			n.readCore(func(c *dispatch.Core) { count = float64(c.WorkersBarred(reason, n.instant())) })
-			return count
-		})
-	}
-	n.metrics.set.NewGauge("leverstile_unusable_entries", func() float64 { return float64(n.unusable.Load()) })
-	n.metrics.set.NewGauge("leverstile_evacuated_data_centres", func() float64 {
-		return float64(len(n.evacuations.evacuated()))
-	})
-}
-
-func (n *Node) coreStats() dispatch.Stats {
-	var stats dispatch.Stats
-	n.readCore(func(c *dispatch.Core) { stats = c.Stats() })
-	return stats
-}
-
-// readCore calls read with the core while this entry is the owner.
-func (n *Node) readCore(read func(c *dispatch.Core)) {
-	o := n.current.Load()
-	if o == nil {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	read(o.core)
-}
-
 // clock is the steady clock of the process.
 func (n *Node) clock() time.Duration { return time.Since(n.start) }
 
