Logs and metrics tell why a run was taken for not running

Cause: of an incident with two runs of one task, the lines could not tell whether a start had been sent more than once, by which figures a run was given up, nor whether an unexpected run was this owner's own. Change: the client of workers counts calls that it sends once more (the retry stands in its own loop, same rules as before); start_refused, run_missing and run_lost carry tries, clocks and ages; run_unexpected tells the term; runs given up and met again are counted. No decision changed. Tests: go test ./dial ./dispatch ./platform ./node ./cmd/leverstile pass.

--- a/dial/client.go
+++ b/dial/client.go
@@ -96,9 +96,8 @@
 		MaxResponseBodySize:       limits.MaxAnswer,
 		ReadBufferSize:            headerBuffer,
 		WriteBufferSize:           headerBuffer,
-		MaxIdemponentCallAttempts: callAttempts,
+		MaxIdemponentCallAttempts: 1, // Post tries again, and tells so
 		DialTimeout:               func(address string, _ time.Duration) (net.Conn, error) { return c.open(dialer, address) },
-		RetryIfErr:                func(_ *fasthttp.Request, _ int, err error) (bool, bool) { return false, closedWhileIdle(err) },
 		ConfigureClient: func(host *fasthttp.HostClient) error {
 			host.Transport = closingTransport{}
 			c.addHost(host)
@@ -109,11 +108,23 @@
 }
 
 // Post makes a call and passes its answer to read, which must not keep the
-// body. After an error the call may have been carried out.
-func (c *Client) Post(call Call, read func(status int, body []byte)) error {
+// body. After an error the call may have been carried out. Post returns how often
+// the call was sent: after more than once, an answer speaks of the last copy only.
+func (c *Client) Post(call Call, read func(status int, body []byte)) (sent int, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	call.fill(req)
+	sent, err = c.send(req, resp, time.Now().Add(call.Timeout))
+	if err != nil {
+		return sent, err
+	}
+	read(resp.StatusCode(), resp.Body())
+	return sent, nil
+}
+
+// fill writes the call into a request.
+func (call *Call) fill(req *fasthttp.Request) {
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.Header.Set(call.Header, call.Value)
@@ -121,12 +132,22 @@
 	req.URI().SetHost(call.Address)
 	req.URI().SetPath(call.Path)
 	req.SetBodyRaw(call.Body)
-	req.SetTimeout(call.Timeout)
-	if err := c.http.Do(req, resp); err != nil {
-		return err
+}
+
+// send sends a request, and once more if its connection turns out to be closed.
+func (c *Client) send(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (sent int, err error) {
+	for sent < callAttempts {
+		left := time.Until(deadline)
+		if left <= 0 {
+			return sent, fasthttp.ErrTimeout
+		}
+		req.SetTimeout(left)
+		sent++
+		if err = c.http.Do(req, resp); err == nil || !closedWhileIdle(err) {
+			return sent, err
+		}
 	}
-	read(resp.StatusCode(), resp.Body())
-	return nil
+	return sent, err
 }
 
 // addHost counts a host that is called for the first time, and divides MostOpen
@@ -219,5 +240,6 @@
 // closedWhileIdle reports whether the peer had closed the connection, which it
 // may have done while nobody used it.
 func closedWhileIdle(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, io.EOF) || errors.Is(err, fasthttp.ErrConnectionClosed) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -28,7 +28,7 @@
 
 func post(c *Client, address string, timeout time.Duration) (int, error) {
 	status := 0
-	err := c.Post(Call{Address: address, Path: "/x", Header: "X-Life", Value: "a", Body: []byte("{}"), Timeout: timeout},
+	_, err := c.Post(Call{Address: address, Path: "/x", Header: "X-Life", Value: "a", Body: []byte("{}"), Timeout: timeout},
 		func(s int, _ []byte) { status = s })
 	return status, err
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -116,6 +116,9 @@
 // Stats are counters of what the core decided.
 type Stats struct {
 	Starts, Done, Failed, Stopped, Lapsed, Lost, Refused, Unanswered, Moved, Paced uint64
+	// GivenUp counts runs that a worker lists though this owner, which ordered
+	// them, had taken them for not running: each may have run beside another.
+	GivenUp uint64
 }
 
 // Decision is one decision or change of belief, for the log.
@@ -126,6 +129,8 @@
 	Run    uint64
 	Worker WorkerID
 	Reason string
+	// Detail holds the figures that decided, where there are any.
+	Detail string
 	// Age is that of the input which decided, where there is one.
 	Age time.Duration
 }
@@ -237,9 +242,21 @@
 
 // tellTask logs a decision on a task.
 func (c *Core) tellTask(event string, t *task, w *worker, run uint64, reason string) {
+	c.trace(taskDecision(event, t, w, run, reason))
+}
+
+func taskDecision(event string, t *task, w *worker, run uint64, reason string) Decision {
 	d := Decision{Event: event, Job: t.step.job.spec.ID, Task: t.id(), Run: run, Reason: reason}
 	if w != nil {
 		d.Worker = w.info.ID
 	}
+	return d
+}
+
+// tellGivenUp logs that an attempt is taken for not running, and the figures that
+// say so.
+func (c *Core) tellGivenUp(event string, a *attempt, reason, detail string, age time.Duration) {
+	d := taskDecision(event, a.task, a.worker, a.run, reason)
+	d.Detail, d.Age = detail, age
 	c.trace(d)
 }
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -148,12 +149,12 @@
 	if len(reply.Ended) >= maxEndsListed {
 		return // its end may not have had room in the answer
 	}
-	reason := "not listed after its start's deadline"
+	reason, since := "not listed after its start's deadline", a.deadline
 	if a.ackClock > 0 {
-		reason = "no longer listed"
+		reason, since = "no longer listed", a.ackClock
 	}
 	c.stats.Unanswered++
-	c.tellTask("run_missing", a.task, a.worker, a.run, reason)
+	c.tellGivenUp("run_missing", a, reason, fmt.Sprintf("worker's clock %d after %d, try %d", reply.ClockMS, since, a.tries), now.Steady-a.started)
 	c.release(a, now)
 }
 
@@ -167,11 +168,23 @@
 	return amountOf(&j.spec.Steps[id.Step]), false
 }
 
+// tellUnexpected logs a run that should not be there, and whose it is: one of this
+// term was given up too early.
+func (c *Core) tellUnexpected(w *worker, row *RunningTask) {
+	reason := "stopped; of an earlier term"
+	if row.Run>>runBits == c.term {
+		reason = "stopped; of this term, given up before"
+		c.stats.GivenUp++
+	}
+	c.trace(Decision{Event: "run_unexpected", Job: row.Task.Job, Task: row.Task, Run: row.Run, Worker: w.info.ID, Reason: reason})
+}
+
+// stopForeign has a run stopped that the owner does not expect at a worker.
 func (c *Core) stopForeign(w *worker, row *RunningTask, now Instant) {
 	f := w.foreign[row.Task]
 	if f.run != row.Run {
 		f = foreignRun{run: row.Run, askAt: now.Steady}
-		c.trace(Decision{Event: "run_unexpected", Job: row.Task.Job, Task: row.Task, Run: row.Run, Worker: w.info.ID, Reason: "stopped"})
+		c.tellUnexpected(w, row)
 	}
 	f.amount, f.unsized = c.sizeOf(row.Task)
 	if now.Steady >= f.askAt {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Figures of orders.
 const (
@@ -145,7 +148,7 @@
 // left unanswered, that one may still be carried out: a list must tell.
 func (c *Core) startRefused(a *attempt, ans Answer, now Instant) {
 	c.stats.Refused++
-	c.tellTask("start_refused", a.task, a.worker, a.run, ans.Outcome.String())
+	c.tellGivenUp("start_refused", a, ans.Outcome.String(), fmt.Sprintf("try %d", a.tries), now.Steady-a.started)
 	w := a.worker
 	switch ans.Outcome {
 	case OutcomeNoRoom:
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 )
@@ -30,7 +31,7 @@
 func (c *Core) lose(w *worker, reason string, now Instant) {
 	for _, a := range slices.Clone(w.attempts) {
 		c.stats.Lost++
-		c.tellTask("run_lost", a.task, w, a.run, reason)
+		c.tellGivenUp("run_lost", a, reason, fmt.Sprintf("lease to %d of worker's clock %d", w.lastDeadline, w.clockNow(now)), now.Steady-w.lastAnswer)
 		a.task.concluded = true
 		c.release(a, now)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -67,6 +67,7 @@
 		"lapsed": func(s dispatch.Stats) uint64 { return s.Lapsed }, "lost": func(s dispatch.Stats) uint64 { return s.Lost },
 		"refused": func(s dispatch.Stats) uint64 { return s.Refused }, "unanswered": func(s dispatch.Stats) uint64 { return s.Unanswered },
 		"moved": func(s dispatch.Stats) uint64 { return s.Moved }, "paced": func(s dispatch.Stats) uint64 { return s.Paced },
+		"given_up": func(s dispatch.Stats) uint64 { return s.GivenUp },
 	} {
 		n.ownerGauge("leverstile_runs{event=\""+name+"\"}", func(c *dispatch.Core) float64 { return float64(field(c.Stats())) })
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -162,6 +162,9 @@
 	if d.Reason != "" {
 		e = e.Str("reason", d.Reason)
 	}
+	if d.Detail != "" {
+		e = e.Str("detail", d.Detail)
+	}
 	if d.Age != 0 {
 		e = e.Dur("age", d.Age)
 	}
