A start is sent once; only the core repeats it

Cause: the client of workers sent a call again by itself when its connection broke before the answer, and the core, which frees a task on a refused start if it ordered it once, did not know of the first copy. Change: calls say whether the client may repeat them; starts may not. Weighed: telling the core how often the client sent it; the same result with two places that count copies. Stops, paces and polls may still be repeated: nothing is concluded from their refusal but a higher term or another life, which hold for all copies.

--- a/dial/client.go
+++ b/dial/client.go
@@ -35,7 +35,7 @@
 	hostForgotten = 2 * time.Minute
 )
 
-// Client makes short idempotent calls to many hosts, on connections that notice
+// Client makes short calls to many hosts, on connections that notice
 // when their peer falls silent. It writes and reads in the calling goroutine,
 // which takes half of the processor time that http.Client takes.
 //
@@ -70,6 +70,9 @@
 	// Header and Value are one header beside the usual ones.
 	Header, Value string
 	Body          []byte
+	// Once is set for a call that must not be sent again by the client: what a
+	// refusal of it proves holds for one copy only, and the caller counts copies.
+	Once bool
 	// Timeout bounds the call, opening a connection included.
 	Timeout time.Duration
 }
@@ -115,7 +118,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	call.fill(req)
-	sent, err = c.send(req, resp, time.Now().Add(call.Timeout))
+	sent, err = c.send(req, resp, call.attempts(), time.Now().Add(call.Timeout))
 	if err != nil {
 		return sent, err
 	}
@@ -123,6 +126,14 @@
 	return sent, nil
 }
 
+// attempts returns how often the client may send the call.
+func (call *Call) attempts() int {
+	if call.Once {
+		return 1
+	}
+	return callAttempts
+}
+
 // fill writes the call into a request.
 func (call *Call) fill(req *fasthttp.Request) {
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -134,9 +145,9 @@
 	req.SetBodyRaw(call.Body)
 }
 
-// send sends a request, and once more if its connection turns out to be closed.
-func (c *Client) send(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (sent int, err error) {
-	for sent < callAttempts {
+// send sends a request, and again while its connection turns out to be closed.
+func (c *Client) send(req *fasthttp.Request, resp *fasthttp.Response, attempts int, deadline time.Time) (sent int, err error) {
+	for sent < attempts {
 		left := time.Until(deadline)
 		if left <= 0 {
 			return sent, fasthttp.ErrTimeout
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -1,11 +1,14 @@
 package dial
 
 import (
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -187,3 +190,26 @@
 		}
 	}
 }
+
+// TestCallOnceIsSentOnce: a call that must not be repeated reaches the peer once,
+// whatever becomes of its connection.
+func TestCallOnceIsSentOnce(t *testing.T) {
+	for _, once := range []bool{true, false} {
+		var arrived atomic.Int32
+		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			arrived.Add(1)
+			panic(http.ErrAbortHandler) // the connection ends without an answer
+		}))
+		srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+		c := testClient(t, 1)
+		sent, err := c.Post(Call{Address: srv.Listener.Addr().String(), Path: "/x", Header: "X-Life", Value: "a", Timeout: time.Minute, Once: once}, func(int, []byte) {})
+		want := callAttempts
+		if once {
+			want = 1
+		}
+		if err == nil || sent != want || int(arrived.Load()) != want {
+			t.Errorf("once %v: sent %d times, arrived %d times, want %d; %v", once, sent, arrived.Load(), want, err)
+		}
+		srv.Close()
+	}
+}
