An owner stops all that decides and sends before it gives up its lease

Done: runOwner first ends the ownership (context, calls to workers, loops), then writes what waits, then ends the lease.

--- a/node/owner.go
+++ b/node/owner.go
@@ -106,20 +106,30 @@
 		}
 	}
 	cause := context.Cause(octx)
-	n.current.CompareAndSwap(o, nil)
-	n.sparing.Store(false)
-	if octx.Err() == nil || ctx.Err() != nil {
+	ours := octx.Err() == nil || ctx.Err() != nil
+	o.end()
+	if ours {
 		o.handOver()
 	}
-	stop(errNotOwner)
-	n.workers.Abort() // long polls would hold up the next election for seconds
-	o.running.Wait()
 	n.log.Info().Str("event", "owner_end").Uint64("term", own.lead.Term).Err(cause).Msg("")
 	return nil
 }
 
+// end stops all that decides and sends. Once it returns, nothing more is sent
+// under this term.
+func (o *owner) end() {
+	o.node.current.CompareAndSwap(o, nil)
+	o.node.sparing.Store(false)
+	o.stop(errNotOwner)
+	o.node.workers.Abort() // long polls would hold up the next election for seconds
+	o.running.Wait()
+}
+
 // handOver writes what waits and gives up the lease, so that the next owner
-// need not wait for it to lapse.
+// need not wait for it to lapse. It comes after end: the call that gives up the
+// lease may take effect a second before its answer comes, and until then the
+// core counts the lease as sure. Jobs handed in meanwhile were started by both
+// owners. Leases at workers outlast the handover.
 func (o *owner) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
@@ -133,7 +143,8 @@
 
 func (o *owner) now() dispatch.Instant { return o.node.instant() }
 
-// locked runs f on the core and sends the orders that it leads to.
+// locked runs f on the core and sends the orders that it leads to, until the
+// ownership ends.
 func (o *owner) locked(f func(c *dispatch.Core, now dispatch.Instant)) {
 	o.mu.Lock()
 	now := o.now()
@@ -150,6 +161,9 @@
 	if dirty {
 		signal(o.flushNow)
 	}
+	if o.ctx.Err() != nil {
+		return
+	}
 	for _, order := range orders {
 		o.running.Go(func() { o.send(order) })
 	}
