Jobs that were dropped stay known until no news of them can come

Done: dispatch.droppedJobs keeps the ids of dropped jobs until their records are removed and the intake has been taken in up to the revision of that removal; nothing is kept for good. A late cancellation of such a job is no longer kept either. Weighed: reading the progress of jobs beside their records after lost history (one more read of all, and no help for a watch that is behind).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -95,7 +95,7 @@
 	candidateScratch []candidate
 	asks             []AdviceRequest // not taken yet
 	learntAt         time.Duration   // when it was last recorded what was learnt
-	expired          []string        // jobs whose records can be removed
+	dropped          droppedJobs
 	deferred         []deferredJob   // jobs that came while the lease was not sure
 	cancelled        map[string]bool // jobs that were cancelled before they came
 	held             map[string]bool // jobs that are left alone; see HoldJob
--- /dev/null
+++ b/dispatch/dropped_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDroppedJobsStayKnown: what is heard of a job that was dropped is no new job, until
+// all news up to the removal of its records have been taken in; then nothing is
+// kept of it.
+func TestDroppedJobsStayKnown(t *testing.T) {
+	c := New(Params{JobKept: time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour, MaxTaskLease: 6 * time.Second}, 1, nil)
+	c.Renewed(0)
+	for i := 1; i <= 3; i++ {
+		c.AddJob(simpleJob(i, 1), nil, false, Instant{})
+		c.Cancel(simpleJob(i, 1).ID, Instant{})
+	}
+	records, err := c.Records(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Persisted(records)
+	now := Instant{Steady: 2 * time.Second}
+	c.Tick(now)
+	if len(c.jobs) != 0 || len(c.Expired(10)) != 3 {
+		t.Fatalf("%d jobs, expired %v", len(c.jobs), c.Expired(10))
+	}
+	hear := func(want int, when string) {
+		t.Helper()
+		for i := 1; i <= 3; i++ {
+			c.AddJob(simpleJob(i, 1), nil, false, now)
+		}
+		if len(c.jobs) != want {
+			t.Errorf("%s: %d jobs are taken for new, want %d", when, len(c.jobs), want)
+		}
+	}
+	hear(0, "while their records are in the store")
+	c.Removed(2, 70)
+	hear(0, "after a removal")
+	c.IntakeTaken(69)
+	hear(0, "before its news")
+	c.IntakeTaken(70)
+	if len(c.dropped.known) != 1 || len(c.dropped.removed) != 0 {
+		t.Errorf("kept: %+v", c.dropped)
+	}
+	c.Removed(1, 71)
+	c.IntakeTaken(90)
+	if len(c.dropped.known) != 0 || len(c.Expired(10)) != 0 {
+		t.Errorf("kept at the end: %+v", c.dropped)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -138,7 +138,7 @@
 // A job that was there before the takeover has tasks that the previous owner
 // may have started.
 func (c *Core) AddJob(spec *job.Spec, progress *job.Progress, before bool, now Instant) {
-	if _, ok := c.jobs[spec.ID]; ok || c.held[spec.ID] {
+	if _, ok := c.jobs[spec.ID]; ok || c.held[spec.ID] || c.dropped.known[spec.ID] {
 		return
 	}
 	if !before && !c.certain(now) {
--- a/dispatch/persist.go
+++ b/dispatch/persist.go
@@ -80,13 +80,6 @@
 	}
 }
 
-// Expired returns jobs that were final for long, whose records can be removed;
-// at most limit. They are returned until Removed.
-func (c *Core) Expired(limit int) []string { return c.expired[:min(limit, len(c.expired))] }
-
-// Removed tells that the store no longer holds the first n of Expired.
-func (c *Core) Removed(n int) { c.expired = c.expired[n:] }
-
 // DecodeProgress reads a record's value.
 func DecodeProgress(value []byte) (*job.Progress, error) {
 	p := &job.Progress{}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -103,7 +103,9 @@
 func (c *Core) Cancel(id string, now Instant) {
 	j := c.jobs[id]
 	if j == nil {
-		c.cancelled[id] = true // its job is put off, or comes later
+		if !c.dropped.known[id] {
+			c.cancelled[id] = true // its job is put off, or comes later
+		}
 		return
 	}
 	if j.cancelled {
@@ -113,24 +115,6 @@
 	c.setFinal(j, job.Cancelled, "cancelled by its customer", now)
 }
 
-// dropOldJobs forgets what has been final for long.
-func (c *Core) dropOldJobs(now Instant) {
-	for id, j := range c.jobs {
-		if !j.progress.State.Final() || j.persisted != j.version {
-			continue
-		}
-		if j.active == 0 {
-			j.steps = nil
-		}
-		// In steady time, from the takeover on for jobs that ended before it: a clock
-		// that jumps ahead would remove the states of jobs that have just ended.
-		if now.Steady-j.endedAt > c.params.JobKept && j.active == 0 {
-			delete(c.jobs, id)
-			c.expired = append(c.expired, id)
-		}
-	}
-}
-
 // Status returns the state that may be shown, and whether the job is known.
 func (c *Core) Status(id string) (job.State, bool) {
 	j := c.jobs[id]
--- a/node/feed.go
+++ b/node/feed.go
@@ -46,6 +46,7 @@
 			rev = at
 			wait.reset()
 			o.takeIn(events)
+			o.intakeTaken(rev)
 		})
 		if o.ctx.Err() != nil {
 			return
@@ -67,9 +68,17 @@
 		}
 		rev = at
 		o.takeIn(events)
+		o.intakeTaken(rev)
 	}
 }
 
+// intakeTaken tells the core up to which revision it has heard of all jobs.
+func (o *owner) intakeTaken(rev int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.IntakeTaken(rev)
+}
+
 func (o *owner) takeIn(events []kv.Event) {
 	if len(events) == 0 {
 		return
--- a/node/record.go
+++ b/node/record.go
@@ -131,7 +131,8 @@
 	if !o.write(ctx, ops) {
 		return false
 	}
-	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.Removed(len(ids)) })
+	revision := o.own.chainRev
+	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.Removed(len(ids), revision) })
 	return true
 }
 
