The soak plays faults between the owner and its workers, and kills all entries at once

Cause: the soak knew no faults between an owner and its workers, never ended all entries at once, and its few workers had more room than tasks.

--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,224 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"leverstile.dev/platform/wiretest"
+)
+
+// series brings faults about until end, each beside the ones that last, and
+// waits until all are over.
+func series(rng *rand.Rand, end time.Time, least, most time.Duration, fault func(seed uint64)) {
+	var running sync.WaitGroup
+	for time.Now().Before(end) {
+		seed := rng.Uint64()
+		running.Go(func() { fault(seed) })
+		time.Sleep(between(rng, least, most))
+	}
+	running.Wait()
+}
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
+
+// faults lets customers call while faults of entries, of the store's paths, of
+// workers and of the owner come in series and overlap.
+func (w *world) faults() {
+	var running sync.WaitGroup
+	end := time.Now().Add(*soakFor)
+	running.Go(func() { w.customers(w.rng(1), end) })
+	running.Go(func() { series(w.rng(2), end, 300*time.Millisecond, 2*time.Second, w.entryFault) })
+	running.Go(func() { series(w.rng(3), end, 50*time.Millisecond, 800*time.Millisecond, w.workerFault) })
+	running.Go(func() {
+		rng := w.rng(4)
+		time.Sleep(between(rng, time.Second, 4*time.Second))
+		series(rng, end, 2*time.Second, 7*time.Second, w.ownerFault)
+	})
+	running.Wait()
+}
+
+// rng returns one of the seed's sources. Which process or call meets what still
+// depends on timing; the series themselves do not.
+func (w *world) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, stream)) }
+
+func (w *world) logFault(who, what string, length time.Duration) {
+	_, _ = fmt.Fprintf(w.log, "{\"time\":%q,\"event\":\"soak_fault\",\"at\":%q,\"fault\":%q,\"length\":%q}\n",
+		time.Now().UTC().Format(timeFormat), who, what, length)
+}
+
+// entryFault is one fault of a process, of its path to the store, or of the store.
+func (w *world) entryFault(seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	p := w.procs[rng.IntN(len(w.procs))]
+	kind, length := rng.IntN(9), between(rng, 200*time.Millisecond, 3700*time.Millisecond)
+	if !p.fault.TryLock() {
+		return
+	}
+	defer p.fault.Unlock()
+	switch kind {
+	case 0:
+		w.logFault(p.name, "SIGKILL", length/2)
+		p.end(syscall.SIGKILL)
+		time.Sleep(length / 2)
+		w.start(p)
+	case 1:
+		w.restart(p)
+	case 2:
+		w.freeze(p, length)
+	case 3, 4, 5, 6:
+		m := []mode{delaying, silent, deafOne, resetting}[kind-3]
+		w.logFault(p.name, fmt.Sprint("store path ", m), length)
+		p.proxy.set(m)
+		time.Sleep(length)
+		p.proxy.set(passing)
+	case 7:
+		f := []wiretest.Fault{wiretest.FaultBusy, wiretest.FaultLost, wiretest.FaultDrop}[rng.IntN(3)]
+		w.logFault("store", fmt.Sprint("store fault ", f), length)
+		w.store.SetFault(func(string, string) wiretest.Fault { return f })
+		time.Sleep(length)
+		w.store.SetFault(nil)
+	case 8:
+		w.logFault("store", "compaction", 0)
+		w.store.Compact()
+	}
+}
+
+func (w *world) restart(p *process) {
+	w.logFault(p.name, "SIGTERM", 0)
+	p.end(syscall.SIGTERM)
+	w.start(p)
+}
+
+func (w *world) freeze(p *process, length time.Duration) {
+	w.logFault(p.name, "SIGSTOP", length)
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// ownerFault ends or stops the owner, or ends all entries at once.
+func (w *world) ownerFault(seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	kind, length := rng.IntN(6), between(rng, 300*time.Millisecond, 3500*time.Millisecond)
+	if kind < 2 {
+		w.killAll(between(rng, 300*time.Millisecond, time.Second))
+		return
+	}
+	p := w.owner()
+	if p == nil {
+		return
+	}
+	p.fault.Lock()
+	defer p.fault.Unlock()
+	switch kind {
+	case 2:
+		w.logFault(p.name, "SIGKILL of the owner", 0)
+		p.end(syscall.SIGKILL)
+		w.start(p) // its next life takes over at once
+	case 3, 4:
+		w.restart(p)
+	default:
+		w.freeze(p, length)
+	}
+}
+
+// killAll kills all entries at once and starts them again after a pause.
+func (w *world) killAll(pause time.Duration) {
+	for _, p := range w.procs {
+		p.fault.Lock()
+		defer p.fault.Unlock()
+	}
+	w.logFault("all", "SIGKILL", pause)
+	for _, p := range w.procs {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range w.procs {
+		<-p.done
+	}
+	time.Sleep(pause)
+	var starts sync.WaitGroup
+	for _, p := range w.procs {
+		starts.Go(func() { w.start(p) })
+	}
+	starts.Wait()
+}
+
+// unwell are the ways in which a worker is unwell for some seconds: each call
+// that is not served meets one of the faults.
+var unwell = [][]wiretest.WorkerFault{
+	{wiretest.WorkerUnwell},
+	{wiretest.WorkerBusy},
+	{wiretest.WorkerUnwell, wiretest.WorkerLost},
+	{wiretest.WorkerUnwell, wiretest.WorkerBusy, wiretest.WorkerDrop, wiretest.WorkerLost},
+	{wiretest.WorkerFails, wiretest.WorkerFailsAfter},
+	{wiretest.WorkerDrop, wiretest.WorkerLost},
+	{wiretest.WorkerSilent, wiretest.WorkerMute},
+	{wiretest.WorkerLate},
+	{wiretest.WorkerLate, wiretest.WorkerUnwell},
+	{
+		wiretest.WorkerUnwell, wiretest.WorkerBusy, wiretest.WorkerFails, wiretest.WorkerFailsAfter, wiretest.WorkerDrop,
+		wiretest.WorkerLost, wiretest.WorkerSilent, wiretest.WorkerMute, wiretest.WorkerLate,
+	},
+}
+
+// workerFault is one fault of a worker or of the path to it.
+func (w *world) workerFault(seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	i := rng.IntN(len(w.workers))
+	worker, path, name := w.workers[i], w.paths[i], w.workers[i].ID
+	kind, length := rng.IntN(16), between(rng, 300*time.Millisecond, 5*time.Second)
+	if !w.wards[i].TryLock() {
+		return
+	}
+	defer w.wards[i].Unlock()
+	switch {
+	case kind < 5:
+		m := []mode{delaying, silent, deafOne, resetting, losing}[kind]
+		w.logFault(name, fmt.Sprint("path ", m), length)
+		path.set(m)
+		time.Sleep(length)
+		path.set(passing)
+	case kind < 14:
+		w.unwell(rng, worker, length)
+	case kind == 14:
+		w.logFault(name, "crash", length/4)
+		worker.Crash(fmt.Sprintf("%s-%x", worker.ID, seed>>32), length/4)
+	default:
+		w.logFault(name, "unlisted", length)
+		worker.Unlist()
+		time.Sleep(length)
+		worker.List()
+	}
+}
+
+// unwell lets a share of a worker's calls, or of the starts alone, fail.
+func (w *world) unwell(rng *rand.Rand, worker *wiretest.Worker, length time.Duration) {
+	kinds := unwell[rng.IntN(len(unwell))]
+	share, startsOnly := 0.2+0.7*rng.Float64(), rng.IntN(2) == 0
+	w.logFault(worker.ID, fmt.Sprintf("unwell %v share %.2f starts only %v", kinds, share, startsOnly), length)
+	worker.SetFault(func(path string) wiretest.WorkerFault { // called under the worker's lock
+		if startsOnly && path != "/run-start" || rng.Float64() >= share {
+			return wiretest.WorkerSound
+		}
+		return kinds[rng.IntN(len(kinds))]
+	})
+	time.Sleep(length)
+	worker.SetFault(nil)
+}
+
+// calm ends all faults.
+func (w *world) calm() {
+	w.store.SetFault(nil)
+	for _, p := range w.procs {
+		p.proxy.set(passing)
+	}
+	for i, worker := range w.workers {
+		w.paths[i].set(passing)
+		worker.SetFault(nil)
+	}
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -17,9 +17,18 @@
 	silent         // nothing comes through, in either direction
 	deafOne        // requests go through, answers do not
 	resetting      // connections are reset, new ones too
+	losing         // a share of the connections is reset before an answer comes through
 )
 
-// proxy stands between one process and the store. Its lock guards mode and conns.
+func (m mode) String() string {
+	return []string{"passing", "delaying", "silent", "deaf one way", "resetting", "losing answers"}[m]
+}
+
+// lossShare of a losing proxy.
+const lossShare = 0.4
+
+// proxy stands before the store for one process, or before one worker for all.
+// Its lock guards mode and conns.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -38,6 +47,8 @@
 	return p, nil
 }
 
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,6 +115,10 @@
 			}
 			return
 		}
+		if answers && p.now() == losing && rand.Float64() < lossShare {
+			reset(to)
+			return
+		}
 		for {
 			m := p.now()
 			if m == silent || m == deafOne && answers {
