The soak: slow entries, slow paths, owners cut from the store and while they hand over

Cause: faults of an entry's path to the store never overlapped with signals to it, no entry was merely slow, and calls to workers never came later than their timeout.

Done: signals and path faults exclude only their own kind; short freezes in a row stand for an entry without processor time; paths that hold each chunk up for 0.2 to 1.5 s; the owner is cut from the store for up to 7 s, and its word of handing over is lost; leases of up to 10 s.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -55,11 +55,31 @@
 func (w *world) entryFault(seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := w.procs[rng.IntN(len(w.procs))]
-	kind, length := rng.IntN(9), between(rng, 200*time.Millisecond, 3700*time.Millisecond)
-	if !p.fault.TryLock() {
+	kind, length := rng.IntN(11), between(rng, 200*time.Millisecond, 3700*time.Millisecond)
+	switch {
+	case kind < 4:
+		w.signalFault(p, kind, length)
+	case kind < 9:
+		w.pathFault(p, []mode{delaying, silent, deafOne, resetting, slow}[kind-4], length)
+	case kind == 9:
+		length /= 3 // it meets all entries
+		f := []wiretest.Fault{wiretest.FaultBusy, wiretest.FaultLost, wiretest.FaultDrop}[rng.IntN(3)]
+		w.logFault("store", fmt.Sprint("store fault ", f), length)
+		w.store.SetFault(func(string, string) wiretest.Fault { return f })
+		time.Sleep(length)
+		w.store.SetFault(nil)
+	default:
+		w.logFault("store", "compaction", 0)
+		w.store.Compact()
+	}
+}
+
+// signalFault kills, ends, stops or slows a process that no other fault signals.
+func (w *world) signalFault(p *process, kind int, length time.Duration) {
+	if !p.signals.TryLock() {
 		return
 	}
-	defer p.fault.Unlock()
+	defer p.signals.Unlock()
 	switch kind {
 	case 0:
 		w.logFault(p.name, "SIGKILL", length/2)
@@ -67,44 +87,47 @@
 		time.Sleep(length / 2)
 		w.start(p)
 	case 1:
-		w.restart(p)
+		w.logFault(p.name, "SIGTERM", 0)
+		p.end(syscall.SIGTERM)
+		w.start(p)
 	case 2:
-		w.freeze(p, length)
-	case 3, 4, 5, 6:
-		m := []mode{delaying, silent, deafOne, resetting}[kind-3]
-		w.logFault(p.name, fmt.Sprint("store path ", m), length)
-		p.proxy.set(m)
-		time.Sleep(length)
-		p.proxy.set(passing)
-	case 7:
-		f := []wiretest.Fault{wiretest.FaultBusy, wiretest.FaultLost, wiretest.FaultDrop}[rng.IntN(3)]
-		w.logFault("store", fmt.Sprint("store fault ", f), length)
-		w.store.SetFault(func(string, string) wiretest.Fault { return f })
-		time.Sleep(length)
-		w.store.SetFault(nil)
-	case 8:
-		w.logFault("store", "compaction", 0)
-		w.store.Compact()
+		w.logFault(p.name, "SIGSTOP", length)
+		p.pause(length)
+	default:
+		w.logFault(p.name, "slow", length)
+		for end := time.Now().Add(length); time.Now().Before(end); {
+			p.pause(20*time.Millisecond + rand.N(longestPause))
+			time.Sleep(10*time.Millisecond + rand.N(90*time.Millisecond))
+		}
 	}
 }
 
-func (w *world) restart(p *process) {
-	w.logFault(p.name, "SIGTERM", 0)
-	p.end(syscall.SIGTERM)
-	w.start(p)
-}
+// longestPause of a slow process stays below what it takes for a freeze.
+const longestPause = 480 * time.Millisecond
 
-func (w *world) freeze(p *process, length time.Duration) {
-	w.logFault(p.name, "SIGSTOP", length)
+// pause stops a process for a time.
+func (p *process) pause(length time.Duration) {
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(length)
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
-// ownerFault ends or stops the owner, or ends all entries at once.
+// pathFault is a fault of a process's path to the store.
+func (w *world) pathFault(p *process, m mode, length time.Duration) {
+	if !p.path.TryLock() {
+		return
+	}
+	defer p.path.Unlock()
+	w.logFault(p.name, fmt.Sprint("store path ", m), length)
+	p.proxy.set(m)
+	time.Sleep(length)
+	p.proxy.set(passing)
+}
+
+// ownerFault meets the owner, or ends all entries at once.
 func (w *world) ownerFault(seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	kind, length := rng.IntN(6), between(rng, 300*time.Millisecond, 3500*time.Millisecond)
+	kind, length := rng.IntN(9), between(rng, 300*time.Millisecond, 3500*time.Millisecond)
 	if kind < 2 {
 		w.killAll(between(rng, 300*time.Millisecond, time.Second))
 		return
@@ -113,25 +136,28 @@
 	if p == nil {
 		return
 	}
-	p.fault.Lock()
-	defer p.fault.Unlock()
 	switch kind {
-	case 2:
-		w.logFault(p.name, "SIGKILL of the owner", 0)
-		p.end(syscall.SIGKILL)
-		w.start(p) // its next life takes over at once
-	case 3, 4:
-		w.restart(p)
-	default:
-		w.freeze(p, length)
+	case 2: // its next life takes over at once
+		w.signalFault(p, 0, 0)
+	case 3:
+		w.signalFault(p, 1, 0)
+	case 4, 5:
+		w.signalFault(p, kind-2, length)
+	case 6: // the store lets its lease lapse and it goes on for a while
+		w.pathFault(p, []mode{silent, deafOne, resetting}[rng.IntN(3)], 2*length)
+	default: // it hands over and its word does not come through
+		var ends sync.WaitGroup
+		ends.Go(func() { w.signalFault(p, 1, 0) })
+		w.pathFault(p, []mode{silent, deafOne, slow, resetting}[rng.IntN(4)], length)
+		ends.Wait()
 	}
 }
 
 // killAll kills all entries at once and starts them again after a pause.
 func (w *world) killAll(pause time.Duration) {
 	for _, p := range w.procs {
-		p.fault.Lock()
-		defer p.fault.Unlock()
+		p.signals.Lock()
+		defer p.signals.Unlock()
 	}
 	w.logFault("all", "SIGKILL", pause)
 	for _, p := range w.procs {
@@ -171,23 +197,27 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	i := rng.IntN(len(w.workers))
 	worker, path, name := w.workers[i], w.paths[i], w.workers[i].ID
-	kind, length := rng.IntN(16), between(rng, 300*time.Millisecond, 5*time.Second)
+	kind, length := rng.IntN(18), between(rng, 300*time.Millisecond, 5*time.Second)
 	if !w.wards[i].TryLock() {
 		return
 	}
 	defer w.wards[i].Unlock()
 	switch {
-	case kind < 5:
-		m := []mode{delaying, silent, deafOne, resetting, losing}[kind]
+	case kind < 6:
+		m := []mode{delaying, silent, deafOne, resetting, losing, slow}[kind]
 		w.logFault(name, fmt.Sprint("path ", m), length)
 		path.set(m)
 		time.Sleep(length)
 		path.set(passing)
-	case kind < 14:
+	case kind < 15:
 		w.unwell(rng, worker, length)
-	case kind == 14:
+	case kind < 17:
 		w.logFault(name, "crash", length/4)
+		if kind == 16 {
+			path.set(silent) // nothing refuses connections
+		}
 		worker.Crash(fmt.Sprintf("%s-%x", worker.ID, seed>>32), length/4)
+		path.set(passing)
 	default:
 		w.logFault(name, "unlisted", length)
 		worker.Unlist()
@@ -199,7 +229,7 @@
 // unwell lets a share of a worker's calls, or of the starts alone, fail.
 func (w *world) unwell(rng *rand.Rand, worker *wiretest.Worker, length time.Duration) {
 	kinds := unwell[rng.IntN(len(unwell))]
-	share, startsOnly := 0.2+0.7*rng.Float64(), rng.IntN(2) == 0
+	share, startsOnly := min(0.2+rng.Float64(), 1), rng.IntN(2) == 0
 	w.logFault(worker.ID, fmt.Sprintf("unwell %v share %.2f starts only %v", kinds, share, startsOnly), length)
 	worker.SetFault(func(path string) wiretest.WorkerFault { // called under the worker's lock
 		if startsOnly && path != "/run-start" || rng.Float64() >= share {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -29,7 +29,7 @@
 min_ttl_ms = 1000
 [bounds]
 grace_s = 4
-max_hold_ms = 6000
+max_hold_ms = %d
 stop_timeout_ms = 900
 harm_ms = 4000
 thaw_slack_ms = 300
@@ -37,15 +37,17 @@
 pace_ms = 100
 `
 
-// process is one leverstile node. A fault that signals it holds fault.
+// process is one leverstile node. A fault that signals it holds signals, one of its
+// path to the store holds path.
 type process struct {
 	name  string
 	front string
 	dir   string
 	proxy *proxy
-	fault sync.Mutex
 	cmd   *exec.Cmd
 	done  chan struct{}
+
+	signals, path sync.Mutex
 }
 
 // Ports of processes come from below the range of which the system takes ports
@@ -77,7 +79,7 @@
 	}
 	peers, front, ready := freePort(w.t), freePort(w.t), freePort(w.t)
 	p.front = fmt.Sprintf("127.0.0.1:%d", front)
-	text := fmt.Sprintf(settings, p.name, peers, peers+1, front, ready, p.proxy.address())
+	text := fmt.Sprintf(settings, p.name, peers, peers+1, front, ready, p.proxy.address(), w.maxLease.Milliseconds())
 	if err := os.WriteFile(filepath.Join(p.dir, "node.toml"), []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -18,10 +18,11 @@
 	deafOne        // requests go through, answers do not
 	resetting      // connections are reset, new ones too
 	losing         // a share of the connections is reset before an answer comes through
+	slow           // each chunk comes so late that calls time out before
 )
 
 func (m mode) String() string {
-	return []string{"passing", "delaying", "silent", "deaf one way", "resetting", "losing answers"}[m]
+	return []string{"passing", "delaying", "silent", "deaf one way", "resetting", "losing answers", "slow"}[m]
 }
 
 // lossShare of a losing proxy.
@@ -128,6 +129,9 @@
 			if m == delaying {
 				time.Sleep(time.Duration(50+rand.IntN(250)) * time.Millisecond)
 			}
+			if m == slow {
+				time.Sleep(time.Duration(200+rand.IntN(1300)) * time.Millisecond)
+			}
 			break
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,7 +39,6 @@
 	leastWorkers, mostWorkers = 8, 12
 	// leastWork and mostWork bound how long a task works.
 	leastWork, mostWork = 200 * time.Millisecond, 2 * time.Second
-	maxLease            = 6 * time.Second
 	longestStop         = 800 * time.Millisecond
 	slowClock           = 0.98
 )
@@ -56,6 +55,8 @@
 	wards   []sync.Mutex
 	procs   []*process
 	log     *os.File
+	// maxLease is the longest lease at a worker.
+	maxLease time.Duration
 
 	violations int
 
@@ -95,6 +96,7 @@
 	}
 	w.log = log
 	rng := w.rng(0)
+	w.maxLease = []time.Duration{6 * time.Second, 10 * time.Second}[rng.IntN(2)]
 	w.wards = make([]sync.Mutex, leastWorkers+rng.IntN(mostWorkers-leastWorkers+1))
 	for i := range w.wards {
 		w.addWorker(i, rng)
@@ -123,7 +125,7 @@
 	}
 	worker := wiretest.StartWorker(w.store, wiretest.WorkerOptions{
 		ID: fmt.Sprintf("i-%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%3),
-		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: maxLease,
+		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
 		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate,
 		Wrap: w.wrapWorker,
 	})
