--- a/node/repeated_start_test.go
+++ b/node/repeated_start_test.go
@@ -1,10 +1,6 @@
 package node_test
 
 import (
-	"io"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,33 +8,6 @@
 	"leverstile.dev/platform/wiretest"
 )
 
-// brokenStart stands before all workers of a cell. The first start that comes is
-// carried out, but its connection breaks before the answer; the second is refused as
-// by an unwell worker. All else passes.
-type brokenStart struct {
-	starts atomic.Int32
-}
-
-// before returns the handler that stands before a worker's.
-func (b *brokenStart) before(inner http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if !strings.HasSuffix(r.URL.Path, "/run-start") {
-			inner.ServeHTTP(rw, r)
-			return
-		}
-		switch b.starts.Add(1) {
-		case 1:
-			inner.ServeHTTP(httptest.NewRecorder(), r)
-			panic(http.ErrAbortHandler) // the connection ends without an answer
-		case 2:
-			_, _ = io.Copy(io.Discard, r.Body)
-			rw.WriteHeader(http.StatusServiceUnavailable)
-		default:
-			inner.ServeHTTP(rw, r)
-		}
-	})
-}
-
 // TestRefusedCopyOfAStartProvesNothing.
 //
 // What users saw: one task ran on two workers at once. Both runs had been ordered
@@ -56,24 +25,31 @@
 // earlier one.
 func TestRefusedCopyOfAStartProvesNothing(t *testing.T) {
 	c := newCell(t, 0, 0)
-	var broken brokenStart
+	var starts atomic.Int32
+	breakFirst := func(path string) wiretest.WorkerFault {
+		if path != "/run-start" {
+			return wiretest.WorkerSound
+		}
+		switch starts.Add(1) {
+		case 1:
+			return wiretest.WorkerLost // carried out, and the connection ends without an answer
+		case 2:
+			return wiretest.WorkerUnwell
+		default:
+			return wiretest.WorkerSound
+		}
+	}
 	for _, name := range []string{"i-a", "i-b"} {
 		w := wiretest.NewWorker(c.store, name, "svc", 2*time.Second)
 		w.OnRun(c.note)
-		w.Server.Config.Handler = broken.before(w.Server.Config.Handler)
+		w.SetFault(breakFirst)
 		c.workers = append(c.workers, w)
 	}
 	c.nodes = append(c.nodes, c.startNode("entry-0"))
 	c.submit(0, id(1), `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":100}]}`)
 	c.awaitState(0, id(1), "succeeded")
 	c.checkRuns()
-	starts := 0
-	for _, w := range c.workers {
-		for _, n := range w.Starts() {
-			starts += n
-		}
-	}
-	if starts != 1 {
-		t.Errorf("%d starts of one task that did not fail", starts)
+	if n := c.startsOf(id(1)); n != 1 {
+		t.Errorf("%d starts of one task that did not fail", n)
 	}
 }
