Tests of elections and lease ends whose answer is lost or that are done later

They pass: an election's write that got no answer is tried again under a new lease and a new term, one that is carried out later fails on its condition, and a lease that is ended late is not the next owner's.

--- /dev/null
+++ b/node/latestore_test.go
@@ -0,0 +1,95 @@
+package node_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"leverstile.dev/platform/wiretest"
+)
+
+// faultFirst has a fault befall the first calls with a path's beginning.
+func faultFirst(calls int32, path string, fault wiretest.Fault) func(method, path string) wiretest.Fault {
+	var seen atomic.Int32
+	return func(_, called string) wiretest.Fault {
+		if strings.HasPrefix(called, path) && seen.Add(1) <= calls {
+			return fault
+		}
+		return wiretest.FaultNone
+	}
+}
+
+// term returns who owns the cell by the store, and in which term.
+func (c *cell) term() (entry string, term uint64) {
+	c.t.Helper()
+	value, ok := c.store.Value("ls/own/lead")
+	if !ok {
+		return "", 0
+	}
+	var lead struct {
+		Entry string `json:"entry"`
+		Term  uint64 `json:"term"`
+	}
+	if err := json.Unmarshal(value, &lead); err != nil {
+		c.t.Fatal(err)
+	}
+	return lead.Entry, lead.Term
+}
+
+// An election whose write got no answer is tried again, whether the write took
+// effect or not; one that takes effect later does not depose the owner that was
+// elected since, and the lease that it named does not keep or end the ownership.
+func TestElectionsWithoutAnAnswer(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		fault wiretest.Fault
+		term  uint64
+	}{
+		{"carried out", wiretest.FaultLost, 2}, {"carried out, no answer", wiretest.FaultHeld, 2},
+		{"not carried out", wiretest.FaultDrop, 1}, {"carried out later", wiretest.FaultLate, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCell(t, 0, 2)
+			c.store.SetFault(faultFirst(1, "/kv-txn", x.fault))
+			c.nodes = append(c.nodes, c.startNode("entry-0"))
+			c.submit(0, id(1), twoSteps)
+			c.awaitState(0, id(1), "succeeded")
+			late := c.store.CarryOutLate()
+			if (late > 0) != (x.fault == wiretest.FaultLate) {
+				t.Errorf("%d late calls", late)
+			}
+			c.submit(0, id(2), twoSteps)
+			c.awaitState(0, id(2), "succeeded")
+			if _, term := c.term(); term != x.term {
+				t.Errorf("term %d, want %d", term, x.term)
+			}
+			c.checkRuns()
+		})
+	}
+}
+
+// A lease that is ended late, since the call of the owner that handed over took
+// long, is not that of the next owner.
+func TestLeaseEndedLate(t *testing.T) {
+	c := newCell(t, 1, 2)
+	c.submit(0, id(1), twoSteps)
+	c.awaitState(0, id(1), "succeeded")
+	c.nodes = append(c.nodes, c.startNode("entry-1"))
+	c.store.SetFault(faultFirst(1, "/kv-lease-end/", wiretest.FaultLate))
+	c.nodes[0].node.Drain()
+	c.awaitOwner(1) // the lease lapses
+	before, _ := c.store.Value("ls/own/lead")
+	if n := c.store.CarryOutLate(); n != 1 {
+		t.Fatalf("%d late calls", n)
+	}
+	for i := 2; i < 6; i++ {
+		c.submit(1, id(i), twoSteps)
+		c.awaitState(1, id(i), "succeeded")
+	}
+	if after, _ := c.store.Value("ls/own/lead"); !bytes.Equal(before, after) {
+		t.Errorf("owner %s became %s", before, after)
+	}
+	c.checkRuns()
+}
