Tests that a process elected again reaches no worker for seconds (fail)

Cause: Client.Abort closes idle connections too and leaves them in the pool. The next call takes one and fails ('use of closed network connection'), which is not a sign on which the client closes the host's idle connections or tries again, so that each of up to six costs a poll and a longer pause. A connection that is being opened while Abort runs is used for the call that was to be broken off.

--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -151,6 +151,60 @@
 	}
 }
 
+// TestCallsAfterAbort: the connections that Abort closed are not used again. An
+// owner that was elected again in the same process, within a millisecond, reached
+// no worker for 3.8 s: each poll failed on one more of them.
+func TestCallsAfterAbort(t *testing.T) {
+	const idle = 4
+	var arrived sync.WaitGroup
+	arrived.Add(idle)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Test") == "together" {
+			arrived.Done()
+			arrived.Wait()
+		}
+	}))
+	defer srv.Close()
+	c := testClient(t, idle)
+	call := Call{Address: strings.TrimPrefix(srv.URL, "http://"), Path: "/", Header: "X-Test", Value: "together", Timeout: time.Minute}
+	var running sync.WaitGroup
+	for range idle {
+		running.Go(func() {
+			if _, err := c.Post(call, func(int, []byte) {}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	running.Wait()
+	c.Abort()
+	call.Value = "alone"
+	for i := range idle {
+		if _, err := c.Post(call, func(int, []byte) {}); err != nil {
+			t.Errorf("call %d after Abort: %v", i, err)
+		}
+	}
+}
+
+// TestAbortWhileDialling: a connection that was being opened is not used for the
+// call that was broken off.
+func TestAbortWhileDialling(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	c := testClient(t, 1)
+	dialer := Dialer(time.Minute)
+	dialer.Control = func(string, string, syscall.RawConn) error {
+		c.Abort()
+		return nil
+	}
+	if conn, err := c.open(dialer, strings.TrimPrefix(srv.URL, "http://")); err == nil {
+		_ = conn.Close()
+		t.Error("the connection is used")
+	}
+	if len(c.conns) != 0 {
+		t.Errorf("%d connections are kept", len(c.conns))
+	}
+}
+
 // TestClientBoundsConnections: calls beyond the bound wait for a connection.
 func TestClientBoundsConnections(t *testing.T) {
 	const perHost, calls = 2, 8
--- /dev/null
+++ b/node/again_test.go
@@ -0,0 +1,37 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A process that loses its lease and is elected again at once starts nothing twice:
+// nothing of the earlier term is sent any more, and what runs is adopted.
+//
+// Users would see that tasks of up to 1.4 s lapse and start again, and that nothing
+// starts for 4 s: the end of the earlier term closes all connections to workers, and
+// the next term takes the closed ones from the pool, one a poll, until none is left.
+// The pauses between failed polls rise to 0.8 s meanwhile.
+func TestElectedAgainInOneProcess(t *testing.T) {
+	c := newCell(t, 1, 3)
+	next := 1
+	for want := uint64(2); want < 5; want++ {
+		from := next
+		for range 8 {
+			c.submit(0, id(next), twoSteps)
+			next++
+		}
+		c.store.EndLeases()
+		c.await(fmt.Sprintf("term %d", want), func() bool {
+			_, term := c.term()
+			return term == want
+		})
+		for i := from; i < next; i++ {
+			c.awaitState(0, id(i), "succeeded")
+		}
+	}
+	if n, want := startsAt(c.workers), 6*(next-1); n != want {
+		t.Errorf("%d starts of %d tasks", n, want)
+	}
+	c.checkRuns()
+}
