Abort leaves no closed connections behind, and stops those being opened

Done: Abort closes the idle connections through the pool, which forgets them; a connection that began to be opened before Abort and was ready after it is closed unused.

--- a/dial/client.go
+++ b/dial/client.go
@@ -51,6 +51,8 @@
 	mu    sync.Mutex // guards what follows
 	conns map[*clientConn]struct{}
 	hosts []calledHost
+	// aborts counts calls of Abort.
+	aborts int
 }
 
 // calledHost is a host that was called, and since when.
@@ -179,9 +181,14 @@
 	}
 }
 
-// Abort breaks off the calls under way and closes all connections.
+// errAborted: Abort came while a connection was being opened.
+var errAborted = errors.New("dial: the call was broken off")
+
+// Abort breaks off the calls under way and closes all connections. Later calls
+// open new ones.
 func (c *Client) Abort() {
 	c.mu.Lock()
+	c.aborts++
 	open := make([]*clientConn, 0, len(c.conns))
 	for conn := range c.conns {
 		open = append(open, conn)
@@ -189,22 +196,44 @@
 	c.mu.Unlock()
 	for _, conn := range open {
 		conn.aborted.Store(true)
-		_ = conn.Conn.Close() // its call, or the next one, sees the error
+		_ = conn.Conn.Close() // its call sees the error
 	}
+	// The idle ones must leave the pool: each would cost a later call.
+	c.http.CloseIdleConnections()
+}
+
+func (c *Client) abortCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborts
 }
 
 func (c *Client) open(dialer *net.Dialer, address string) (net.Conn, error) {
+	aborts := c.abortCount()
 	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	cc := &clientConn{Conn: conn, client: c}
-	c.mu.Lock()
-	c.conns[cc] = struct{}{}
-	c.mu.Unlock()
+	if !c.register(cc, aborts) {
+		_ = conn.Close()
+		return nil, errAborted
+	}
 	return cc, nil
 }
 
+// register makes a connection known to Abort. It reports false if Abort was called
+// since the connection began to be opened.
+func (c *Client) register(conn *clientConn, aborts int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborts != aborts {
+		return false
+	}
+	c.conns[conn] = struct{}{}
+	return true
+}
+
 // clientConn is a connection whose reads have a last look.
 type clientConn struct {
 	net.Conn
