The faults of the election tests befall the election

The first write of the store could be that of the customer's job, on a busy machine: TestElectionsWithoutAnAnswer failed once in 1 of 2 runs of the package, with term 1 in place of 2, and could pass without a fault at the election. It now awaits the election first. go test -race -run 'ElectionsWithout|LeaseEndedLate' -count=5 passes.

--- a/node/latestore_test.go
+++ b/node/latestore_test.go
@@ -10,15 +10,17 @@
 	"leverstile.dev/platform/wiretest"
 )
 
-// faultFirst has a fault befall the first calls with a path's beginning.
-func faultFirst(calls int32, path string, fault wiretest.Fault) func(method, path string) wiretest.Fault {
-	var seen atomic.Int32
-	return func(_, called string) wiretest.Fault {
-		if strings.HasPrefix(called, path) && seen.Add(1) <= calls {
+// faultFirst has a fault befall the first call with a path's beginning. It returns
+// how many such calls there were.
+func (c *cell) faultFirst(path string, fault wiretest.Fault) *atomic.Int32 {
+	seen := &atomic.Int32{}
+	c.store.SetFault(func(_, called string) wiretest.Fault {
+		if strings.HasPrefix(called, path) && seen.Add(1) == 1 {
 			return fault
 		}
 		return wiretest.FaultNone
-	}
+	})
+	return seen
 }
 
 // term returns who owns the cell by the store, and in which term.
@@ -52,8 +54,9 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := newCell(t, 0, 2)
-			c.store.SetFault(faultFirst(1, "/kv-txn", x.fault))
+			writes := c.faultFirst("/kv-txn", x.fault)
 			c.nodes = append(c.nodes, c.startNode("entry-0"))
+			c.await("the first election", func() bool { return writes.Load() > 0 })
 			c.submit(0, id(1), twoSteps)
 			c.awaitState(0, id(1), "succeeded")
 			late := c.store.CarryOutLate()
@@ -77,7 +80,7 @@
 	c.submit(0, id(1), twoSteps)
 	c.awaitState(0, id(1), "succeeded")
 	c.nodes = append(c.nodes, c.startNode("entry-1"))
-	c.store.SetFault(faultFirst(1, "/kv-lease-end/", wiretest.FaultLate))
+	c.faultFirst("/kv-lease-end/", wiretest.FaultLate)
 	c.nodes[0].node.Drain()
 	c.awaitOwner(1) // the lease lapses
 	before, _ := c.store.Value("ls/own/lead")
