A test that a worker which comes back is not polled (fails)

Cause: the core forgets a worker between two reads of the list; its poller ends and stays in owner.polled. When the next list names the worker again, syncPollers takes it for polled, and it gets no tasks until the owner changes.

--- /dev/null
+++ b/node/pollers_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/job"
+)
+
+// countedPolls is Workers that answer no poll and count them.
+type countedPolls struct {
+	Workers
+	polls atomic.Int32
+}
+
+func (w *countedPolls) Hold(context.Context, dispatch.HoldOrder) (dispatch.HoldReply, dispatch.Outcome) {
+	w.polls.Add(1)
+	return dispatch.HoldReply{}, dispatch.OutcomeUnknown
+}
+
+// TestWorkerThatComesBackIsPolled: a worker that the core forgets between two reads
+// of the list, and that the next one names again, is polled again.
+//
+// Users would see a worker that gets no tasks for as long as the owner lives: its
+// poller had ended, and still stood in the list of pollers.
+func TestWorkerThatComesBackIsPolled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		workers := &countedPolls{}
+		n := &Node{start: time.Now(), workers: workers, log: &log.Logger{Level: log.PanicLevel}, opts: Options{FreezeSlack: time.Hour}}
+		core := dispatch.New(dispatch.Params{MaxTaskLease: time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
+		core.Renewed(0)
+		o := &owner{
+			node: n, core: core, ctx: ctx, polled: map[dispatch.WorkerID]context.CancelFunc{}, wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
+			stop: func(error) { stop() },
+		}
+		list := func(infos ...dispatch.WorkerInfo) {
+			o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.SetWorkers(infos, now) })
+		}
+		info := dispatch.WorkerInfo{ID: "w", Service: "s"}
+		core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "s"}}})
+		list(info)
+		o.syncPollers()
+		time.Sleep(time.Second)
+		if workers.polls.Load() == 0 {
+			t.Fatal("the worker is not polled")
+		}
+		list()
+		o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.Tick(now) }) // the core forgets it
+		if len(core.Workers()) != 0 {
+			t.Fatal("the worker is known")
+		}
+		time.Sleep(time.Second) // its poller ends
+		workers.polls.Store(0)
+		list(info)
+		o.syncPollers()
+		time.Sleep(time.Second)
+		if workers.polls.Load() == 0 {
+			t.Error("the worker that came back is not polled")
+		}
+		stop()
+		o.running.Wait()
+	})
+}
