A poller that ends leaves the list of pollers at once

Done: pollLoop takes its entry out of owner.polled under the same lock under which it learns that the worker is forgotten.

--- a/node/contact.go
+++ b/node/contact.go
@@ -41,7 +41,14 @@
 func (o *owner) pollLoop(ctx context.Context, id dispatch.WorkerID) {
 	for ctx.Err() == nil {
 		var plan dispatch.HoldPlan
-		o.locked(func(c *dispatch.Core, now dispatch.Instant) { plan = c.PlanHold(id, now) })
+		o.locked(func(c *dispatch.Core, now dispatch.Instant) {
+			plan = c.PlanHold(id, now)
+			if plan.Gone && ctx.Err() == nil {
+				// A worker that comes back before the next syncPollers gets a new one.
+				o.polled[id]()
+				delete(o.polled, id)
+			}
+		})
 		if plan.Gone {
 			return
 		}
