Tests that the end of an ownership waits for calls (fail)

Cause: Abort closes the connections that there are. A call whose connection is being opened goes on (0.3 s), and one that waited for a connection, or that is tried again, begins on a new one: 0.4 s for an order, 2.1 s for a long poll. The owner now gives up its lease after its last call, so this is time without an owner.

--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"context"
 	"io"
 	"log"
 	"net"
@@ -205,6 +206,34 @@
 	}
 }
 
+// TestAbortEndsDialling: the caller does not wait for a peer that is cut off.
+func TestAbortEndsDialling(t *testing.T) {
+	c := testClient(t, 1)
+	dialer := Dialer(time.Hour)
+	began := make(chan struct{})
+	dialer.Control = nil
+	dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		close(began)
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	failed := make(chan error)
+	go func() {
+		_, err := c.open(dialer, "127.0.0.1:1")
+		failed <- err
+	}()
+	<-began
+	c.Abort()
+	select {
+	case err := <-failed:
+		if err == nil {
+			t.Error("a connection was opened")
+		}
+	case <-time.After(30 * time.Second):
+		t.Error("the connection is still being opened")
+	}
+}
+
 // TestClientBoundsConnections: calls beyond the bound wait for a connection.
 func TestClientBoundsConnections(t *testing.T) {
 	const perHost, calls = 2, 8
