The end of an ownership breaks off every call

Done: Abort also ends the opening of connections, and the end of an ownership calls it each 20 ms until no call is under way.

--- a/dial/client.go
+++ b/dial/client.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -51,8 +52,9 @@
 	mu    sync.Mutex // guards what follows
 	conns map[*clientConn]struct{}
 	hosts []calledHost
-	// aborts counts calls of Abort.
-	aborts int
+	// dialling ends with the next Abort.
+	dialling     context.Context
+	stopDialling context.CancelFunc
 }
 
 // calledHost is a host that was called, and since when.
@@ -92,6 +94,7 @@
 // NewClient returns a client. An idle connection is kept for idleTimeout.
 func NewClient(limits Limits, dialTimeout, idleTimeout time.Duration) *Client {
 	c := &Client{perHost: limits.PerHost, mostOpen: limits.MostOpen, conns: map[*clientConn]struct{}{}}
+	c.dialling, c.stopDialling = context.WithCancel(context.Background())
 	dialer := Dialer(dialTimeout)
 	c.http = fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
@@ -188,7 +191,8 @@
 // open new ones.
 func (c *Client) Abort() {
 	c.mu.Lock()
-	c.aborts++
+	c.stopDialling()
+	c.dialling, c.stopDialling = context.WithCancel(context.Background())
 	open := make([]*clientConn, 0, len(c.conns))
 	for conn := range c.conns {
 		open = append(open, conn)
@@ -202,20 +206,20 @@
 	c.http.CloseIdleConnections()
 }
 
-func (c *Client) abortCount() int {
+func (c *Client) dialContext() context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.aborts
+	return c.dialling
 }
 
 func (c *Client) open(dialer *net.Dialer, address string) (net.Conn, error) {
-	aborts := c.abortCount()
-	conn, err := dialer.Dial("tcp", address)
+	ctx := c.dialContext()
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	cc := &clientConn{Conn: conn, client: c}
-	if !c.register(cc, aborts) {
+	if !c.register(ctx, cc) {
 		_ = conn.Close()
 		return nil, errAborted
 	}
@@ -223,11 +227,11 @@
 }
 
 // register makes a connection known to Abort. It reports false if Abort was called
-// since the connection began to be opened.
-func (c *Client) register(conn *clientConn, aborts int) bool {
+// since the connection began to be opened: the context has ended then.
+func (c *Client) register(ctx context.Context, conn *clientConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborts != aborts {
+	if ctx.Err() != nil {
 		return false
 	}
 	c.conns[conn] = struct{}{}
--- a/node/owner.go
+++ b/node/owner.go
@@ -32,6 +32,9 @@
 	orderBytes = 2700
 	// leastOrders are under way however small the link.
 	leastOrders = 8
+	// abortPause is the pause before calls that are still under way at the end of an
+	// ownership are broken off again.
+	abortPause = 20 * time.Millisecond
 )
 
 // ordersFor returns how many orders may be under way on a link that carries so
@@ -121,8 +124,21 @@
 	o.node.current.CompareAndSwap(o, nil)
 	o.node.sparing.Store(false)
 	o.stop(errNotOwner)
-	o.node.workers.Abort() // long polls would hold up the next election for seconds
-	o.running.Wait()
+	over := make(chan struct{})
+	go func() {
+		o.running.Wait()
+		close(over)
+	}()
+	// Long polls would hold up the next election for seconds. A call that waited
+	// for a connection begins only when others are broken off.
+	for {
+		o.node.workers.Abort()
+		select {
+		case <-over:
+			return
+		case <-time.After(abortPause):
+		}
+	}
 }
 
 // handOver writes what waits and gives up the lease, so that the next owner
