--- a/node/node_test.go
+++ b/node/node_test.go
@@ -383,6 +383,28 @@
 	})
 }
 
+// Records of old jobs are removed also while jobs come without a pause. Else the
+// store grows all day, and so does what the next owner reads before its first order.
+func TestRecordsOfOldJobsAreRemovedUnderLoad(t *testing.T) {
+	const jobs, mostKept = 60, 30
+	c := newCell(t, 0, 2)
+	c.jobKept = 10 * time.Millisecond
+	c.nodes = append(c.nodes, c.startNode("entry-0"))
+	next := 1
+	play := func() {
+		c.submit(0, id(next), twoSteps)
+		c.await(id(next), func() bool { return c.startsOf(id(next)) == 6 })
+		next++
+	}
+	for next <= jobs {
+		play()
+	}
+	c.await("the removal of old jobs while others come", func() bool {
+		play()
+		return len(c.store.Keys("ls/in/job/")) <= mostKept
+	})
+}
+
 // A queue with a placement policy starts its tasks only at workers that the
 // policy allows, with their tickets; a call that fails is made again.
 func TestQueueWithPlacementPolicy(t *testing.T) {
