--- a/node/record.go
+++ b/node/record.go
@@ -20,7 +20,7 @@
 	// entries, of which two are conditions and five other keys.
 	flushRecords = 25
 	// idleFlush is the pause after which a flush is tried without news: for what
-	// was learnt, and for records to be removed.
+	// was learnt, and for the last records to be removed.
 	idleFlush = 3 * time.Second
 	// removeJobs is the most finished jobs whose three records are removed in
 	// one write.
@@ -52,6 +52,7 @@
 			sleep(o.ctx, flushPauseBehind)
 		default:
 			wait.reset()
+			o.removeBatch()
 			sleep(o.ctx, flushPause)
 		}
 		if again {
@@ -116,6 +117,20 @@
 	return true
 }
 
+// removeBatch removes records of old jobs once there are as many as one write takes:
+// while jobs come, no flush is without news.
+func (o *owner) removeBatch() {
+	o.mu.Lock()
+	full := len(o.core.Expired(removeJobs)) == removeJobs
+	o.mu.Unlock()
+	if !full {
+		return
+	}
+	o.writing.Lock()
+	defer o.writing.Unlock()
+	o.removeExpired(o.ctx)
+}
+
 // removeExpired removes the records of jobs that ended long ago.
 func (o *owner) removeExpired(ctx context.Context) bool {
 	o.mu.Lock()
