--- a/node/latestore_test.go
+++ b/node/latestore_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"leverstile.dev/platform/wiretest"
 )
@@ -96,3 +98,38 @@
 	}
 	c.checkRuns()
 }
+
+// A store that is down for longer than the owner's lease lasts leads to no second
+// start, whether leases waited or ran out meanwhile.
+func TestStoreDownForLongerThanLeases(t *testing.T) {
+	const down = 3 * time.Second
+	for _, wait := range []bool{true, false} {
+		t.Run(fmt.Sprintf("leases wait %v", wait), func(t *testing.T) {
+			c := newCell(t, 2, 3)
+			c.submit(0, id(1), twoSteps)
+			c.awaitState(0, id(1), "succeeded")
+			const jobs = 12
+			for i := 2; i < jobs; i++ {
+				c.submit(i%2, id(i), twoSteps)
+			}
+			c.store.SetFault(func(string, string) wiretest.Fault { return wiretest.FaultDrop })
+			time.Sleep(down)
+			if wait {
+				c.store.RenewLeases()
+			}
+			c.store.SetFault(nil)
+			for i := 2; i < jobs; i++ {
+				c.awaitState(i%2, id(i), "succeeded")
+			}
+			c.submit(0, id(jobs), twoSteps)
+			c.awaitState(1, id(jobs), "succeeded")
+			if n := startsAt(c.workers); n != 6*jobs {
+				t.Errorf("%d starts of %d tasks", n, 6*jobs)
+			}
+			if _, term := c.term(); (term == 1) != wait {
+				t.Errorf("term %d", term)
+			}
+			c.checkRuns()
+		})
+	}
+}
