Simulate refusals, broken connections, handovers, quick restarts, old entries and late news

Cause: a task ran twice at once on a deployment, both runs ordered by one entry. The simulation of the core knew no refusal, no start that its transport sends twice by itself, no owner whose next life takes over within a second or that hands over, no long poll, no entry that comes and goes, no job that is heard of twice, no worker that was idle for long.

Done: eleven further kinds of faults, one at a time beside those of faultsRun and most of them at once, each off for the older tests, whose seeds play as before. Each has a safeguard without which the oracle finds it. The states of removed jobs are checked as those of known ones.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -28,6 +28,9 @@
 	}
 	for id := range s.specs {
 		state, known := s.owner.core.Status(id)
+		if last, removed := s.removed[id]; removed {
+			state, known = last, true
+		}
 		want := state == job.Succeeded || s.cancelled[id] > 0 && state == job.Cancelled
 		if !known || !want {
 			t.Errorf("job %s is %q (known %v)", id, state, known)
--- /dev/null
+++ b/dispatch/faults_test.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"flag"
+	"testing"
+	"time"
+)
+
+// moreSeeds is how many seeds each further kind of fault is played with; the first is
+// that of the other runs.
+var moreSeeds = flag.Uint64("dispatch.more", 1, "number of seeds of each further kind of fault")
+
+// faultCase is one kind of fault beside those of faultsRun, and a safeguard without
+// which the oracle finds it.
+type faultCase struct {
+	name  string
+	setup func(s *sim)
+	// played counts what was played of it.
+	played func(s *sim) int
+	// without is the safeguard that unguard takes away.
+	without string
+	unguard func(s *sim)
+}
+
+// refusingWorkers makes workers refuse starts, one at a time and for a while.
+func refusingWorkers(s *sim) {
+	s.refuseShare, s.noRoomShare = 0.05, 0.03
+	s.extra = func(s *sim) {
+		s.workers[s.rng.IntN(len(s.workers))].unwellUntil = s.now + s.within(3*time.Second)
+	}
+}
+
+func brokenConnections(s *sim) {
+	refusingWorkers(s)
+	s.breakShare = 0.03
+}
+
+func lateAnswers(s *sim) {
+	s.longPolls, s.lateAnswerShare, s.delayShare = true, 0.15, 0.02
+}
+
+func entriesComeAndGo(s *sim) {
+	s.oldEntries = true
+	s.extra = func(s *sim) {
+		if s.rng.IntN(4) == 0 {
+			s.crash(s.rng.IntN(len(s.workers)))
+			return
+		}
+		s.workers[s.rng.IntN(len(s.workers))].unlisted = s.now + s.within(8*time.Second)
+	}
+}
+
+func quickRestarts(s *sim) {
+	s.delayShare = 0.02
+	s.extra = func(s *sim) {
+		if s.rng.IntN(4) == 0 {
+			s.restart(1 + s.rng.IntN(3))
+		}
+	}
+}
+
+func handovers(s *sim) {
+	s.delayShare, s.quietHandover = 0.02, true
+	s.extra = func(s *sim) {
+		if s.rng.IntN(3) == 0 {
+			s.handOver()
+		}
+	}
+}
+
+func lateNews(s *sim) { s.lateWatches = true }
+
+func rereads(s *sim) {
+	s.lateWatches = true
+	s.extra = func(s *sim) { s.reread() }
+}
+
+func movedTasks(s *sim) {
+	s.lasting, s.slowStops, s.delayShare = true, true, 0.02
+	s.extra = func(s *sim) {
+		if s.rng.IntN(2) == 0 {
+			s.drain(s.rng.IntN(len(s.workers)))
+		}
+	}
+}
+
+func idleWorkers(s *sim) { s.idle(10 * time.Minute) }
+
+func allAtOnce(s *sim) {
+	brokenConnections(s)
+	lateAnswers(s)
+	lateNews(s)
+	s.oldEntries, s.lasting, s.slowStops, s.quietHandover, s.notSentShare = true, true, true, true, 0.02
+	s.breakShare, s.delayShare = 0.01, 0.01
+	s.extra = func(s *sim) {
+		i := s.rng.IntN(len(s.workers))
+		switch s.rng.IntN(8) {
+		case 0:
+			s.restart(1 + s.rng.IntN(3))
+		case 4:
+			s.handOver()
+		case 5:
+			s.reread()
+		case 1:
+			s.drain(i)
+		case 2:
+			s.crash(i)
+		case 3:
+			s.workers[i].unwellUntil = s.now + s.within(3*time.Second)
+		default:
+			s.workers[i].unlisted = s.now + s.within(8*time.Second)
+		}
+	}
+}
+
+func moreFaultCases() []faultCase {
+	return []faultCase{
+		{
+			"workers refuse starts", refusingWorkers, func(s *sim) int { return s.refused },
+			"a refusal after an unanswered copy proves nothing", func(s *sim) { s.forgetTries, s.delayShare = true, 0.1 },
+		},
+		{
+			"connections break before the answer", brokenConnections, func(s *sim) int { return s.refused },
+			"the transport sends nothing twice by itself", func(s *sim) { s.hiddenCopies = true },
+		},
+		{
+			"answers overtake each other", lateAnswers, func(*sim) int { return 1 },
+			"a list that is older than a run says nothing of it", func(s *sim) { s.believeOldLists = true },
+		},
+		{
+			"entries of workers come and go", entriesComeAndGo, func(s *sim) int { return s.listedLate },
+			"a worker that is not listed may live", func(s *sim) { s.believeEntries = true },
+		},
+		{
+			"the owner's next life takes over at once", quickRestarts, func(s *sim) int { return s.restarts },
+			"the roster is kept", func(s *sim) { s.dropRoster = true },
+		},
+		{
+			"owners hand over", handovers, func(s *sim) int { return s.handovers },
+			"an owner stops before it ends its lease", func(s *sim) { s.quietHandover, s.extra = false, (*sim).handOver },
+		},
+		{
+			"owners hear of jobs late and twice", lateNews, func(*sim) int { return 1 },
+			"a replaced owner takes in no new jobs", func(s *sim) { s.params.OwnerTTL = s.params.OwnerHorizon },
+		},
+		{
+			"lasting tasks are moved off workers that drain", movedTasks, func(*sim) int { return 1 },
+			"a list that is older than a run says nothing of it", func(s *sim) { s.believeOldLists = true },
+		},
+		{
+			"all of these at once", allAtOnce, func(s *sim) int { return s.refused * s.listedLate * s.restarts },
+			"workers check the term", func(s *sim) { s.noFence = true },
+		},
+		{
+			"all jobs are read again", rereads, func(s *sim) int { return s.rereads },
+			"jobs that have ended are known", func(s *sim) { s.params.JobKept = 4 * time.Second },
+		},
+		{
+			"workers were idle for long", idleWorkers, func(*sim) int { return 1 },
+			"the roster is kept", func(s *sim) { s.dropRoster = true },
+		},
+	}
+}
+
+// TestMoreFaults plays one more kind of fault at a time, beside all of faultsRun.
+func TestMoreFaults(t *testing.T) {
+	for _, c := range moreFaultCases() {
+		t.Run(c.name, func(t *testing.T) {
+			played := 0
+			for n := range *moreSeeds {
+				seed := *simFirst + n
+				s := faultsRun(seed, c.setup)
+				played += c.played(s)
+				checkAll(t, s)
+				if t.Failed() {
+					t.Fatalf("seed %d", seed)
+				}
+			}
+			if played == 0 {
+				t.Error("the fault was not played")
+			}
+		})
+	}
+}
+
+// TestMoreFaultsAreFound: without its safeguard, each kind of fault breaks something.
+func TestMoreFaultsAreFound(t *testing.T) {
+	for _, c := range moreFaultCases() {
+		t.Run(c.name+", without: "+c.without, func(t *testing.T) {
+			for seed := range uint64(mutationSeeds) {
+				s := faultsRun(seed, func(s *sim) { c.setup(s); c.unguard(s) })
+				if len(s.oracle.broken) > 0 {
+					t.Logf("seed %d: %s", seed, s.oracle.broken[0])
+					return
+				}
+			}
+			t.Errorf("not found in %d seeds", mutationSeeds)
+		})
+	}
+}
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -25,7 +25,7 @@
 	s.failShare = 0.05
 	s.lossShare = 0.02 * float64(seed%4)
 	id := 0
-	for s.now < 40*time.Second && len(s.oracle.broken) == 0 {
+	for end := s.now + 40*time.Second; s.now < end && len(s.oracle.broken) == 0; {
 		s.step()
 		if s.rng.IntN(25) == 0 {
 			id++
@@ -34,6 +34,13 @@
 		if s.rng.IntN(100) == 0 {
 			s.fault()
 		}
+		if s.lasting && s.rng.IntN(100) == 0 {
+			id++
+			s.submitLasting(id)
+		}
+		if s.extra != nil && s.rng.IntN(60) == 0 {
+			s.extra(s)
+		}
 	}
 	s.calm()
 	s.run(60 * time.Second)
@@ -94,6 +101,7 @@
 
 // calm ends all faults.
 func (s *sim) calm() {
+	s.calmMore()
 	s.lossShare, s.failShare, s.storeDown = 0, 0, false
 	for dc := range s.evacuated {
 		s.setEvacuated(dc, false)
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -31,6 +31,9 @@
 	polling    map[WorkerID]bool
 	leadEnd    time.Duration // when its lease at the store is over
 	writing    bool
+	removing   bool
+	// handedOver: its lease was ended at the store, which it has not heard yet.
+	handedOver bool
 }
 
 // sim drives owners against workers and a store, with faults, in virtual time.
@@ -68,6 +71,7 @@
 	// not. That holds while workers can be reached and the owner lives.
 	strict bool
 
+	moreFaults
 	adopted int
 	closed  int // entries found closed at takeovers
 	trace   []string
@@ -140,6 +144,9 @@
 
 func (s *sim) travel(w *simWorker, term uint64, do func(w *simWorker), answered func(), lost func()) {
 	travel := time.Duration(1+s.rng.IntN(15)) * time.Millisecond
+	if s.travelFault(w, term, travel, do, answered, lost) {
+		return
+	}
 	roll := s.rng.Float64()
 	switch {
 	case w == nil || w.unreached(term) || roll < s.lossShare:
@@ -157,7 +164,7 @@
 				return
 			}
 			do(w)
-			s.later(time.Duration(1+s.rng.IntN(60))*time.Millisecond, answered)
+			s.later(s.answerTime(), answered)
 		})
 	}
 }
@@ -230,12 +237,23 @@
 			list = append(list, w.info)
 		}
 	}
-	o.core.SetWorkers(list, s.instant())
+	o.core.SetWorkers(s.listed(list), s.instant())
+	if s.believeEntries {
+		for _, w := range o.core.workers {
+			if !w.listed {
+				w.overReason = "not listed"
+			}
+		}
+	}
 }
 
 func (s *sim) submit(spec *job.Spec) {
 	s.specs[spec.ID] = spec
 	s.order = append(s.order, spec.ID)
+	if s.lateWatches {
+		s.announce(spec)
+		return
+	}
 	for _, o := range append(slices.Clone(s.old), s.owner) {
 		if o != nil {
 			s.watched(o, func() { o.core.AddJob(spec, nil, false, s.instant()) })
@@ -287,7 +305,8 @@
 // flush writes progress, unless the store is down or another owner has taken
 // over: the store checks that.
 func (s *sim) flush(o *simOwner) {
-	if s.storeDown || o.cutStore || o != s.owner || o.writing {
+	s.removeExpired(o)
+	if s.storeDown || o.cutStore || o != s.owner || o.handedOver || o.writing {
 		return
 	}
 	records, err := o.core.Records(5)
@@ -309,7 +328,7 @@
 	}
 	o.writing = true
 	s.later(time.Duration(2+s.rng.IntN(30))*time.Millisecond, func() {
-		if o == s.owner && !s.storeDown {
+		if o == s.owner && !o.handedOver && !s.storeDown {
 			for _, r := range records {
 				s.progress[r.Job] = r.Value
 			}
@@ -359,9 +378,13 @@
 
 func (s *sim) dispatch(o *simOwner) {
 	for _, order := range o.core.TakeOrders() {
+		if order.Kind == OrderStart && s.chance(s.notSentShare) {
+			s.notSent(o, order)
+			continue
+		}
 		var answer Answer
 		s.call(o, s.byAddress(order.Address), order.Term, func(w *simWorker) { answer = w.order(order) },
-			func() { s.answer(o, func() { o.core.OrderDone(order, answer, s.instant()) }) },
+			func() { s.answer(o, func() { s.orderDone(o.core, order, answer) }) },
 			func() {
 				s.answer(o, func() { o.core.OrderDone(order, Answer{Outcome: OutcomeUnknown}, s.instant()) })
 			})
@@ -392,15 +415,23 @@
 		pause := s.holdDone(o.core, plan.Order, reply, outcome)
 		s.later(pause+time.Duration(s.rng.IntN(300))*time.Millisecond, func() { o.polling[id] = false })
 	}
-	s.call(o, s.byAddress(plan.Order.Address), plan.Order.Term, func(w *simWorker) { reply, outcome = w.hold(plan.Order) },
-		func() { s.answer(o, func() { finish(reply, outcome) }) },
-		func() { s.answer(o, func() { finish(HoldReply{}, OutcomeUnknown) }) })
+	var at *simWorker
+	lost := func() { s.answer(o, func() { finish(HoldReply{}, OutcomeUnknown) }) }
+	s.call(o, s.byAddress(plan.Order.Address), plan.Order.Term, func(w *simWorker) { at = w; reply, outcome = w.hold(plan.Order) },
+		func() {
+			if s.longPolls && outcome == OutcomeOK {
+				s.awaitEnd(at, plan.Order, func(reply HoldReply) { s.answer(o, func() { finish(reply, OutcomeOK) }) }, lost)
+				return
+			}
+			s.answer(o, func() { finish(reply, outcome) })
+		}, lost)
 }
 
 // holdDone takes in an answer. With hastyRetry, tasks that failed are started
 // again as if all workers of the previous owner had answered.
 func (s *sim) holdDone(core *Core, order HoldOrder, reply HoldReply, outcome Outcome) time.Duration {
 	w := core.workers[order.Worker]
+	s.misread(core, w, reply)
 	if s.hastyRetry && w != nil && w.synced {
 		waiting, open := core.unresolved, core.openUnresolved
 		core.unresolved, core.openUnresolved = nil, 0
@@ -433,7 +464,7 @@
 	}
 	if s.now < s.renewalsLost {
 		// Renewals are carried out or not; the owner hears of none.
-	} else if s.owner != nil && !s.owner.dead && !s.owner.paused && !s.owner.cutStore && !s.storeDown {
+	} else if s.owner != nil && !s.owner.handedOver && !s.owner.dead && !s.owner.paused && !s.owner.cutStore && !s.storeDown {
 		s.owner.leadEnd = s.now + simTTL
 		s.owner.core.Renewed(s.now)
 		s.list(s.owner)
@@ -460,6 +491,7 @@
 	}
 	w.advance()
 	s.oracle.crashed(w)
+	s.leaveEntry(w)
 	w.alive = false
 	w.running = map[job.TaskID]*simRun{}
 	s.later(time.Duration(200+s.rng.IntN(4000))*time.Millisecond, func() { s.workers[i] = s.newWorker(i) })
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -29,6 +29,9 @@
 	highest  map[job.TaskID]uint64 // highest run stopped or ended here
 	seen     uint64
 	lapsed   time.Duration // when its lease was last found to be over
+	// unwellUntil: until then it refuses starts, and does nothing for them.
+	unwellUntil time.Duration
+	unlisted    time.Duration // until then the platform does not list it
 }
 
 type simRun struct {
@@ -37,6 +40,8 @@
 	ends  time.Duration // when its work is done
 	fails bool
 	since time.Duration
+	// stopping: a stop was ordered and takes its time.
+	stopping bool
 }
 
 // percent returns the part of the run's work that is done.
@@ -108,11 +113,16 @@
 	for len(w.ended) > 0 && w.ended[0].Number <= w.seen {
 		w.ended = w.ended[1:]
 	}
+	return w.lists(), OutcomeOK
+}
+
+// lists returns what the worker tells of itself.
+func (w *simWorker) lists() HoldReply {
 	reply := HoldReply{ClockMS: w.clock(), Ended: append([]EndedTask(nil), w.ended...)}
 	for _, r := range w.sorted() {
 		reply.Running = append(reply.Running, RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now)})
 	}
-	return reply, OutcomeOK
+	return reply
 }
 
 // order carries out an Order.
@@ -121,6 +131,9 @@
 	if !w.alive || o.Worker != w.info.ID {
 		return Answer{Outcome: OutcomeOtherLife}
 	}
+	if o.Kind == OrderStart && w.refuses() {
+		return Answer{Outcome: OutcomeUnwell}
+	}
 	if o.Term < w.term && !w.sim.noFence {
 		return Answer{Outcome: OutcomeFenced, ClockMS: w.clock()}
 	}
@@ -131,12 +144,34 @@
 	case OrderStop:
 		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 		if r := w.running[o.Task]; r != nil && r.run <= o.Run {
-			w.end(r, EndStopped)
+			w.stop(r)
 		}
 	}
 	return Answer{Outcome: OutcomeOK, ClockMS: w.clock()}
 }
 
+// stop ends a run, with slowStops some time later: it runs until then, and may end
+// by itself.
+func (w *simWorker) stop(r *simRun) {
+	if !w.sim.slowStops {
+		w.end(r, EndStopped)
+		return
+	}
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	w.sim.later(w.sim.within(simStopTime), func() {
+		w.advance()
+		if w.running[r.task] == r {
+			w.end(r, EndStopped)
+		}
+	})
+}
+
+// simStopTime is the longest that a stop takes.
+const simStopTime = 900 * time.Millisecond
+
 func (w *simWorker) startRun(o Order) Answer {
 	w.lease = max(w.lease, min(o.DeadlineMS, w.clock()+w.sim.params.MaxTaskLease.Milliseconds()))
 	clock := w.clock()
@@ -151,6 +186,10 @@
 	case w.running[o.Task] != nil:
 		return Answer{Outcome: OutcomeOld, ClockMS: clock}
 	}
+	if w.sim.chance(w.sim.noRoomShare) {
+		w.sim.refused++
+		return Answer{Outcome: OutcomeNoRoom, ClockMS: clock}
+	}
 	work := time.Duration(200+w.sim.rng.IntN(2500)) * time.Millisecond
 	if w.sim.specs[o.Task.Job].Steps[o.Task.Step].Lasting {
 		work = time.Hour
