A failing test: a job that expired is taken for new when all jobs are read again

Cause: Core.dropOldJobs forgets a job before its records are removed from the store. When the store has lost its history, the owner reads all jobs and offers them as new (intakeLoop); one that waits to be removed, or was removed while the answer was on its way, is built without its progress, and all its tasks start again.

Done: a test of both moments. It fails and is left so; the product is not changed.

--- /dev/null
+++ b/dispatch/reread_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// endedCore returns a core with a job that has ended, whose end is stored and whose time
+// to be kept is over, and the job's spec is that of simpleJob(1, 1).
+func endedCore(t *testing.T) (*Core, Instant) {
+	t.Helper()
+	core, now := idleCore(t, 1)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.Schedule(now)
+	list := starts(core)
+	if len(list) != 1 {
+		t.Fatalf("%d starts", len(list))
+	}
+	end := EndedTask{Number: 1, Task: list[0].Task, Run: list[0].Run, Kind: EndDone}
+	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 1100, Ended: []EndedTask{end}}, OutcomeOK, now)
+	records, err := core.Records(9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core.Persisted(records)
+	now.Steady += core.params.JobKept + time.Second
+	core.Renewed(now.Steady)
+	core.Tick(now)
+	return core, now
+}
+
+// TestExpiredJobDoesNotRunAgain: the store still holds a job whose record is about to be
+// removed. An owner that reads all jobs again, since the store has lost its history, must not
+// take it for new; nor when that answer was read after the removal and sent before.
+func TestExpiredJobDoesNotRunAgain(t *testing.T) {
+	for name, removed := range map[string]bool{"to be removed": false, "removed": true} {
+		t.Run(name, func(t *testing.T) {
+			core, now := endedCore(t)
+			if ids := core.Expired(9); len(ids) != 1 {
+				t.Fatalf("%d jobs are to be removed", len(ids))
+			}
+			if removed {
+				core.Removed(1, 70)
+			}
+			core.AddJob(simpleJob(1, 1), nil, false, now)
+			core.Tick(now)
+			if n := len(starts(core)); n != 0 {
+				t.Error("a task of a job that has ended is started again")
+			}
+		})
+	}
+}
