Leases end with the owner's right also at workers whose clocks were not read for long

Cause: a deadline was bounded by the right as counted from an estimate that takes the worker's clock for running in time; it may run 2% slow. Change: it is bounded by the least that the clock may show when the right ends, counted from its last reading.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -183,13 +183,18 @@
 // deadlineIn returns a deadline on the worker's clock that is ahead from now,
 // but not beyond the owner's right to give orders; 0 if that is over.
 func (c *Core) deadlineIn(w *worker, ahead time.Duration, now Instant) int64 {
-	ahead = min(ahead, c.params.MaxTaskLease)
-	right := time.Duration(float64(c.validUntil-now.Steady) * clockRate)
-	ahead = min(ahead, right)
-	if ahead <= 0 {
+	clock := w.clockNow(now)
+	deadline := min(clock+min(ahead, c.params.MaxTaskLease).Milliseconds(), w.leastAt(c.validUntil))
+	if deadline <= clock {
 		return 0
 	}
-	d := w.clockNow(now) + ahead.Milliseconds()
-	w.lastDeadline = max(w.lastDeadline, d)
-	return d
+	w.lastDeadline = max(w.lastDeadline, deadline)
+	return deadline
+}
+
+// leastAt returns the least that the worker's clock may show at a time to come. It
+// counts from the last reading: the clock of a worker that was idle for a minute
+// may be 1.2 s behind the estimate, and a lease by the estimate outlasted the right.
+func (w *worker) leastAt(t time.Duration) int64 {
+	return w.clock + int64(float64((t-w.clockAt).Milliseconds())*clockRate)
 }
