--- /dev/null
+++ b/dispatch/olderlist_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestListOfAPollBeforeTheStartProvesNothing: a list that lacks a run ends it only
+// if its poll was sent after the run was known to be there.
+//
+// A worker that answers polls and orders on several threads may gather its list a
+// moment before it carries out a start, and read the clock for clock_ms a moment
+// after: clock_ms is told of the answer, not of the list. The owner takes the
+// running task for gone. With nothing else of its own at that worker it does not ask
+// there again, so that the run ends done without a stop, beside the second one.
+func TestListOfAPollBeforeTheStartProvesNothing(t *testing.T) {
+	core, now := idleCore(t, 2)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.Schedule(now)
+	first := starts(core)
+	if len(first) != 1 {
+		t.Fatalf("%d starts", len(first))
+	}
+	now.Steady += time.Millisecond
+	poll := core.PlanHold(first[0].Worker, now).Order
+	now.Steady += 5 * time.Millisecond // the poll is on its way as the start is carried out
+	core.OrderDone(first[0], Answer{Outcome: OutcomeOK, ClockMS: 1005}, now)
+	core.HoldDone(poll, HoldReply{ClockMS: 1006}, OutcomeOK, now)
+	core.Tick(now)
+	if n := len(starts(core)); n != 0 {
+		t.Errorf("%d more starts of a task that runs", n)
+	}
+}
