A run is given up only on a second list, asked for after the first

Cause: missing() dated a list by the clock of its answer. A worker with several threads may gather the list, carry out a start, and read the clock then; a poll is nearly always under way, and a worker with nothing else of the owner's is not asked again, so the run went on unseen beside the next one. This explains the incident as well as the repeated start does; which of the two it was is not known. Weighed: a margin on the clocks (any figure is a guess); trusting only polls sent after the start's answer (does not cover starts without an answer). Chosen: two lists in a row, the second poll sent after the first was read, at once and not held. Cost: one call for each run that is missing.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -112,6 +112,10 @@
 	// ackClock is the worker's clock at the answer that confirmed the run;
 	// 0 while the start is unanswered. A list read before is older.
 	ackClock int64
+	// missed is set while the newest lists lack the run since it was last known to
+	// be there, missedAt is when the first of them was read; see missing.
+	missed   bool
+	missedAt time.Duration
 	tries    int
 	started  time.Duration
 	stopping bool
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -16,6 +16,9 @@
 	foreignRetry = 500 * time.Millisecond
 )
 
+// full reports whether the worker may have more ends than it has told.
+func (r HoldReply) full() bool { return len(r.Ended) >= maxEndsListed }
+
 // takeEnds takes in ends in their order, each once.
 func (c *Core) takeEnds(w *worker, ends []EndedTask, now Instant) {
 	slices.SortFunc(ends, func(a, b EndedTask) int { return int(a.Number) - int(b.Number) })
@@ -133,12 +136,17 @@
 		t.checkpoint = row.Checkpoint
 		t.step.checkpoint = row.Checkpoint
 	}
+	a.missed = false
 	a.atWork = row.Percent == fullPace
 	c.noteProgress(a, row.Percent, now)
 	c.read(a, row, now)
 }
 
 // missing handles an attempt that a list lacks, and whose end was not told.
+//
+// One such list proves nothing: its clock is that of the answer, and a worker may
+// have gathered it a moment before it carried out the start. So it takes a second
+// one, of a poll that was sent after the first was read.
 func (c *Core) missing(a *attempt, reply HoldReply, now Instant) {
 	if a.ackClock == 0 && reply.ClockMS <= a.deadline {
 		return // the start order may still arrive
@@ -146,9 +154,16 @@
 	if a.ackClock > 0 && reply.ClockMS <= a.ackClock {
 		return // the list is older than the run
 	}
-	if len(reply.Ended) >= maxEndsListed {
+	if reply.full() {
 		return // its end may not have had room in the answer
 	}
+	if !a.missed {
+		a.missed, a.missedAt = true, now.Steady
+		return
+	}
+	if a.worker.holdSent < a.missedAt {
+		return
+	}
 	reason, since := "not listed after its start's deadline", a.deadline
 	if a.ackClock > 0 {
 		reason, since = "no longer listed", a.ackClock
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -118,7 +118,7 @@
 func (c *Core) startDone(a *attempt, o Order, ans Answer, now Instant) {
 	switch ans.Outcome {
 	case OutcomeOK:
-		a.ackClock = max(a.ackClock, ans.ClockMS)
+		a.ackClock, a.missed = max(a.ackClock, ans.ClockMS), false
 		if a.task.phase == phaseStarting {
 			a.task.phase = phaseRunning
 			a.started = now.Steady
@@ -169,7 +169,7 @@
 // stopDone notes that the worker will refuse a start that is still on its way.
 func (c *Core) stopDone(a *attempt, ans Answer) {
 	if ans.Outcome == OutcomeOK {
-		a.ackClock = max(a.ackClock, ans.ClockMS)
+		a.ackClock, a.missed = max(a.ackClock, ans.ClockMS), false
 	}
 }
 
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -56,6 +56,9 @@
 	}
 	serves, fills := false, false
 	for _, a := range w.attempts {
+		if a.missed {
+			return 0 // the next list decides
+		}
 		s := a.task.step.spec
 		serves = serves || (s.Lasting && s.TargetMS > 0)
 		fills = fills || s.Fills
--- a/dispatch/sim_faults_test.go
+++ b/dispatch/sim_faults_test.go
@@ -179,6 +179,7 @@
 		w.clock = min(w.clock, reply.ClockMS)
 		for _, a := range w.attempts {
 			a.ackClock = min(a.ackClock, reply.ClockMS-1)
+			a.missed, a.missedAt = true, 0 // as if another list had lacked it before
 		}
 	}
 }
