A worker's lists count as read only when they were read whole

Cause: at a takeover the first answer of a worker resolved it, also with 500 ends in it, beyond which the end of a task may follow, and also if its lists were left out since a later clock had been heard. Change: sync() needs a list that was taken in and an answer that is not full; until then what runs there keeps its lease and its tasks wait. Tests: TestFullAnswerAtTakeoverProvesNothing fails before (3 of 3) and passes now; TestAnswerOfTheLeasesBeforeIsNoNewList is new; go test ./dispatch -short passes.

--- a/dispatch/fulllist_test.go
+++ b/dispatch/fulllist_test.go
@@ -46,3 +46,19 @@
 		t.Errorf("%d starts of a task that is done", n)
 	}
 }
+
+// TestAnswerOfTheLeasesBeforeIsNoNewList: an answer whose lists are not taken in, since
+// the worker's clock was heard to be later, does not count as having read them.
+func TestAnswerOfTheLeasesBeforeIsNoNewList(t *testing.T) {
+	core, now := idleCore(t, 1)
+	w := core.workers["w0"]
+	core.lose(w, "its leases are over", now)
+	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: w.clock - 1}, OutcomeOK, now)
+	if w.synced {
+		t.Error("lists that were not read count as read")
+	}
+	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: w.clock + 1}, OutcomeOK, now)
+	if !w.synced {
+		t.Error("lists that were read don't count")
+	}
+}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -34,7 +34,7 @@
 	h := HoldOrder{Worker: id, Address: w.info.Address, Term: c.term, Seen: w.seen}
 	// A poll without an answer may still extend the leases. While a worker is
 	// silent it is only asked, so that its leases come to an end.
-	if w.synced && w.holdFails == 0 {
+	if (w.synced || w.partlyRead) && w.holdFails == 0 {
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
 		h.Wait = w.pollWait(c.overload.load)
 	}
@@ -97,11 +97,8 @@
 	if fresh {
 		c.takeRunning(w, reply, now)
 	}
-	if !w.synced {
-		w.synced = true
-		// What runs here may have any lease that the previous owner could give.
-		w.lastDeadline = max(w.lastDeadline, reply.ClockMS+c.params.MaxTaskLease.Milliseconds())
-		c.resolve(w.info.ID, "lists read", now)
+	if !w.synced && fresh {
+		c.sync(w, reply, now)
 	}
 	w.advanceSeen()
 	if len(w.ends) > 0 {
@@ -110,6 +107,20 @@
 	return 0
 }
 
+// sync takes in that the worker's lists were read under this term. While an answer
+// is full, the end of a task may not have had room in it: what it lacks is not known
+// until one is not, and what runs keeps its lease.
+func (c *Core) sync(w *worker, reply HoldReply, now Instant) {
+	// What runs here may have any lease that the previous owner could give.
+	w.lastDeadline = max(w.lastDeadline, reply.ClockMS+c.params.MaxTaskLease.Milliseconds())
+	w.partlyRead = reply.full()
+	if w.partlyRead {
+		return
+	}
+	w.synced = true
+	c.resolve(w.info.ID, "lists read", now)
+}
+
 func (c *Core) depose(w *worker) {
 	if !c.deposed {
 		c.trace(Decision{Event: "deposed", Worker: w.info.ID, Reason: "the worker has seen a higher term"})
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -35,7 +35,7 @@
 		a.task.concluded = true
 		c.release(a, now)
 	}
-	w.synced = false // what it lists next must be read before it is used
+	w.synced, w.partlyRead = false, false // what it lists next must be read before it is used
 }
 
 // lifeOver handles the proof that a life of a worker has ended. An owner that
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,6 +39,8 @@
 	// synced is set once the worker has accepted the owner's term and its
 	// lists were read.
 	synced bool
+	// partlyRead is set while its first answers under this term are full.
+	partlyRead bool
 	// clock is the worker's clock at clockAt or a little earlier.
 	clock   int64
 	clockAt time.Duration
