Simulate gangs, and a reader of all jobs that has forgotten those that ended

Cause: the simulation of the core played no gang: its members wait for each other, end done together, and break when one is lost. The safeguard against jobs that are read again was taken away by dropping jobs early, which stops to be a fault once that is mended.

Done: gangs at the workers, whose one end counts for all members at the oracle too; a kind of fault of its own, and gangs beside most other faults. Jobs that ended are forgotten right before all jobs are read.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -87,11 +87,20 @@
 
 func idleWorkers(s *sim) { s.idle(10 * time.Minute) }
 
+func gangsLoseMembers(s *sim) {
+	s.gangJobs, s.slowStops, s.longPolls, s.refuseShare, s.noRoomShare, s.delayShare = true, true, true, 0.02, 0.02, 0.02
+	s.extra = func(s *sim) {
+		if s.rng.IntN(3) == 0 {
+			s.restart(1 + s.rng.IntN(2))
+		}
+	}
+}
+
 func allAtOnce(s *sim) {
 	brokenConnections(s)
 	lateAnswers(s)
 	lateNews(s)
-	s.oldEntries, s.lasting, s.slowStops, s.quietHandover, s.notSentShare = true, true, true, true, 0.02
+	s.oldEntries, s.lasting, s.gangJobs, s.slowStops, s.quietHandover, s.notSentShare = true, true, true, true, true, 0.02
 	s.breakShare, s.delayShare = 0.01, 0.01
 	s.extra = func(s *sim) {
 		i := s.rng.IntN(len(s.workers))
@@ -148,13 +157,17 @@
 			"lasting tasks are moved off workers that drain", movedTasks, func(*sim) int { return 1 },
 			"a list that is older than a run says nothing of it", func(s *sim) { s.believeOldLists = true },
 		},
+		{
+			"gangs lose members", gangsLoseMembers, func(s *sim) int { return len(s.gangs) },
+			"a list that is older than a run says nothing of it", func(s *sim) { s.believeOldLists = true },
+		},
 		{
 			"all of these at once", allAtOnce, func(s *sim) int { return s.refused * s.listedLate * s.restarts },
 			"workers check the term", func(s *sim) { s.noFence = true },
 		},
 		{
 			"all jobs are read again", rereads, func(s *sim) int { return s.rereads },
-			"jobs that have ended are known", func(s *sim) { s.forgetDropped = true },
+			"jobs that have ended are known", func(s *sim) { s.forgetEnded = true },
 		},
 		{
 			"workers were idle for long", idleWorkers, func(*sim) int { return 1 },
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -38,6 +38,10 @@
 			id++
 			s.submitLasting(id)
 		}
+		if s.gangJobs && s.rng.IntN(60) == 0 {
+			id++
+			s.submitGang(id)
+		}
 		if s.extra != nil && s.rng.IntN(60) == 0 {
 			s.extra(s)
 		}
--- a/dispatch/sim_faults_test.go
+++ b/dispatch/sim_faults_test.go
@@ -38,6 +38,9 @@
 	lateWatches bool
 	// slowStops: stops take up to simStopTime.
 	slowStops bool
+	// gangJobs: some jobs have gangs.
+	gangJobs bool
+	gangs    map[gangID]*simGang
 	// lasting: some jobs run until they are cancelled.
 	lasting bool
 	// removed holds the states of the jobs whose records were removed.
@@ -51,10 +54,10 @@
 	forgetTries bool
 	// believeOldLists: a list counts as newer than the runs that it lacks.
 	believeOldLists bool
-	// forgetDropped: a job that was dropped is taken for new if it is heard of again.
-	forgetDropped bool
 	// believeEntries: the life of a worker that is not listed counts as over.
 	believeEntries bool
+	// forgetEnded: an owner forgets jobs that have ended before it reads all jobs.
+	forgetEnded bool
 	// quietHandover: an owner that hands over ends before its lease does.
 	quietHandover bool
 
@@ -246,10 +249,10 @@
 	slices.Sort(cancelled)
 	s.later(s.lateness(), func() {
 		s.answer(o, func() {
-			if s.forgetDropped {
-				clear(o.core.dropped.known)
-			}
 			for _, id := range list {
+				if j := o.core.jobs[id]; s.forgetEnded && j != nil && j.progress.State.Final() && j.active == 0 {
+					delete(o.core.jobs, id)
+				}
 				o.core.AddJob(s.specs[id], nil, false, s.instant())
 			}
 			for _, id := range cancelled {
--- a/dispatch/sim_oracle_test.go
+++ b/dispatch/sim_oracle_test.go
@@ -134,7 +134,9 @@
 	if kind != EndDone {
 		return
 	}
-	o.everDone[r.task] = true
+	for _, t := range o.fellows(r.task) {
+		o.everDone[t] = true
+	}
 	if o.doneAt[w] == nil {
 		o.doneAt[w] = map[uint64]job.TaskID{}
 	}
@@ -153,9 +155,8 @@
 		if n <= seen {
 			ended := o.doneSince[w][n]
 			if w.lapsed < ended {
-				o.done[t] = true
-				if o.startedAt[t] > ended {
-					o.fail("the end of task %s at %s, of %v, is acknowledged though the task was started at %v", t, w.info.ID, ended, o.startedAt[t])
+				for _, t := range o.fellows(t) {
+					o.acknowledged(t, w, ended)
 				}
 			}
 			delete(o.doneAt[w], n)
@@ -169,6 +170,28 @@
 	o.checkBudget()
 }
 
+// acknowledged notes that a worker was told to forget an end that counts for a task.
+func (o *oracle) acknowledged(t job.TaskID, w *simWorker, ended time.Duration) {
+	o.done[t] = true
+	if o.startedAt[t] > ended {
+		o.fail("the end of task %s at %s, of %v, is acknowledged though the task was started at %v", t, w.info.ID, ended, o.startedAt[t])
+	}
+}
+
+// fellows returns the tasks that an end of one task counts for: all of a gang, else it
+// alone.
+func (o *oracle) fellows(t job.TaskID) []job.TaskID {
+	step := &o.sim.specs[t.Job].Steps[t.Step]
+	if !step.Gang {
+		return []job.TaskID{t}
+	}
+	list := make([]job.TaskID, step.Count)
+	for i := range list {
+		list[i] = job.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: i}
+	}
+	return list
+}
+
 // crashed forgets what ran at a worker.
 func (o *oracle) crashed(w *simWorker) {
 	for _, r := range w.running {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -493,6 +493,9 @@
 	s.oracle.crashed(w)
 	s.leaveEntry(w)
 	w.alive = false
+	for _, r := range w.sorted() {
+		r.gang.left(s, EndLapsed)
+	}
 	w.running = map[job.TaskID]*simRun{}
 	s.later(time.Duration(200+s.rng.IntN(4000))*time.Millisecond, func() { s.workers[i] = s.newWorker(i) })
 }
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -42,6 +42,7 @@
 	since time.Duration
 	// stopping: a stop was ordered and takes its time.
 	stopping bool
+	gang     *simGang // of a gang's member
 }
 
 // percent returns the part of the run's work that is done.
@@ -68,11 +69,19 @@
 		if r.ends > w.sim.now {
 			continue
 		}
-		if r.fails {
-			w.end(r, EndFailed)
-		} else {
-			w.end(r, EndDone)
-		}
+		w.end(r, r.endKind())
+	}
+}
+
+// endKind is how a run ends by itself.
+func (r *simRun) endKind() EndKind {
+	switch {
+	case r.gang != nil && !r.gang.whole:
+		return EndAlone
+	case r.fails:
+		return EndFailed
+	default:
+		return EndDone
 	}
 }
 
@@ -91,6 +100,7 @@
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.ended = append(w.ended, EndedTask{Number: w.endedNo, Task: r.task, Run: r.run, Kind: kind})
 	w.sim.oracle.ended(w, r, kind)
+	r.gang.left(w.sim, kind)
 }
 
 // hold carries out a HoldOrder.
@@ -196,6 +206,7 @@
 	}
 	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.bad || w.sim.rng.Float64() < w.sim.failShare}
 	w.running[o.Task] = r
+	w.sim.joinGang(w, r, work)
 	w.sim.oracle.started(w, r)
 	return Answer{Outcome: OutcomeOK, ClockMS: clock}
 }
