--- /dev/null
+++ b/dispatch/unsurepace_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// pacesFor lets a worker list one run for a while, and returns the paces that are
+// ordered, each answered at once.
+func pacesFor(core *Core, row RunningTask, from, to time.Duration) []int {
+	var paces []int
+	for at := from; at < to; at += 200 * time.Millisecond {
+		now := Instant{Steady: at}
+		order := core.PlanHold("w1", now).Order
+		core.HoldDone(order, HoldReply{ClockMS: at.Milliseconds(), Running: []RunningTask{row}}, OutcomeOK, now)
+		core.Tick(now)
+		for _, o := range core.TakeOrders() {
+			if o.Kind == OrderPace {
+				paces = append(paces, o.Percent)
+				core.OrderDone(o, Answer{Outcome: OutcomeOK, ClockMS: at.Milliseconds()}, now)
+			}
+		}
+	}
+	return paces
+}
+
+// fillCore returns a core of term 2 that has adopted a fill, and its attempt.
+func fillCore(t *testing.T, now Instant) (*Core, RunningTask, *attempt) {
+	t.Helper()
+	core := livesCore(now, RosterEntry{ID: "w1", Address: "w1", VM: "m1"})
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1")}, now)
+	rosterOf(t, core)
+	spec := simpleJob(1, 1)
+	spec.Steps[0].Fills, spec.Steps[0].Image = true, "batch"
+	core.AddJob(spec, nil, true, now)
+	work := core.jobs[spec.ID].steps[0].tasks[0]
+	row := RunningTask{Task: work.id(), Run: 1<<runBits | 1}
+	core.HoldDone(core.PlanHold("w1", now).Order, HoldReply{ClockMS: now.Steady.Milliseconds(), Running: []RunningTask{row}}, OutcomeOK, now)
+	if work.attempt == nil {
+		t.Fatal("the run is not adopted")
+	}
+	return core, row, work.attempt
+}
+
+// TestAdoptedRunIsToldItsPace: the previous owner may have slowed a run that is adopted,
+// down to a standstill; no list tells of it.
+//
+// Users would see a batch task stand still after a takeover for as long as nothing
+// that serves is near it: the new owner takes its pace for the full one.
+func TestAdoptedRunIsToldItsPace(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core, row, _ := fillCore(t, now)
+	if paces := pacesFor(core, row, 1200*time.Millisecond, 5*time.Second); len(paces) == 0 {
+		t.Error("the worker was told no pace")
+	}
+}
+
+// TestUnansweredPaceIsOverruled: an order of a pace that was left unanswered may be
+// carried out seconds later, after newer ones; the newest pace is told once more when
+// that can no longer be.
+//
+// Users would see a batch task stand still on a day when workers carry orders out late.
+func TestUnansweredPaceIsOverruled(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core, row, a := fillCore(t, now)
+	halt := Order{Kind: OrderPace, Worker: "w1", Address: "w1", Term: 2, Task: row.Task, Run: row.Run}
+	a.percent = 0
+	core.OrderDone(halt, Answer{Outcome: OutcomeUnknown}, Instant{Steady: 1400 * time.Millisecond})
+	a.percent = fullPace
+	first := pacesFor(core, row, 1600*time.Millisecond, 2*time.Second)
+	later := pacesFor(core, row, 2*time.Second, 12*time.Second)
+	if len(first) == 0 || len(later) == 0 {
+		t.Errorf("paces told at once %v, later %v", first, later)
+	}
+}
