A record written after the removal of a dropped job is a new job

Cause: an id that was dropped stayed known until the next answer of the watch was taken in, and a record in that answer was passed over. Change: what is heard of an id tells the revision of its record. TestNewJobUnderADroppedID failed before and passes; an older record still starts nothing (TestOldRecordOfADroppedID).

--- a/dispatch/dropped.go
+++ b/dispatch/dropped.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "slices"
+
 // droppedJobs are jobs that ended long ago: the core has forgotten them, and their
 // records go. Nothing that is still heard of them may be taken for a new job: a
 // read of all records finds those that are not removed yet, and a watch that is
@@ -59,6 +61,19 @@
 	d.expired = d.expired[n:]
 }
 
+// JobRecorded tells of a job's record, written at a revision. If the record of a
+// dropped job of that id was removed before, this is a new one.
+func (c *Core) JobRecorded(id string, revision int64) {
+	if !c.dropped.known[id] {
+		return
+	}
+	for _, r := range c.dropped.removed {
+		if r.revision < revision && slices.Contains(r.ids, id) {
+			delete(c.dropped.known, id)
+		}
+	}
+}
+
 // IntakeTaken tells that all news of jobs up to a revision of the store have been
 // taken in.
 func (c *Core) IntakeTaken(revision int64) {
--- a/dispatch/sameid_test.go
+++ b/dispatch/sameid_test.go
@@ -25,9 +25,22 @@
 	now := Instant{Steady: 2 * time.Second}
 	c.Tick(now)
 	c.Removed(1, 70)
-	c.AddJob(spec, nil, false, now) // revision 71, in the answer that also tells of 70
+	c.JobRecorded(spec.ID, 71) // in the answer that also tells of 70
+	c.AddJob(spec, nil, false, now)
 	c.IntakeTaken(71)
 	if len(c.jobs) != 1 {
 		t.Error("the new job is ignored for good")
 	}
 }
+
+// TestOldRecordOfADroppedID: a record from before the removal is no new job.
+func TestOldRecordOfADroppedID(t *testing.T) {
+	core, now := endedCore(t)
+	core.Removed(1, 70)
+	core.JobRecorded(simpleJob(1, 1).ID, 69)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.Tick(now)
+	if n := len(starts(core)); n != 0 {
+		t.Errorf("%d starts of a job that has ended", n)
+	}
+}
