A handover writes on after a refused write

Cause: the end of the ownership breaks off the write under way, which is mostly carried out all the same; the next one is then refused for the chain, and the handover gave up. Change: up to four writes, until nothing waits.

--- a/node/owner.go
+++ b/node/owner.go
@@ -32,6 +32,10 @@
 	orderBytes = 2700
 	// leastOrders are under way however small the link.
 	leastOrders = 8
+	// handOverWrites is the most writes at a handover: one of flushRecords jobs mostly
+	// holds all. The first is refused if the one that the end of the ownership broke
+	// off was carried out all the same.
+	handOverWrites = 4
 	// abortPause is the pause before calls that are still under way at the end of an
 	// ownership are broken off again.
 	abortPause = 20 * time.Millisecond
@@ -149,14 +153,21 @@
 func (o *owner) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	for range 3 {
-		if !o.flush(ctx) {
+	for range handOverWrites {
+		if o.flush(ctx) && !o.unwritten() {
 			break
 		}
 	}
 	o.node.endLease(o.own.lease)
 }
 
+// unwritten reports whether something waits to be written.
+func (o *owner) unwritten() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core != nil && (o.core.Dirty() || o.core.RosterStale())
+}
+
 func (o *owner) now() dispatch.Instant { return o.node.instant() }
 
 // locked runs f on the core and sends the orders that it leads to, until the
--- a/node/record.go
+++ b/node/record.go
@@ -40,8 +40,8 @@
 		case <-time.After(idleFlush):
 		}
 		written := o.flush(o.ctx)
+		again := o.unwritten()
 		o.mu.Lock()
-		again := o.core.Dirty() || o.core.RosterStale()
 		behind := o.core.Backlog() >= flushRecords
 		o.mu.Unlock()
 		switch {
