Paces that may not be in force are told again

Cause: an adopted fill counted as running at full pace whatever the previous owner had told its worker, and an order of a pace without an answer may be carried out after a newer one. Change: an adopted fill is told its pace; after an order without an answer the pace is told again each 3 s for 12 s. Weighed: telling all adopted runs (a call for each run at each takeover, though only fills are paced). The calls that a takeover makes more are not measured alone.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -123,7 +123,8 @@
 	stopAt   time.Duration // when the last stop was sent
 	// percent is the pace wanted, paced the one the worker was told.
 	percent, paced int
-	paceAt         time.Duration
+	paceAt         time.Duration // when the worker was last told
+	paceDoubted    time.Duration // when an order of a pace last got no answer
 	progress       progressWatch
 	slowedSince    time.Duration // since when its pace is below movePace
 	fullCPU        float64       // thousandths of a core at full pace, from readings
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -108,6 +108,9 @@
 		t.step.ready--
 	}
 	a := &attempt{task: t, worker: w, run: row.Run, percent: fullPace, paced: fullPace, started: now.Steady, adopted: true}
+	if t.step.spec.Fills {
+		a.paced = paceUnknown // the previous owner may have slowed it
+	}
 	t.attempt, t.phase = a, phaseRunning
 	t.step.job.active++
 	c.markBegun(t.step.job)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -111,7 +111,7 @@
 	case OrderStop:
 		c.stopDone(t.attempt, ans)
 	case OrderPace:
-		c.paceDone(t.attempt, o, ans)
+		t.attempt.paceDone(o, ans, now)
 	}
 }
 
@@ -173,13 +173,16 @@
 	}
 }
 
-func (c *Core) paceDone(a *attempt, o Order, ans Answer) {
+func (a *attempt) paceDone(o Order, ans Answer, now Instant) {
 	a.progress.at = 0 // a measure spans one pace only
-	if ans.Outcome == OutcomeOK {
+	switch ans.Outcome {
+	case OutcomeOK:
 		a.paced = o.Percent
-		return
+	case OutcomeUnknown:
+		a.paced, a.paceDoubted = paceUnknown, now.Steady
+	default:
+		a.paced = paceUnknown
 	}
-	a.paced = -1 // not known: sent again
 }
 
 // tickAttempt sends stops again that had no effect yet.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -137,13 +137,31 @@
 	return now.Steady-a.slowedSince >= requeueAfter || c.hasRoomElsewhere(a.task, now)
 }
 
+// Figures of paces that may not be in force.
+const (
+	// paceUnknown is told to no worker: the pace of an adopted fill, or after an order
+	// without an answer.
+	paceUnknown = -1
+	// paceLate is how long an order of a pace without an answer may still be carried
+	// out and overrule newer ones; workers were seen 12 s late. Meanwhile the pace is
+	// told again each paceAgain. Without it a fill stood still for good.
+	paceLate  = 12 * time.Second
+	paceAgain = 3 * time.Second
+)
+
+// paceDue reports whether the worker must be told of a run's pace.
+func (a *attempt) paceDue(now Instant) bool {
+	since := now.Steady - a.paceAt
+	if a.percent != a.paced {
+		return since >= holdWaitWatched/2
+	}
+	return a.paceDoubted > 0 && a.paceAt < a.paceDoubted+paceLate && since >= paceAgain
+}
+
 // sendPaces tells the worker of paces that it does not know.
 func (c *Core) sendPaces(w *worker, now Instant) {
 	for _, a := range w.attempts {
-		if a.percent == a.paced || a.stopping || a.task.phase != phaseRunning || now.Steady-a.started < c.params.PaceAfter {
-			continue
-		}
-		if now.Steady-a.paceAt < holdWaitWatched/2 {
+		if a.stopping || a.task.phase != phaseRunning || now.Steady-a.started < c.params.PaceAfter || !a.paceDue(now) {
 			continue
 		}
 		a.paceAt = now.Steady
