--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,7 +27,12 @@
 )
 
 // failedSeeds are kept as regression cases, with a line on the cause.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	// A start whose connection ended after the worker had carried it out was sent
+	// again below the core; the second copy met a worker that refused for being
+	// unwell, and the task was started elsewhere while its first run worked on.
+	308,
+}
 
 // settle bounds the wait for the end of all jobs once the faults are over.
 const settle = 90 * time.Second
