--- a/node/again_test.go
+++ b/node/again_test.go
@@ -8,10 +8,9 @@
 // A process that loses its lease and is elected again at once starts nothing twice:
 // nothing of the earlier term is sent any more, and what runs is adopted.
 //
-// Users would see that tasks of up to 1.4 s lapse and start again, and that nothing
-// starts for 4 s: the end of the earlier term closes all connections to workers, and
-// the next term takes the closed ones from the pool, one a poll, until none is left.
-// The pauses between failed polls rise to 0.8 s meanwhile.
+// The end of the earlier term closes all connections to workers. That the next term
+// does not meet the closed ones, one a poll, with pauses of up to 0.8 s in between, is
+// for TestCallsAfterAbort to show; here it only took longer.
 func TestElectedAgainInOneProcess(t *testing.T) {
 	c := newCell(t, 1, 3)
 	next := 1
