Clocks of idle workers are read each minute; no start is without a deadline

Change: the clock of an idle worker is read each minute (one call), and a worker for which no deadline can be given gets nothing (barrier stale). Answers that were not taken in are asked for again after a pause. Tests: TestStartAfterLongIdlenessHasADeadline (11 min, 1 h), TestStartsAfterLongIdlenessGoOn, TestUnreadWorkerIsPolledAtAPace failed before and pass.

--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -26,6 +26,8 @@
 	barrierSilent
 	// barrierAvoided: its tasks fail one after the other, or it refuses work.
 	barrierAvoided
+	// barrierStale: its clock was read too long ago for a deadline; see leastAt.
+	barrierStale
 	// barrierUnrecorded: the next owner would not know that it may have orders.
 	barrierUnrecorded
 	barrierKinds
@@ -33,7 +35,7 @@
 
 // String returns the name, as logged and as told by Explain.
 func (b barrier) String() string {
-	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "unrecorded"}[b]
+	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "stale", "unrecorded"}[b]
 }
 
 // barrierOf returns the first reason why a worker gets no new tasks.
@@ -55,6 +57,8 @@
 		return barrierSilent
 	case now.Steady < w.avoidUntil:
 		return barrierAvoided
+	case w.leastAt(c.validUntil) <= w.clockNow(now):
+		return barrierStale
 	case !w.recorded:
 		return barrierUnrecorded
 	default:
--- /dev/null
+++ b/dispatch/longidle_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// longIdleCore returns a core that renewed its lease all the time, with one worker that
+// had nothing to do for an idle time and answered all polls.
+func longIdleCore(t *testing.T, idle time.Duration) (*Core, Instant) {
+	t.Helper()
+	now := Instant{Steady: time.Second}
+	core := New(Params{MaxTaskLease: 6 * time.Second, TaskLease: 3 * time.Second, OwnerTTL: 2500 * time.Millisecond, OwnerHorizon: 12 * time.Second}, 2, nil)
+	core.Renewed(now.Steady)
+	core.SetConfig(sureCore(Params{}, 1, now).config)
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1")}, now)
+	rosterOf(t, core)
+	for end := now.Steady + idle; now.Steady < end; now.Steady += idlePause {
+		core.Renewed(now.Steady)
+		if plan := core.PlanHold("w1", now); plan.Send {
+			core.HoldDone(plan.Order, HoldReply{ClockMS: now.Steady.Milliseconds()}, OutcomeOK, now)
+		}
+	}
+	core.Renewed(now.Steady)
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1")}, now)
+	rosterOf(t, core)
+	return core, now
+}
+
+// TestStartAfterLongIdlenessHasADeadline: the first start to a worker whose clock was not
+// read for 11 minutes carries a deadline that lies ahead.
+//
+// Users would see the first tasks after a quiet time refused at each worker: as late, or as
+// not a start at all, since a deadline of 0 is left out of the call.
+func TestStartAfterLongIdlenessHasADeadline(t *testing.T) {
+	for _, idle := range []time.Duration{time.Minute, 9 * time.Minute, 11 * time.Minute, time.Hour} {
+		core, now := longIdleCore(t, idle)
+		core.AddJob(simpleJob(1, 1), nil, false, now)
+		core.Tick(now)
+		core.Schedule(now)
+		list := starts(core)
+		if len(list) == 0 {
+			t.Errorf("idle for %v: nothing starts", idle)
+			continue
+		}
+		if d := list[0].DeadlineMS; d <= core.workers["w1"].clockNow(now) {
+			t.Errorf("idle for %v: a start with deadline %d at clock %d", idle, d, core.workers["w1"].clockNow(now))
+		}
+	}
+}
+
+// TestStartsAfterLongIdlenessGoOn: if the worker answers a start without a deadline by a
+// refusal that tells no clock, its clock is read before it is given another one.
+func TestStartsAfterLongIdlenessGoOn(t *testing.T) {
+	core, now := longIdleCore(t, 11*time.Minute)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	refused := 0
+	for range 600 { // a minute
+		core.Renewed(now.Steady)
+		core.Tick(now)
+		core.Schedule(now)
+		for _, o := range starts(core) {
+			if o.DeadlineMS > 0 {
+				return
+			}
+			refused++
+			core.OrderDone(o, Answer{Outcome: OutcomeInvalid}, Instant{Steady: now.Steady + 2*time.Millisecond})
+		}
+		if plan := core.PlanHold("w1", Instant{Steady: now.Steady + 5*time.Millisecond}); plan.Send {
+			core.HoldDone(plan.Order, HoldReply{ClockMS: now.Steady.Milliseconds() + 6}, OutcomeOK, Instant{Steady: now.Steady + 6*time.Millisecond})
+		}
+		now.Steady += 100 * time.Millisecond
+	}
+	t.Errorf("no start with a deadline within a minute, %d without one", refused)
+}
--- /dev/null
+++ b/dispatch/partlyread_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// TestPartlyReadWorkerIsWaitedForWhileItsLeasesLast: a worker whose answers were full so far,
+// and whose leases the new owner has extended, is not resolved by one poll without an answer
+// once the previous owner's leases are over.
+//
+// Users would see a task start again whose done end is acknowledged a moment later: the store
+// was slow for longer than the recovery, so that the first 500 ends stayed unacknowledged.
+func TestPartlyReadWorkerIsWaitedForWhileItsLeasesLast(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := livesCore(now, RosterEntry{ID: "w1", Address: "w1", VM: "m1"})
+	core.params.TaskLease = 3 * time.Second
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1"), lifeInfo("w2", "m2")}, now)
+	rosterOf(t, core)
+	spec := simpleJob(1, 1)
+	core.AddJob(spec, nil, true, now)
+	var lease int64
+	for ; now.Steady < 11*time.Second; now.Steady += 500 * time.Millisecond {
+		poll(core, "w2", now.Steady, now.Steady+time.Millisecond)
+		order := core.PlanHold("w1", now).Order
+		lease = max(lease, order.DeadlineMS)
+		core.HoldDone(order, HoldReply{ClockMS: now.Steady.Milliseconds(), Ended: fullEnds()}, OutcomeOK, now)
+		core.Tick(now)
+	}
+	if n := len(starts(core)); n != 0 || core.Recovering() == 0 {
+		t.Fatalf("%d starts, waits for %d workers", n, core.Recovering())
+	}
+	order := core.PlanHold("w1", now).Order
+	lease = max(lease, order.DeadlineMS)
+	now.Steady += 600 * time.Millisecond
+	poll(core, "w2", now.Steady, now.Steady+time.Millisecond)
+	core.HoldDone(order, HoldReply{}, OutcomeUnknown, now)
+	core.Tick(now)
+	core.Schedule(now)
+	if n := len(starts(core)); n != 0 {
+		t.Errorf("%d starts at %v of a task whose end may be the 501st at a worker with leases to its clock %d", n, now.Steady, lease)
+	}
+	order = core.PlanHold("w1", now).Order
+	end := EndedTask{Number: maxEndsListed + 1, Task: job.TaskID{Job: spec.ID}, Run: 1<<runBits | 1, Kind: EndDone}
+	core.HoldDone(order, HoldReply{ClockMS: now.Steady.Milliseconds() + 5, Ended: []EndedTask{end}}, OutcomeOK, now)
+	if !t.Failed() && core.Recovering() != 0 {
+		t.Error("a worker that was read whole is waited for")
+	}
+}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -16,6 +16,11 @@
 // loop; nothing is sent.
 const idlePause = 500 * time.Millisecond
 
+// idleRead is the age from which the clock of a worker without tasks is read again.
+// A minute later the estimate may be 1.2 s off, at 2%, and deadlines that much
+// shorter; after ten minutes none could be given.
+const idleRead = time.Minute
+
 // PlanHold returns the next poll of a worker.
 func (c *Core) PlanHold(id WorkerID, now Instant) HoldPlan {
 	w := c.workers[id]
@@ -28,7 +33,8 @@
 	if c.needless(w) {
 		return HoldPlan{Pause: idlePause}
 	}
-	if w.synced && len(w.attempts) == 0 && len(w.foreign) == 0 && len(w.ends) == 0 {
+	idle := w.synced && len(w.attempts) == 0 && len(w.foreign) == 0 && len(w.ends) == 0
+	if idle && now.Steady-w.clockAt < idleRead {
 		return HoldPlan{Pause: idlePause}
 	}
 	h := HoldOrder{Worker: id, Address: w.info.Address, Term: c.term, Seen: w.seen}
@@ -36,7 +42,9 @@
 	// silent it is only asked, so that its leases come to an end.
 	if (w.synced || w.partlyRead) && w.holdFails == 0 {
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
-		h.Wait = w.pollWait(c.overload.load)
+		if !idle {
+			h.Wait = w.pollWait(c.overload.load)
+		}
 	}
 	w.holdSent = now.Steady
 	return HoldPlan{Order: h, Send: true}
@@ -101,7 +109,7 @@
 		c.sync(w, reply, now)
 	}
 	w.advanceSeen()
-	if len(w.ends) > 0 {
+	if len(w.ends) > 0 || !fresh {
 		return holdGapUnsaved
 	}
 	return 0
--- /dev/null
+++ b/dispatch/taken_over_test.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStoppedRunIsGivenUpInTime: a run that is to stop, and that no list shows, is given up
+// in bounded time also if the worker answers polls slowly and stops at once.
+//
+// Users would see a cancelled task's room taken, and a task that is moved wait, for as long
+// as the worker's lists take more than half a second.
+func TestStoppedRunIsGivenUpInTime(t *testing.T) {
+	for _, takes := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 550 * time.Millisecond} {
+		if at := stoppedRunGone(t, takes); at > 5*time.Second {
+			t.Errorf("polls that take %v: given up after %v (30 s is never)", takes, at)
+		}
+	}
+}
+
+// stoppedRunGone returns how long a stopped run that does not exist holds its task, if each
+// poll takes a time and stops are answered in 5 ms.
+func stoppedRunGone(t *testing.T, takes time.Duration) time.Duration {
+	t.Helper()
+	now := Instant{Steady: time.Second}
+	core := livesCore(now)
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1")}, now)
+	rosterOf(t, core)
+	poll(core, "w1", now.Steady, now.Steady+time.Millisecond)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	now.Steady += 5 * time.Millisecond
+	core.Tick(now)
+	core.Schedule(now)
+	if n := len(starts(core)); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	w := core.workers["w1"]
+	a := w.attempts[0]
+	core.OrderDone(Order{Kind: OrderStart, Worker: "w1", Task: a.task.id(), Run: a.run}, Answer{Outcome: OutcomeUnknown}, now)
+	core.stop(a, "test", now)
+	began := now.Steady
+	var due time.Duration
+	var sent HoldOrder
+	for ; now.Steady-began < 30*time.Second; now.Steady += 5 * time.Millisecond {
+		core.Renewed(now.Steady)
+		if due > 0 && now.Steady >= due {
+			due = 0
+			core.HoldDone(sent, HoldReply{ClockMS: now.Steady.Milliseconds()}, OutcomeOK, now)
+		}
+		if len(w.attempts) == 0 || w.attempts[0] != a {
+			return now.Steady - began
+		}
+		if due == 0 {
+			plan := core.PlanHold("w1", now)
+			sent, due = plan.Order, now.Steady+max(takes, plan.Order.Wait)
+		}
+		if (now.Steady-began)%(100*time.Millisecond) == 0 {
+			core.Tick(now)
+		}
+		for _, o := range core.TakeOrders() {
+			if o.Kind == OrderStop {
+				core.OrderDone(o, Answer{Outcome: OutcomeOK, ClockMS: now.Steady.Milliseconds()}, now)
+			}
+		}
+	}
+	return now.Steady - began
+}
+
+// TestAdoptedFillCountsAsLoad: a fill of the previous owner whose pace is not known counts
+// as working: it may be at its full pace.
+//
+// Users would see, for the first second or two after a takeover, tasks that serve placed
+// beside fills as if those used nothing, and be over their targets.
+func TestAdoptedFillCountsAsLoad(t *testing.T) {
+	core, _, a := fillCore(t, Instant{Steady: time.Second})
+	if core.workers["w1"].load.fillCPU == 0 {
+		t.Errorf("a fill of %d thousandths of a core counts as none", a.task.step.spec.CPUMilli)
+	}
+}
+
+// TestUnreadWorkerIsPolledAtAPace: a worker whose answers tell no clock is not polled
+// without a pause.
+func TestUnreadWorkerIsPolledAtAPace(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := livesCore(now, RosterEntry{ID: "w1", Address: "w1", VM: "m1"})
+	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1")}, now)
+	polls := 0
+	for end := now.Steady + 10*time.Second; now.Steady < end; polls++ {
+		plan := core.PlanHold("w1", now)
+		if !plan.Send {
+			now.Steady += plan.Pause
+			continue
+		}
+		now.Steady += time.Millisecond + plan.Order.Wait
+		now.Steady += core.HoldDone(plan.Order, HoldReply{}, OutcomeOK, now)
+	}
+	if polls > 500 {
+		t.Errorf("%d polls in 10 s", polls)
+	}
+}
+
+// TestNewJobIsHeardOfBeforeTheRemoval: a job that is handed in under the id of an ended one,
+// and whose record is heard of before the answer to the removal, is a job.
+//
+// Its customer was told that it is accepted, and would see it queued for as long as the owner
+// lives.
+func TestNewJobIsHeardOfBeforeTheRemoval(t *testing.T) {
+	core, now := endedCore(t)
+	spec := simpleJob(1, 1)
+	core.JobRecorded(spec.ID, 71)
+	core.AddJob(spec, nil, false, now)
+	core.IntakeTaken(71)
+	core.Removed(1, 70) // its answer was slower than the watch
+	core.IntakeTaken(72)
+	if core.jobs[spec.ID] == nil {
+		t.Error("the new job is ignored for good")
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -195,8 +195,8 @@
 }
 
 // leastAt returns the least that the worker's clock may show at a time to come. It
-// counts from the last reading: the clock of a worker that was idle for a minute
-// may be 1.2 s behind the estimate, and a lease by the estimate outlasted the right.
+// counts from the last reading: the clock of a worker that is idle for a minute may
+// be 1.2 s behind the estimate, by which a lease would outlast the owner's right.
 func (w *worker) leastAt(t time.Duration) int64 {
 	return w.clock + int64(float64((t-w.clockAt).Milliseconds())*clockRate)
 }
