A worker that is read in parts is waited for while its leases last

Cause: leases go on while a worker's answers are full, but the wait for it counted only those of the previous owner. TestPartlyReadWorkerIsWaitedForWhileItsLeasesLast failed before and passes.

--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -110,10 +110,13 @@
 	return s.tasks[0].failedInTerm && slices.ContainsFunc(s.tasks, c.mayRun)
 }
 
-// expireUnresolved stops waiting for workers whose leases are over for sure.
+// expireUnresolved stops waiting for workers whose leases are over for sure, also
+// those that this owner gave while it read the worker's lists in parts.
 func (c *Core) expireUnresolved(now Instant) {
 	for id, u := range c.unresolved {
-		if w := c.workers[id]; now.Steady >= u.until && c.certain(now) && (w == nil || c.silent(w, now)) {
+		w := c.workers[id]
+		over := w == nil || c.silent(w, now) && (!w.partlyRead || w.surelyPast(w.lastDeadline, now))
+		if over && now.Steady >= u.until && c.certain(now) {
 			c.resolve(id, "the previous owner's leases are over", now)
 		}
 	}
