A fill whose pace is not known counts as working at full pace

Cause: adopted fills counted as no load until their pace was answered. TestAdoptedFillCountsAsLoad failed before and passes.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -238,5 +238,11 @@
 	return float64(a.task.step.spec.CPUMilli)
 }
 
-// cpu returns the processor time that a fill uses at its present pace.
-func (a *attempt) cpu() float64 { return a.demand() * float64(max(a.paced, 0)) / fullPace }
+// cpu returns the processor time that a fill uses at its present pace; one that is
+// not known may be the full one.
+func (a *attempt) cpu() float64 {
+	if a.paced == paceUnknown {
+		return a.demand()
+	}
+	return a.demand() * float64(a.paced) / fullPace
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -143,8 +143,8 @@
 	// without an answer.
 	paceUnknown = -1
 	// paceLate is how long an order of a pace without an answer may still be carried
-	// out and overrule newer ones; workers were seen 12 s late. Meanwhile the pace is
-	// told again each paceAgain. Without it a fill stood still for good.
+	// out and overrule newer ones; a worker may be 12 s late. Meanwhile the pace is
+	// told again each paceAgain. Without it a fill may stand still for good.
 	paceLate  = 12 * time.Second
 	paceAgain = 3 * time.Second
 )
--- a/dispatch/unsurepace_test.go
+++ b/dispatch/unsurepace_test.go
@@ -73,3 +73,15 @@
 		t.Errorf("paces told at once %v, later %v", first, later)
 	}
 }
+
+// TestAdoptedFillCountsAsLoad: a fill of the previous owner whose pace is not known counts
+// as working: it may be at its full pace.
+//
+// Users would see, for the first second or two after a takeover, tasks that serve placed
+// beside fills as if those used nothing, and be over their targets.
+func TestAdoptedFillCountsAsLoad(t *testing.T) {
+	core, _, a := fillCore(t, Instant{Steady: time.Second})
+	if core.workers["w1"].load.fillCPU == 0 {
+		t.Errorf("a fill of %d thousandths of a core counts as none", a.task.step.spec.CPUMilli)
+	}
+}
