A job under a dropped id waits for the answer to the removal

Cause: a record that the watch told of before the removal was answered was passed over. Change: it is kept until it is known which came first. TestNewJobIsHeardOfBeforeTheRemoval failed before and passes.

--- a/dispatch/dropped.go
+++ b/dispatch/dropped.go
@@ -1,11 +1,15 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+
+	"leverstile.dev/job"
+)
 
 // droppedJobs are jobs that ended long ago: the core has forgotten them, and their
 // records go. Nothing that is still heard of them may be taken for a new job: a
 // read of all records finds those that are not removed yet, and a watch that is
-// behind tells of some that are gone. Their tasks ran a second time.
+// behind tells of some that are gone. Their tasks would run a second time.
 //
 // Invariant: a job is in known until its records are removed and all news of jobs
 // up to that removal have been taken in.
@@ -13,6 +17,15 @@
 	known   map[string]bool
 	expired []string // jobs whose records can be removed
 	removed []removedJobs
+	// again holds jobs that are heard of under known ids, until it is known whether
+	// their records were written after the removal.
+	again map[string]recordedJob
+}
+
+// recordedJob is a job whose record was written at a revision of the store.
+type recordedJob struct {
+	deferredJob
+	revision int64
 }
 
 // removedJobs are jobs whose records were removed at a revision of the store.
@@ -57,30 +70,57 @@
 // revision on.
 func (c *Core) Removed(n int, revision int64) {
 	d := &c.dropped
-	d.removed = append(d.removed, removedJobs{d.expired[:n], revision})
+	ids := d.expired[:n]
+	d.removed = append(d.removed, removedJobs{ids, revision})
 	d.expired = d.expired[n:]
+	for _, id := range ids {
+		c.releaseID(id, revision)
+	}
 }
 
-// JobRecorded tells of a job's record, written at a revision. If the record of a
-// dropped job of that id was removed before, this is a new one.
-func (c *Core) JobRecorded(id string, revision int64) {
-	if !c.dropped.known[id] {
+// AddRecordedJob is AddJob for a new job whose record was written at a revision. If
+// the records of a dropped job of its id were removed before that, it is a job of its
+// own; while the removal is under way, it waits for the answer.
+func (c *Core) AddRecordedJob(spec *job.Spec, revision int64, now Instant) {
+	d := &c.dropped
+	if !d.known[spec.ID] {
+		c.AddJob(spec, nil, false, now)
 		return
 	}
-	for _, r := range c.dropped.removed {
-		if r.revision < revision && slices.Contains(r.ids, id) {
-			delete(c.dropped.known, id)
+	if d.again == nil {
+		d.again = map[string]recordedJob{}
+	}
+	if revision >= d.again[spec.ID].revision { // a hint tells none
+		d.again[spec.ID] = recordedJob{deferredJob{spec, now.Steady - ageAtIntake(spec, false, now)}, revision}
+	}
+	for _, r := range d.removed {
+		if slices.Contains(r.ids, spec.ID) {
+			c.releaseID(spec.ID, r.revision)
 		}
 	}
 }
 
+// releaseID takes in the job that was recorded under a dropped id after the removal
+// of that id's records, if there is one.
+func (c *Core) releaseID(id string, removed int64) {
+	if next, ok := c.dropped.again[id]; ok && next.revision > removed {
+		c.dropped.forget(id)
+		c.deferred = append(c.deferred, next.deferredJob) // the next tick adds it
+	}
+}
+
+func (d *droppedJobs) forget(id string) {
+	delete(d.known, id)
+	delete(d.again, id)
+}
+
 // IntakeTaken tells that all news of jobs up to a revision of the store have been
 // taken in.
 func (c *Core) IntakeTaken(revision int64) {
 	d := &c.dropped
 	for len(d.removed) > 0 && d.removed[0].revision <= revision {
 		for _, id := range d.removed[0].ids {
-			delete(d.known, id)
+			d.forget(id)
 		}
 		d.removed = d.removed[1:]
 	}
--- a/dispatch/sameid_test.go
+++ b/dispatch/sameid_test.go
@@ -25,8 +25,8 @@
 	now := Instant{Steady: 2 * time.Second}
 	c.Tick(now)
 	c.Removed(1, 70)
-	c.JobRecorded(spec.ID, 71) // in the answer that also tells of 70
-	c.AddJob(spec, nil, false, now)
+	c.AddRecordedJob(spec, 71, now) // in the answer that also tells of 70
+	c.Tick(now)
 	c.IntakeTaken(71)
 	if len(c.jobs) != 1 {
 		t.Error("the new job is ignored for good")
@@ -37,10 +37,27 @@
 func TestOldRecordOfADroppedID(t *testing.T) {
 	core, now := endedCore(t)
 	core.Removed(1, 70)
-	core.JobRecorded(simpleJob(1, 1).ID, 69)
-	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.AddRecordedJob(simpleJob(1, 1), 69, now)
 	core.Tick(now)
 	if n := len(starts(core)); n != 0 {
 		t.Errorf("%d starts of a job that has ended", n)
 	}
 }
+
+// TestNewJobIsHeardOfBeforeTheRemoval: a job that is handed in under the id of an ended one,
+// and whose record is heard of before the answer to the removal, is a job.
+//
+// Its customer was told that it is accepted, and would see it queued for as long as the owner
+// lives.
+func TestNewJobIsHeardOfBeforeTheRemoval(t *testing.T) {
+	core, now := endedCore(t)
+	spec := simpleJob(1, 1)
+	core.AddRecordedJob(spec, 71, now)
+	core.IntakeTaken(71)
+	core.Removed(1, 70) // its answer was slower than the watch
+	core.IntakeTaken(72)
+	core.Tick(now)
+	if core.jobs[spec.ID] == nil {
+		t.Error("the new job is ignored for good")
+	}
+}
--- a/node/feed.go
+++ b/node/feed.go
@@ -94,8 +94,7 @@
 					o.node.noteUnreadable("job_unreadable", ev.Pair.Key, ev.Pair.ModRevision, err)
 					continue
 				}
-				c.JobRecorded(spec.ID, ev.Pair.ModRevision)
-				c.AddJob(spec, nil, false, now)
+				c.AddRecordedJob(spec, ev.Pair.ModRevision, now)
 			}
 		}
 		for _, ev := range events {
--- a/node/owner.go
+++ b/node/owner.go
@@ -148,7 +148,7 @@
 // handOver writes what waits and gives up the lease, so that the next owner
 // need not wait for it to lapse. It comes after end: the call that gives up the
 // lease may take effect a second before its answer comes, and until then the
-// core counts the lease as sure. Jobs handed in meanwhile were started by both
+// core counts the lease as sure. Jobs handed in meanwhile would be started by both
 // owners. Leases at workers outlast the handover.
 func (o *owner) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
