--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -132,5 +132,18 @@
 			n++
 		}
 	}
-	return n
+	return n + c.pendingDeferred(queue)
+}
+
+// pendingDeferred returns how many jobs of a queue wait for a sure lease before they
+// are taken in; they may be heard of more than once.
+func (c *Core) pendingDeferred(queue string) int {
+	counted := map[string]bool{}
+	for _, d := range c.deferred {
+		id := d.spec.ID
+		if d.spec.Queue == queue && c.jobs[id] == nil && !c.cancelled[id] {
+			counted[id] = true
+		}
+	}
+	return len(counted)
 }
