--- a/dial/client.go
+++ b/dial/client.go
@@ -287,3 +287,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, fasthttp.ErrConnectionClosed) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// Broken reports whether a call failed because its connection was refused or broken off,
+// so that the process at the other end may have ended; a peer that is cut off is silent.
+func Broken(err error) bool {
+	return err != nil && (closedWhileIdle(err) || errors.Is(err, syscall.ECONNREFUSED))
+}
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -296,3 +296,44 @@
 		srv.Close()
 	}
 }
+
+// TestBroken: a port where nobody listens and a connection that the peer closes count as
+// broken, one that is silent does not.
+func TestBroken(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	closing := make(chan bool, 1)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if <-closing {
+				_ = conn.Close()
+			}
+		}
+	}()
+	closing <- true
+	close(closing) // later ones are left open, and silent
+	c := testClient(t, 1)
+	call := Call{Address: l.Addr().String(), Path: "/x", Header: "X-Life", Value: "a", Body: []byte("{}"), Once: true, Timeout: 200 * time.Millisecond}
+	if _, err := c.Post(call, func(int, []byte) {}); !Broken(err) {
+		t.Errorf("a connection that the peer closes: %v", err)
+	}
+	if _, err := c.Post(call, func(int, []byte) {}); err == nil || Broken(err) {
+		t.Errorf("a silent connection: %v", err)
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = free.Close()
+	call.Address = free.Addr().String()
+	if _, err := c.Post(call, func(int, []byte) {}); !Broken(err) {
+		t.Errorf("a port where nobody listens: %v", err)
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -119,6 +119,8 @@
 	// GivenUp counts runs that a worker lists though this owner, which ordered
 	// them, had taken them for not running: each may have run beside another.
 	GivenUp uint64
+	// Crashes counts workers that crashed with tasks.
+	Crashes uint64
 }
 
 // Decision is one decision or change of belief, for the log.
--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// crashFleet is a fleet of workers in racks of four, before a core: calls are answered at
+// once, and workers crash or fall silent as the test says.
+type crashFleet struct {
+	t    *testing.T
+	core *Core
+	now  Instant
+	// life is the present life of each VM, down until when none answers there.
+	life map[string]WorkerID
+	down map[string]time.Duration
+	// cut VMs run on and are silent; draining ones say so.
+	cut, draining map[string]bool
+	lives         int
+	// starts holds the runs of each task that a worker has begun, running those
+	// that are at work, by life.
+	starts  map[job.TaskID][]uint64
+	running map[WorkerID]map[job.TaskID]uint64
+	// crashes are the workers that ended under a task of crasher.
+	crashes map[job.TaskID]int
+	// crasher tells which tasks crash the worker that starts them.
+	crasher   func(job.TaskID) bool
+	decisions []Decision
+	// stored is the store's copy of progress; while storeDown it takes nothing.
+	stored    map[string][]byte
+	storeDown bool
+	roster    []byte
+	vms       []string
+	ended     map[WorkerID][]EndedTask
+}
+
+const (
+	// crashRack is how many VMs share a rack.
+	crashRack = 4
+	// crashDown is how long a VM has no worker after a crash.
+	crashDown = 3 * time.Second
+)
+
+func newCrashFleet(t *testing.T, vms int) *crashFleet {
+	t.Helper()
+	f := &crashFleet{
+		t: t, now: Instant{Steady: time.Second}, life: map[string]WorkerID{}, down: map[string]time.Duration{},
+		cut: map[string]bool{}, draining: map[string]bool{}, starts: map[job.TaskID][]uint64{}, running: map[WorkerID]map[job.TaskID]uint64{},
+		crashes: map[job.TaskID]int{}, crasher: func(job.TaskID) bool { return false }, stored: map[string][]byte{},
+		ended: map[WorkerID][]EndedTask{},
+	}
+	for i := range vms {
+		vm := fmt.Sprintf("m%02d", i)
+		f.vms = append(f.vms, vm)
+		f.born(vm)
+	}
+	f.core = f.newCore(1)
+	f.pass(300 * time.Millisecond)
+	return f
+}
+
+func (f *crashFleet) newCore(term uint64) *Core {
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour, RecoveryWait: 10 * time.Second}, term,
+		func(d Decision) { f.decisions = append(f.decisions, d) })
+	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, TargetLatency: time.Second, MaxAttempts: 3}}})
+	core.Renewed(f.now.Steady)
+	return core
+}
+
+func (f *crashFleet) born(vm string) {
+	f.lives++
+	id := WorkerID(fmt.Sprintf("%s-%d", vm, f.lives))
+	f.life[vm] = id
+	f.running[id] = map[job.TaskID]uint64{}
+}
+
+func (f *crashFleet) info(vm string) WorkerInfo {
+	var place int
+	if _, err := fmt.Sscanf(vm, "m%d", &place); err != nil {
+		f.t.Fatal(err)
+	}
+	info := lifeInfo(string(f.life[vm]), vm)
+	info.Address, info.Rack = vm, fmt.Sprintf("r%d", place/crashRack)
+	info.Draining, info.Leaving = f.draining[vm], 20*time.Second
+	return info
+}
+
+func (f *crashFleet) list() {
+	var list []WorkerInfo
+	for _, vm := range f.vms {
+		list = append(list, f.info(vm))
+	}
+	f.core.SetWorkers(list, f.now)
+}
+
+// end ends a VM's life; the next one comes after a time.
+func (f *crashFleet) end(vm string, down time.Duration) {
+	f.running[f.life[vm]] = map[job.TaskID]uint64{}
+	f.down[vm] = f.now.Steady + down
+}
+
+// reach returns what a call to a VM's life meets first.
+func (f *crashFleet) reach(vm string, id WorkerID) Outcome {
+	switch {
+	case f.cut[vm]:
+		return OutcomeUnknown
+	case f.down[vm] > f.now.Steady:
+		return OutcomeBroken
+	case f.life[vm] != id:
+		return OutcomeOtherLife
+	default:
+		return OutcomeOK
+	}
+}
+
+// pass lets time pass: polls are answered each 100 ms, orders at once.
+func (f *crashFleet) pass(d time.Duration) {
+	for end := f.now.Steady + d; f.now.Steady < end; {
+		f.now.Steady += 20 * time.Millisecond
+		f.now.UnixMS = f.now.Steady.Milliseconds()
+		for _, vm := range f.vms {
+			if f.down[vm] > 0 && f.now.Steady >= f.down[vm] {
+				delete(f.down, vm)
+				f.born(vm)
+			}
+		}
+		f.core.Renewed(f.now.Steady)
+		f.list()
+		if f.now.Steady%(100*time.Millisecond) == 0 {
+			f.poll()
+			f.core.Tick(f.now)
+		}
+		f.core.Schedule(f.now)
+		f.orders()
+		f.write()
+	}
+}
+
+func (f *crashFleet) poll() {
+	for _, id := range f.core.Workers() {
+		plan := f.core.PlanHold(id, f.now)
+		if !plan.Send {
+			continue
+		}
+		outcome := f.reach(plan.Order.Address, id)
+		reply := HoldReply{}
+		if outcome == OutcomeOK {
+			reply.ClockMS = f.now.Steady.Milliseconds()
+			for task, run := range f.running[id] {
+				reply.Running = append(reply.Running, RunningTask{Task: task, Run: run, Percent: fullPace})
+			}
+			for _, e := range f.ended[id] {
+				if e.Number > plan.Order.Seen {
+					reply.Ended = append(reply.Ended, e)
+				}
+			}
+		}
+		f.core.HoldDone(plan.Order, reply, outcome, f.now)
+	}
+}
+
+func (f *crashFleet) orders() {
+	for _, o := range f.core.TakeOrders() {
+		outcome := f.reach(o.Address, o.Worker)
+		if outcome == OutcomeOK {
+			f.carryOut(o)
+		}
+		f.core.OrderDone(o, Answer{Outcome: outcome, ClockMS: f.now.Steady.Milliseconds()}, f.now)
+	}
+}
+
+func (f *crashFleet) carryOut(o Order) {
+	runs := f.running[o.Worker]
+	switch o.Kind {
+	case OrderStart:
+		runs[o.Task] = o.Run
+		f.starts[o.Task] = append(f.starts[o.Task], o.Run)
+		if f.crasher(o.Task) {
+			f.crashes[o.Task]++
+			f.end(o.Address, crashDown)
+		}
+	case OrderStop:
+		if runs[o.Task] == o.Run {
+			delete(runs, o.Task)
+		}
+	}
+}
+
+// write has the store take the progress of jobs and the roster.
+func (f *crashFleet) write() {
+	if f.storeDown {
+		return
+	}
+	records, err := f.core.Records(100)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, r := range records {
+		f.stored[r.Job] = r.Value
+	}
+	f.core.Persisted(records)
+	if f.core.RosterStale() {
+		value, open, err := f.core.Roster()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.roster = value
+		f.core.RosterStored(open)
+	}
+}
+
+// told returns the decisions with an event.
+func (f *crashFleet) told(event string) []Decision {
+	var list []Decision
+	for _, d := range f.decisions {
+		if d.Event == event {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// TestEndsOfLivesAreTold: the log tells a crash from other ends of a worker's life, and which
+// runs had just begun there.
+func TestEndsOfLivesAreTold(t *testing.T) {
+	const away = 2 * time.Second
+	for name, x := range map[string]struct {
+		end  func(f *crashFleet)
+		want lifeEnd
+	}{
+		"crashed":         {func(f *crashFleet) { f.end("m00", away) }, endCrashed},
+		"restarted quick": {func(f *crashFleet) { f.end("m00", time.Millisecond) }, endCrashed},
+		"drained":         {func(f *crashFleet) { f.draining["m00"] = true; f.pass(time.Second); f.end("m00", away) }, endDrained},
+		"cut off":         {func(f *crashFleet) { f.cut["m00"] = true; f.pass(2 * time.Second); f.end("m00", away); f.cut["m00"] = false }, endSilent},
+		"rack lost":       {func(f *crashFleet) { f.end("m00", away); f.end("m01", away); f.end("m02", away) }, endRackLost},
+		"evacuated":       {func(f *crashFleet) { f.core.SetEvacuated([]string{""}); f.end("m00", away) }, endEvacuated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(t, 8)
+			old := simpleJob(1, 8)
+			old.Steps[0].MaxPerWorker = 1
+			f.core.AddJob(old, nil, false, f.now)
+			f.pass(8 * time.Second)
+			young := simpleJob(2, 8)
+			young.Steps[0].MaxPerWorker = 1
+			f.core.AddJob(young, nil, false, f.now)
+			f.pass(time.Second)
+			id := f.life["m00"]
+			x.end(f)
+			f.pass(4 * time.Second)
+			var told *Decision
+			for _, d := range f.told("worker_ended") {
+				if d.Worker == id {
+					told = &d
+				}
+			}
+			if told == nil || told.Reason != x.want.String() {
+				t.Fatalf("told: %v, want %v", told, x.want)
+			}
+			var runs []string
+			for _, d := range f.told("run_in_crash") {
+				if d.Worker == id {
+					runs = append(runs, d.Job)
+				}
+			}
+			if x.want == endCrashed && (len(runs) != 1 || runs[0] != young.ID) {
+				t.Errorf("runs that may have crashed it: %v, want the one of %s", runs, young.ID)
+			}
+			if x.want != endCrashed && len(runs) > 0 {
+				t.Errorf("runs that may have crashed it: %v, want none", runs)
+			}
+		})
+	}
+}
+
+// TestBrokenConnectionProvesNothing: a connection that is refused or broken off leaves the
+// worker's life and its runs as they are; only a lease that is over or another life ends them.
+func TestBrokenConnectionProvesNothing(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	spec := simpleJob(1, 8)
+	f.core.AddJob(spec, nil, false, f.now)
+	f.pass(time.Second)
+	f.down["m00"] = f.now.Steady + time.Hour // refuses, and runs on
+	f.pass(4 * time.Second)
+	if n := len(f.told("run_lost")); n > 0 {
+		t.Errorf("%d runs were given up while their leases lasted", n)
+	}
+	for id, runs := range f.starts {
+		if len(runs) > 1 {
+			t.Errorf("%v was started %d times", id, len(runs))
+		}
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -117,6 +117,8 @@
 	missed   bool
 	missedAt time.Duration
 	tries    int
+	// placedAt is when it was ordered, started when that was confirmed.
+	placedAt time.Duration
 	started  time.Duration
 	stopping bool
 	atWork   bool          // past its start in the newest list
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -25,7 +25,7 @@
 	s := t.step
 	deadline := c.deadlineIn(w, startWindow, now)
 	a := &attempt{
-		task: t, worker: w, run: run, deadline: deadline, tries: 1, started: now.Steady,
+		task: t, worker: w, run: run, deadline: deadline, tries: 1, placedAt: now.Steady, started: now.Steady,
 		percent: fullPace, paced: fullPace, ticket: ticket,
 	}
 	t.attempt, t.phase, t.concluded = a, phaseStarting, false
@@ -94,11 +94,13 @@
 	case OutcomeOtherLife:
 		c.lifeOver(w, "another life answers", now)
 		return
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeBroken:
 		w.unanswered++
+		w.noteUnanswered(ans.Outcome, now)
 	case OutcomeNotSent:
 	default:
 		w.unanswered = 0
+		w.noteAnswered(now)
 		w.noteClock(ans.ClockMS, now)
 	}
 	t := c.findTask(o.Task)
@@ -124,7 +126,7 @@
 			a.started = now.Steady
 		}
 		c.tellTask(eventStarted, a.task, a.worker, a.run, "")
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeBroken:
 		c.startUnanswered(a, o, now)
 	default:
 		c.startRefused(a, ans, now)
@@ -178,7 +180,7 @@
 	switch ans.Outcome {
 	case OutcomeOK:
 		a.paced = o.Percent
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeBroken:
 		a.paced, a.paceDoubted = paceUnknown, now.Steady
 	default:
 		a.paced = paceUnknown
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -93,12 +93,13 @@
 		c.lifeOver(w, "another life answers", now)
 		return 0
 	default:
-		return c.holdFailed(w, outcome)
+		return c.holdFailed(w, outcome, now)
 	}
 	if w.holdFails >= suspectAfter {
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
+	w.noteAnswered(now)
 	c.endOtherLives(w, now)
 	fresh := w.noteClock(reply.ClockMS, now)
 	c.takeEnds(w, reply.Ended, now)
@@ -136,7 +137,8 @@
 	c.deposed = true
 }
 
-func (c *Core) holdFailed(w *worker, outcome Outcome) time.Duration {
+func (c *Core) holdFailed(w *worker, outcome Outcome, now Instant) time.Duration {
+	w.noteUnanswered(outcome, now)
 	w.holdFails++
 	w.failedSent = w.holdSent
 	w.unanswered++
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -142,7 +142,8 @@
 // Outcome is what is known of a call to a worker.
 type Outcome uint8
 
-// Outcomes. All but OutcomeOK and OutcomeUnknown prove that the call did nothing.
+// Outcomes. All but OutcomeOK, OutcomeUnknown and OutcomeBroken prove that the call
+// did nothing.
 const (
 	OutcomeOK Outcome = iota
 	// OutcomeUnknown: no answer. The call may still be carried out, until
@@ -166,11 +167,14 @@
 	OutcomeInvalid
 	// OutcomeNotSent: the order was out of date before its turn came.
 	OutcomeNotSent
+	// OutcomeBroken is OutcomeUnknown of a connection that was refused or broken
+	// off: the process at its other end may have ended.
+	OutcomeBroken
 )
 
 // String returns the name of the outcome, as logged.
 func (o Outcome) String() string {
-	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "not_sent"}[o]
+	return [...]string{"ok", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "unwell", "other_life", "invalid", "not_sent", "broken"}[o]
 }
 
 // Answer is a worker's answer to an Order. ClockMS is 0 if it told none.
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -46,6 +46,9 @@
 		w.overReason = reason
 		return
 	}
+	if len(w.attempts) > 0 {
+		c.tellEnded(w, c.howEnded(w), w.youngRuns(), now)
+	}
 	c.lose(w, reason, now)
 	c.resolve(w.info.ID, reason, now)
 	c.forget(w, reason)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -59,7 +59,9 @@
 	unanswered      int
 	holdFails       int
 	knownAt         time.Duration // when it was first heard of
-	lastAnswer      time.Duration
+	lastAnswer      time.Duration // to a poll
+	heardAt         time.Duration // when it last answered any call
+	loss            contactLoss
 	holdSent        time.Duration // when the newest poll was sent
 	failedSent      time.Duration // when the newest poll without an answer was sent
 	strikes         int
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -76,6 +76,7 @@
 // registerLoadMetrics exposes the owner's load, the room that it keeps, and the
 // workers that get nothing.
 func (n *Node) registerLoadMetrics() {
+	n.ownerGauge("leverstile_worker_crashes", func(c *dispatch.Core) float64 { return float64(c.Stats().Crashes) })
 	n.ownerGauge("leverstile_overload_step", func(c *dispatch.Core) float64 {
 		load, _ := c.Load()
 		return float64(load)
