--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -99,6 +99,13 @@
 	deferred         []deferredJob   // jobs that came while the lease was not sure
 	cancelled        map[string]bool // jobs that were cancelled before they came
 	held             map[string]bool // jobs that are left alone; see HoldJob
+	// lostLives holds lives that may have crashed, crashed the newest crash of VMs
+	// that crashed of late, both by VM. suspects counts the tasks with crashes.
+	lostLives map[string]lostLife
+	crashed   map[string]crashRecord
+	suspects  int
+	// nextTrial is when the next task on trial may be started.
+	nextTrial time.Duration
 	// dirty holds the jobs whose progress is not stored, with their turn.
 	dirty     map[*jobState]uint64
 	waves     map[int64]*waveState
@@ -119,8 +126,9 @@
 	// GivenUp counts runs that a worker lists though this owner, which ordered
 	// them, had taken them for not running: each may have run beside another.
 	GivenUp uint64
-	// Crashes counts workers that crashed with tasks.
-	Crashes uint64
+	// Crashes counts workers that crashed with tasks, CrashersGivenUp the jobs that
+	// failed since a task of theirs crashed its workers.
+	Crashes, CrashersGivenUp uint64
 }
 
 // Decision is one decision or change of belief, for the log.
@@ -173,6 +181,7 @@
 	return &Core{
 		params: params, term: term,
 		queues: map[string]job.Queue{}, services: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{}, held: map[string]bool{},
+		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
 		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, kept: map[string]*keptRoom{}, perfByKey: map[perfKey]*runTimes{},
@@ -188,6 +197,9 @@
 // Stats returns the counters.
 func (c *Core) Stats() Stats { return c.stats }
 
+// Suspects returns how many tasks may crash their workers.
+func (c *Core) Suspects() int { return c.suspects }
+
 // Renewed tells that the owner's lease at the store was renewed by a call sent
 // at a steady time. Orders are given, and leases reach, until OwnerHorizon
 // after it.
@@ -230,6 +242,7 @@
 func (c *Core) Tick(now Instant) {
 	c.addDeferred(now)
 	c.expireUnresolved(now)
+	c.forgetOldCrashes(now)
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -88,13 +88,25 @@
 			continue
 		}
 		all[other.info.VM] = true
-		if other.loss.since > 0 && (other.loss.since-w.loss.since).Abs() <= rackLostWithin {
+		if c.silentWith(other, w.loss.since) {
 			lost[other.info.VM] = true
 		}
 	}
 	return len(lost) >= 2 && 2*len(lost) > len(all)
 }
 
+// silentWith reports whether the worker of a VM fell silent at a moment, or one before
+// it did. Of one without tasks, which was not polled, only its next life tells.
+func (c *Core) silentWith(w *worker, at time.Duration) bool {
+	near := func(t time.Duration) bool { return (t - at).Abs() <= rackLostWithin }
+	if r, crashed := c.crashed[w.info.VM]; crashed && near(r.at) || w.loss.since > 0 && near(w.loss.since) {
+		return true
+	} else if crashed {
+		return false
+	}
+	return w.knownAt > at
+}
+
 // youngRuns returns the runs at a worker of which one may have crashed it by its
 // start: those that had not worked there for long when it last answered, and whose
 // start was sent before it was known to be silent.
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,12 +37,14 @@
 	roster    []byte
 	vms       []string
 	ended     map[WorkerID][]EndedTask
+	// crashDown is how long a VM has no worker after a crash.
+	crashDown time.Duration
 }
 
 const (
 	// crashRack is how many VMs share a rack.
 	crashRack = 4
-	// crashDown is how long a VM has no worker after a crash.
+	// crashDown is how long a VM mostly has no worker after a crash.
 	crashDown = 3 * time.Second
 )
 
@@ -50,7 +54,7 @@
 		t: t, now: Instant{Steady: time.Second}, life: map[string]WorkerID{}, down: map[string]time.Duration{},
 		cut: map[string]bool{}, draining: map[string]bool{}, starts: map[job.TaskID][]uint64{}, running: map[WorkerID]map[job.TaskID]uint64{},
 		crashes: map[job.TaskID]int{}, crasher: func(job.TaskID) bool { return false }, stored: map[string][]byte{},
-		ended: map[WorkerID][]EndedTask{},
+		ended: map[WorkerID][]EndedTask{}, crashDown: crashDown,
 	}
 	for i := range vms {
 		vm := fmt.Sprintf("m%02d", i)
@@ -63,13 +67,39 @@
 }
 
 func (f *crashFleet) newCore(term uint64) *Core {
-	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour, RecoveryWait: 10 * time.Second}, term,
+	core := New(Params{MaxTaskLease: 6 * time.Second, OwnerTTL: time.Hour, OwnerHorizon: 2 * time.Hour, RecoveryWait: 10 * time.Second, JobKept: time.Hour}, term,
 		func(d Decision) { f.decisions = append(f.decisions, d) })
 	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, TargetLatency: time.Second, MaxAttempts: 3}}})
 	core.Renewed(f.now.Steady)
 	return core
 }
 
+// takeOver has the next owner take over with what the store holds. Jobs are known by
+// their specs.
+func (f *crashFleet) takeOver(specs ...*job.Spec) {
+	f.t.Helper()
+	list, err := DecodeRoster(f.roster)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	next := f.newCore(f.core.Term() + 1)
+	next.Recover(list, f.now)
+	f.core = next
+	f.list()
+	for _, spec := range specs {
+		var p *job.Progress
+		if value, ok := f.stored[spec.ID]; ok {
+			if p, err = DecodeProgress(value); err != nil {
+				f.t.Fatal(err)
+			}
+			if err = p.Check(spec); err != nil {
+				f.t.Fatal(err)
+			}
+		}
+		next.AddJob(spec, p, true, f.now)
+	}
+}
+
 func (f *crashFleet) born(vm string) {
 	f.lives++
 	id := WorkerID(fmt.Sprintf("%s-%d", vm, f.lives))
@@ -152,6 +182,7 @@
 			for task, run := range f.running[id] {
 				reply.Running = append(reply.Running, RunningTask{Task: task, Run: run, Percent: fullPace})
 			}
+			slices.SortFunc(reply.Running, func(a, b RunningTask) int { return strings.Compare(a.Task.String(), b.Task.String()) })
 			for _, e := range f.ended[id] {
 				if e.Number > plan.Order.Seen {
 					reply.Ended = append(reply.Ended, e)
@@ -162,6 +193,16 @@
 	}
 }
 
+// finish ends a run where it works.
+func (f *crashFleet) finish(task job.TaskID, kind EndKind) {
+	for id, runs := range f.running {
+		if run, ok := runs[task]; ok {
+			delete(runs, task)
+			f.ended[id] = append(f.ended[id], EndedTask{Number: uint64(len(f.ended[id]) + 1), Task: task, Run: run, Kind: kind})
+		}
+	}
+}
+
 func (f *crashFleet) orders() {
 	for _, o := range f.core.TakeOrders() {
 		outcome := f.reach(o.Address, o.Worker)
@@ -180,7 +221,7 @@
 		f.starts[o.Task] = append(f.starts[o.Task], o.Run)
 		if f.crasher(o.Task) {
 			f.crashes[o.Task]++
-			f.end(o.Address, crashDown)
+			f.end(o.Address, f.crashDown)
 		}
 	case OrderStop:
 		if runs[o.Task] == o.Run {
@@ -272,9 +313,14 @@
 		"crashed":         {func(f *crashFleet) { f.end("m00", away) }, endCrashed},
 		"restarted quick": {func(f *crashFleet) { f.end("m00", time.Millisecond) }, endCrashed},
 		"drained":         {func(f *crashFleet) { f.draining["m00"] = true; f.pass(time.Second); f.end("m00", away) }, endDrained},
-		"cut off":         {func(f *crashFleet) { f.cut["m00"] = true; f.pass(2 * time.Second); f.end("m00", away); f.cut["m00"] = false }, endSilent},
-		"rack lost":       {func(f *crashFleet) { f.end("m00", away); f.end("m01", away); f.end("m02", away) }, endRackLost},
-		"evacuated":       {func(f *crashFleet) { f.core.SetEvacuated([]string{""}); f.end("m00", away) }, endEvacuated},
+		"cut off": {func(f *crashFleet) {
+			f.cut["m00"] = true
+			f.pass(2 * time.Second)
+			f.end("m00", away)
+			f.cut["m00"] = false
+		}, endSilent},
+		"rack lost": {func(f *crashFleet) { f.end("m00", away); f.end("m01", away); f.end("m02", away) }, endRackLost},
+		"evacuated": {func(f *crashFleet) { f.core.SetEvacuated([]string{""}); f.end("m00", away) }, endEvacuated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, 8)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -7,6 +7,8 @@
 	Known bool      `json:"known"`
 	State job.State `json:"state,omitempty"`
 	Queue string    `json:"queue,omitempty"`
+	// Reason is why it has failed.
+	Reason string `json:"reason,omitempty"`
 	// Persisted is false while the store lacks the newest progress.
 	Persisted bool       `json:"persisted,omitempty"`
 	Tasks     []TaskInfo `json:"tasks,omitempty"`
@@ -21,6 +23,8 @@
 	// WaitsFor is the reason why a task does not run.
 	WaitsFor string `json:"waits_for,omitempty"`
 	Pace     int    `json:"pace,omitempty"`
+	// Crashes is how many workers in a row crashed when it was started.
+	Crashes int `json:"crashes,omitempty"`
 	// ReadyMS is for how long it has been ready.
 	ReadyMS int64 `json:"ready_ms,omitempty"`
 }
@@ -35,7 +39,7 @@
 	if barred := c.countBarriers(c.queues[j.spec.Queue].Service, now).String(); barred != "" {
 		room += "; workers that get nothing: " + barred
 	}
-	e := Explanation{Known: true, State: j.shown, Queue: j.spec.Queue, Persisted: j.persisted == j.version}
+	e := Explanation{Known: true, State: j.shown, Queue: j.spec.Queue, Reason: j.progress.Reason, Persisted: j.persisted == j.version}
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
 			e.Tasks = append(e.Tasks, c.explainTask(t, room, now))
@@ -46,7 +50,7 @@
 
 // explainTask tells of one task; room is what a ready one waits for.
 func (c *Core) explainTask(t *task, room string, now Instant) TaskInfo {
-	info := TaskInfo{Task: t.id().String(), Phase: t.phase.String()}
+	info := TaskInfo{Task: t.id().String(), Phase: t.phase.String(), Crashes: t.suspicion()}
 	if a := t.attempt; a != nil {
 		info.Worker, info.Run, info.Pace = a.worker.info.ID, a.run, a.percent
 		return info
@@ -62,6 +66,11 @@
 	case phaseReady:
 		info.ReadyMS = (now.Steady - t.readySince).Milliseconds()
 		info.WaitsFor = room
+		if reason := c.suspectWaits(t, now); reason != "" {
+			info.WaitsFor = reason
+		} else if t.suspicion() > 0 {
+			info.WaitsFor = "a worker apart from other tasks that may crash it"
+		}
 	}
 	return info
 }
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -10,7 +10,10 @@
 			return
 		}
 	}
-	chosen := c.chooseGang(s, pool, now)
+	if c.suspectWaits(s.tasks[0], now) != "" {
+		return
+	}
+	chosen, apart := c.chooseGangApart(s, pool, now)
 	if chosen == nil {
 		return
 	}
@@ -20,6 +23,27 @@
 			c.place(t, chosen[i], s.gangRun, now)
 		}
 	}
+	if s.suspects == 0 {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.attempt != nil {
+			c.tryApart(t, apart, now)
+		}
+	}
+}
+
+// chooseGangApart is chooseGang; members of a suspect gang go to workers where no
+// other suspect was just started, unless it has long waited for that.
+func (c *Core) chooseGangApart(s *stepRun, pool []*worker, now Instant) (chosen []*worker, apart bool) {
+	if s.suspects == 0 {
+		return c.chooseGang(s, pool, now), false
+	}
+	free := withoutSuspects(pool, now)
+	if chosen = c.chooseGang(s, free, now); chosen != nil || now.Steady-s.tasks[0].readySince < starvedAfter {
+		return chosen, true
+	}
+	return c.chooseGang(s, pool, now), false
 }
 
 // chooseGang returns a worker for each task of a gang: in one rack if it asks
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -50,6 +50,7 @@
 	toldWaiting time.Duration
 	measured    int           // measures of its tasks' speed; see progressWatch
 	fastest     time.Duration // the shortest run time measured
+	suspects    int           // tasks with crashes
 	preempted   time.Duration // when room was last made for it
 	basis       rankBasis
 	// preemptTried is when room to be made for it was last looked for.
@@ -99,6 +100,11 @@
 	// failedInTerm is set once this owner has read a failure of the task, of a
 	// gang at its first task.
 	failedInTerm bool
+	// crashes is how many workers in a row crashed at its start, of a gang at its
+	// first task; crashVersion is the job's version that tells so, and unsettled how
+	// many more of its runs may have been crashes; see lostLife.
+	crashes, unsettled int
+	crashVersion       uint64
 }
 
 // attempt is a run that was ordered and may be running.
@@ -135,6 +141,7 @@
 	tail           tailWatch
 	ticket         string
 	adopted        bool
+	trial          bool // see tryApart
 }
 
 func (t *task) id() job.TaskID {
@@ -184,6 +191,7 @@
 		return
 	}
 	j.build(before && len(c.unresolved) > 0)
+	c.takeCrashes(j)
 	for _, s := range j.steps {
 		c.openStep(s, now)
 	}
@@ -270,6 +278,19 @@
 	return s
 }
 
+// takeCrashes takes in what the store knows of the crashes of a job's tasks.
+func (c *Core) takeCrashes(j *jobState) {
+	if len(j.progress.Crashes) == 0 {
+		return
+	}
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			n, _ := j.progress.CrashCount(t.id())
+			c.setCrashes(t, n)
+		}
+	}
+}
+
 // openStep makes the tasks of a step ready if nothing holds them back.
 func (c *Core) openStep(s *stepRun, now Instant) {
 	if s.after > 0 || s.left == 0 || s.job.cancelled {
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -141,6 +141,7 @@
 	}
 	a.missed = false
 	a.atWork = row.Percent == fullPace
+	c.noteOutlived(a, now)
 	c.noteProgress(a, row.Percent, now)
 	c.read(a, row, now)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -69,6 +69,9 @@
 // placeStep starts as many ready tasks of a step as there is room for.
 func (c *Core) placeStep(s *stepRun, p *pool, now Instant) {
 	queue := c.queues[s.job.spec.Queue]
+	if s.suspects > 0 {
+		c.placeSuspects(s, p, now)
+	}
 	x := s.shape(queue.Service, c.viewOf(s, p, now))
 	refusable := queue.Advice == nil // else the pool is the step's own
 	if refusable && c.stillRefused(s, x, now) {
@@ -77,7 +80,7 @@
 	}
 	var chosen *chooser
 	for _, t := range s.tasks {
-		if t.phase != phaseReady || now.Steady < t.notBefore || t.concluded && !c.certain(now) {
+		if t.phase != phaseReady || t.suspicion() > 0 || now.Steady < t.notBefore || t.concluded && !c.certain(now) {
 			continue
 		}
 		if chosen == nil || chosen.view != x.view {
--- a/dispatch/place_test.go
+++ b/dispatch/place_test.go
@@ -84,6 +84,13 @@
 			if t.phase != phaseReady || now.Steady < t.notBefore || t.concluded && !c.certain(now) {
 				continue
 			}
+			if t.suspicion() > 0 {
+				// It waits for a worker apart from other suspects, as placeApart says.
+				if w, _ := c.placeApart(t, &pool{workers: workers}, now); w != nil && c.suspectWaits(t, now) == "" {
+					return t
+				}
+				continue
+			}
 			if c.choose(t, workers, v, now) != nil {
 				return t
 			}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -101,6 +101,7 @@
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
 	w.noteAnswered(now)
 	c.endOtherLives(w, now)
+	c.settleLost(w, now)
 	fresh := w.noteClock(reply.ClockMS, now)
 	c.takeEnds(w, reply.Ended, now)
 	if fresh {
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -83,11 +83,15 @@
 		return
 	}
 	j.progress.State = state
+	if state == job.Failed {
+		j.progress.Reason = reason
+	}
 	j.progress.EndedMS, j.endedAt = now.UnixMS, now.Steady
 	c.touch(j)
 	c.trace(Decision{Event: "job_" + string(state), Job: j.spec.ID, Reason: reason})
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
+			c.setSuspicion(t, 0, 0)
 			if t.phase == phaseReady {
 				t.phase = phaseWaiting
 				s.ready--
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -25,6 +25,7 @@
 		}
 		c.unresolved[e.ID] = u
 		c.roster.entries[e.ID] = e
+		c.recoverLost(e, now)
 		c.addWorker(WorkerInfo{ID: e.ID, Address: e.Address, VM: e.VM}, now).recorded = u.open
 		if u.open {
 			c.openUnresolved++
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -14,6 +14,8 @@
 	// nothing of the owner's can be running there.
 	Closed bool     `json:"closed,omitempty"`
 	Tasks  []string `json:"tasks,omitempty"`
+	// Young are the runs of which one may have crashed the worker, if it has.
+	Young []LostRun `json:"young,omitempty"`
 }
 
 // roster is the list of workers that may have orders of this owner, for the next
@@ -104,7 +106,8 @@
 	open := make([]WorkerID, 0, len(c.roster.entries))
 	for id, e := range c.roster.entries {
 		if _, waits := c.unresolved[id]; e.Closed && !waits {
-			e.Tasks = c.workers[id].tasksAt()
+			w := c.workers[id]
+			e.Tasks, e.Young = w.tasksAt(), c.youngForRoster(w)
 		}
 		if !e.Closed {
 			open = append(open, id)
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -18,7 +18,9 @@
 	// An owner that may have been replaced must not conclude anything from
 	// time alone: the next one may know how these runs ended.
 	if len(w.attempts) > 0 && w.clock > 0 && c.certain(now) && w.surelyPast(w.lastDeadline, now) && c.silent(w, now) {
+		l := c.lifeOf(w, now)
 		c.lose(w, "its leases are over", now)
+		c.keepUnsettled(w.info.VM, l)
 	}
 	if !w.listed && len(w.attempts) == 0 && len(w.ends) == 0 && w.holdFails >= suspectAfter {
 		if _, wait := c.unresolved[w.info.ID]; !wait {
@@ -46,10 +48,16 @@
 		w.overReason = reason
 		return
 	}
+	l := c.lifeOf(w, now)
 	if len(w.attempts) > 0 {
-		c.tellEnded(w, c.howEnded(w), w.youngRuns(), now)
+		c.tellEnded(w, l.end, w.youngRuns(), now)
+	} else if lost, ok := c.lostLives[w.info.VM]; ok && lost.id == w.info.ID {
+		l, _ = c.dropUnsettled(w.info.VM)
 	}
 	c.lose(w, reason, now)
+	if l.end == endCrashed {
+		c.countCrashes(w.info.VM, l, now)
+	}
 	c.resolve(w.info.ID, reason, now)
 	c.forget(w, reason)
 	c.over[w.info.ID] = true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -62,12 +62,13 @@
 	lastAnswer      time.Duration // to a poll
 	heardAt         time.Duration // when it last answered any call
 	loss            contactLoss
+	suspectUntil    time.Duration // until then a suspect counts as just started there
 	holdSent        time.Duration // when the newest poll was sent
 	failedSent      time.Duration // when the newest poll without an answer was sent
 	strikes         int
 	failStreak      int
 	avoidUntil      time.Duration
-	fullUntil       time.Duration
+	fullUntil       time.Duration // until then it gets no tasks: it had no room, or a suspect is on trial
 	overReason      string        // why its life is over, while that is put off
 	leavesAt        time.Duration // a draining worker's last moment, at the latest
 	load            workerLoad
--- a/job/progress.go
+++ b/job/progress.go
@@ -35,10 +35,22 @@
 	// OCCURRENCE.STEP.INDEX. Workers list an end until it is acknowledged,
 	// and after a takeover in any order, so a mere count would not do.
 	Failures map[string][]uint64 `json:"failures,omitempty"`
+	// Crashes holds the runs of a task in a row at whose start their worker crashed,
+	// under the same keys: a crashed worker tells nobody of them.
+	Crashes map[string][]Crash `json:"crashes,omitempty"`
+	// Reason is why the job failed, for its customer.
+	Reason string `json:"reason,omitempty"`
 	// EndedMS is when the state became final, milliseconds since 1970.
 	EndedMS int64 `json:"ended_ms,omitempty"`
 }
 
+// Crash is a run at whose start its worker crashed.
+type Crash struct {
+	Run uint64 `json:"run"`
+	// Alone is set if no other worker crashed at that moment.
+	Alone bool `json:"alone,omitempty"`
+}
+
 // StepKey is the key of a step in Progress.Done.
 func StepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
 
@@ -86,9 +98,48 @@
 // FailureCount returns how many runs of a task have failed.
 func (p *Progress) FailureCount(t TaskID) int { return len(p.Failures[t.FailureKey()]) }
 
+// CountCrash notes once that a worker crashed at the start of a run, and reports
+// whether that was new.
+func (p *Progress) CountCrash(t TaskID, crash Crash) bool {
+	if p.Crashes == nil {
+		p.Crashes = map[string][]Crash{}
+	}
+	key := t.FailureKey()
+	if slices.ContainsFunc(p.Crashes[key], func(c Crash) bool { return c.Run == crash.Run }) {
+		return false
+	}
+	p.Crashes[key] = append(p.Crashes[key], crash)
+	return true
+}
+
+// CrashCount returns at how many starts of a task in a row its worker crashed, and how
+// many of these workers crashed alone.
+func (p *Progress) CrashCount(t TaskID) (crashes, alone int) {
+	list := p.Crashes[t.FailureKey()]
+	for _, c := range list {
+		if c.Alone {
+			alone++
+		}
+	}
+	return len(list), alone
+}
+
+// NewestCrash returns the highest of those runs, 0 without any.
+func (p *Progress) NewestCrash(t TaskID) uint64 {
+	newest := uint64(0)
+	for _, c := range p.Crashes[t.FailureKey()] {
+		newest = max(newest, c.Run)
+	}
+	return newest
+}
+
+// ClearCrashes forgets the crashes of a task.
+func (p *Progress) ClearCrashes(t TaskID) { delete(p.Crashes, t.FailureKey()) }
+
 // Check reports whether the progress can be that of a job: each bitmap is of one of
 // its steps and as long as that, and each failure of one of its tasks. A damaged
-// record would make tasks run again, or a bit be set outside of its bitmap.
+// record would make tasks run again, or a bit be set outside of its bitmap. So it is
+// with crashes.
 func (p *Progress) Check(spec *Spec) error {
 	switch p.State {
 	case Queued, Running, Succeeded, Failed, Cancelled:
@@ -105,13 +156,21 @@
 			return errors.Errorf("bitmap %s of %d bytes", key, len(bits))
 		}
 	}
-	for key := range p.Failures {
+	if err := checkTasks(p.Failures, spec); err != nil {
+		return errors.Annotate(err, "failures")
+	}
+	return errors.Annotate(checkTasks(p.Crashes, spec), "crashes")
+}
+
+// checkTasks reports whether each key is that of a task of the job.
+func checkTasks[R any](runs map[string][]R, spec *Spec) error {
+	for key := range runs {
 		at, err := parseNumbers(key, 3)
 		if err != nil {
 			return err
 		}
 		if count, ok := spec.tasksOf(at[0], at[1]); !ok || at[2] >= count {
-			return errors.Errorf("failures of %s", key)
+			return errors.Errorf("no task %s", key)
 		}
 	}
 	return nil
