--- /dev/null
+++ b/clock/boot_linux.go
@@ -0,0 +1,15 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+func bootTime() (time.Duration, bool) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, false
+	}
+	return time.Duration(t.Nano()), true
+}
--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,136 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fakeVM has clocks that a test moves.
+type fakeVM struct {
+	mono, asleep, step time.Duration
+	// noBoot: the system has no clock that counts suspensions.
+	noBoot bool
+	// pause is added to all clocks when Boot has been read, as if the process was
+	// preempted there.
+	pause time.Duration
+}
+
+func (f *fakeVM) sources() Sources {
+	return Sources{
+		Monotonic: func() time.Duration { return f.mono },
+		Boot: func() (time.Duration, bool) {
+			reading := f.mono + f.asleep
+			f.mono += f.pause
+			f.pause = 0
+			return reading, !f.noBoot
+		},
+		Wall: func() time.Duration { return f.mono + f.asleep + f.step },
+	}
+}
+
+// TestSuspensionCounts: the first reading after a suspension counts it, also if the time of
+// day was set back by as much meanwhile, then within lookEvery.
+func TestSuspensionCounts(t *testing.T) {
+	for name, x := range map[string]struct{ step, within time.Duration }{
+		"time of day goes on":     {0, 0},
+		"time of day is set back": {-5 * time.Second, lookEvery},
+		"time of day is wrong":    {time.Hour, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeVM{mono: time.Minute}
+			c := NewOf(f.sources())
+			f.mono += 10 * time.Millisecond
+			if got := c.Now(); got != f.mono {
+				t.Fatalf("%v before the suspension, want %v", got, f.mono)
+			}
+			f.asleep, f.step = 5*time.Second, x.step
+			f.mono += x.within
+			if got := c.Now(); got != f.mono+f.asleep {
+				t.Errorf("%v after it, want %v", got, f.mono+f.asleep)
+			}
+			if got := c.Asleep(); got != f.asleep {
+				t.Errorf("asleep for %v, want %v", got, f.asleep)
+			}
+		})
+	}
+}
+
+// TestJumpsOfTheTimeOfDayDoNotCount, nor do pauses of the process.
+func TestJumpsOfTheTimeOfDayDoNotCount(t *testing.T) {
+	f := &fakeVM{mono: time.Minute}
+	c := NewOf(f.sources())
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 30 * time.Millisecond, 0} {
+		f.step = step
+		f.mono += time.Second
+		f.pause = 3 * time.Second
+		if got := c.Now(); got != f.mono {
+			t.Errorf("step %v: %v, want %v", step, got, f.mono)
+		}
+	}
+}
+
+// TestSystemWithoutBootClock: the monotonic clock is all there is.
+func TestSystemWithoutBootClock(t *testing.T) {
+	f := &fakeVM{mono: time.Minute, noBoot: true}
+	c := NewOf(f.sources())
+	f.mono += time.Second
+	f.asleep = time.Hour
+	if got := c.Now(); got != f.mono {
+		t.Errorf("%v, want %v", got, f.mono)
+	}
+}
+
+// TestClockNeverGoesBack, whatever happens to the clocks, and is never ahead of the time that
+// has passed, suspensions included.
+func TestClockNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fakeVM{mono: time.Minute}
+		c := NewOf(f.sources())
+		last := c.Now()
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			d := time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "length"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				f.mono += d
+			case 1:
+				f.asleep += d
+			case 2:
+				f.step += d - 4*time.Second
+			case 3:
+				f.pause = d
+			}
+			now := c.Now()
+			if now < last {
+				t.Fatalf("%v after %v", now, last)
+			}
+			if now > f.mono+f.asleep {
+				t.Fatalf("%v when %v have passed", now, f.mono+f.asleep)
+			}
+			last = now
+		}
+		f.pause = 0 // a pause between two readings hides a suspension until the next look
+		f.mono += lookEvery
+		if now := c.Now(); f.mono+f.asleep-now > leastAsleep {
+			t.Fatalf("%v when %v have passed", now, f.mono+f.asleep)
+		}
+	})
+}
+
+// TestClockOfTheSystem reads the real clocks.
+func TestClockOfTheSystem(t *testing.T) {
+	c := New()
+	a := c.Now()
+	time.Sleep(2 * time.Millisecond)
+	if b := c.Now(); b-a < 2*time.Millisecond {
+		t.Errorf("%v, then %v", a, b)
+	}
+}
+
+func BenchmarkNow(b *testing.B) {
+	c := New()
+	for b.Loop() {
+		c.Now()
+	}
+}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"time"
+
+	"leverstile.dev/clock"
 )
 
-// Clock reads the process's monotonic clock.
+// Clock reads the process's steady clock, which counts suspensions of its VM.
 type Clock func() time.Duration
 
 // newClock returns a clock that starts at an arbitrary reading.
 func newClock() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) + time.Hour }
+	steady := clock.New()
+	return func() time.Duration { return steady.Now() + time.Hour }
 }
 
 // loop runs functions one after the other: the shell round a pure owner, which
--- a/node/end_test.go
+++ b/node/end_test.go
@@ -32,7 +32,7 @@
 		const longPoll = time.Hour
 		ctx, stop := context.WithCancelCause(context.Background())
 		workers := &tenacious{aborts: make(chan struct{})}
-		o := &owner{node: &Node{start: time.Now(), workers: workers}, ctx: ctx, stop: stop}
+		o := &owner{node: &Node{steady: steadyClock(), workers: workers}, ctx: ctx, stop: stop}
 		o.running.Go(func() {
 			for range 3 {
 				select {
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"leverstile.dev/clock"
 	"leverstile.dev/dispatch"
 	"leverstile.dev/job"
 )
@@ -54,7 +55,7 @@
 	vms     VMs
 	log     *log.Logger
 	metrics nodeMetrics
-	start   time.Time
+	steady  *clock.Clock
 
 	config   atomic.Pointer[job.Config]
 	current  atomic.Pointer[owner]
@@ -82,7 +83,7 @@
 // New returns a node. Run starts it.
 func New(opts Options, ports Ports, logger *log.Logger, set *metrics.Set) *Node {
 	n := &Node{
-		opts: opts, lister: ports.Lister, workers: ports.Workers, advisor: ports.Advisor, vms: ports.VMs, log: logger, start: time.Now(),
+		opts: opts, lister: ports.Lister, workers: ports.Workers, advisor: ports.Advisor, vms: ports.VMs, log: logger, steady: clock.New(),
 		peers: newPeerClient(), hints: make(chan struct{}, mostHints), drained: make(chan struct{}),
 	}
 	p := &n.opts.Params
@@ -93,8 +94,9 @@
 	return n
 }
 
-// clock is the steady clock of the process.
-func (n *Node) clock() time.Duration { return time.Since(n.start) }
+// clock is the steady clock of the process. It counts the time for which the VM was
+// suspended: a lease at the store runs out meanwhile.
+func (n *Node) clock() time.Duration { return n.steady.Now() }
 
 func (n *Node) instant() dispatch.Instant {
 	steady := n.clock()
--- a/node/pollers_test.go
+++ b/node/pollers_test.go
@@ -33,7 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		workers := &countedPolls{}
-		n := &Node{start: time.Now(), workers: workers, log: &log.Logger{Level: log.PanicLevel}, opts: Options{FreezeSlack: time.Hour}}
+		n := &Node{steady: steadyClock(), workers: workers, log: &log.Logger{Level: log.PanicLevel}, opts: Options{FreezeSlack: time.Hour}}
 		core := dispatch.New(dispatch.Params{MaxTaskLease: time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
 		core.Renewed(0)
 		o := &owner{
--- a/node/slots_test.go
+++ b/node/slots_test.go
@@ -13,7 +13,7 @@
 // calls that hang, long after they are out of date.
 func TestOrdersWaitForASlotOnlyAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &owner{node: &Node{start: time.Now()}, ctx: context.Background(), slots: make(chan struct{}, 1)}
+		o := &owner{node: &Node{steady: steadyClock()}, ctx: context.Background(), slots: make(chan struct{}, 1)}
 		if !o.awaitSlot() || o.waited.Load() != 0 {
 			t.Fatal("waits though a slot is free")
 		}
@@ -74,7 +74,7 @@
 func TestLongLoadIsNoFreeze(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		o := &owner{node: &Node{start: time.Now(), opts: Options{FreezeSlack: 300 * time.Millisecond}, log: &log.Logger{Level: log.PanicLevel}}, ctx: ctx}
+		o := &owner{node: &Node{steady: steadyClock(), opts: Options{FreezeSlack: 300 * time.Millisecond}, log: &log.Logger{Level: log.PanicLevel}}, ctx: ctx}
 		o.running.Go(o.aliveLoop)
 		time.Sleep(time.Second) // the state is read
 		if !o.mayAct(ctx) || o.suspended {
--- /dev/null
+++ b/node/suspended_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"leverstile.dev/clock"
+	"leverstile.dev/dispatch"
+)
+
+// steadyClock is a clock without a look at suspensions, for tests on simulated time.
+func steadyClock() *clock.Clock {
+	start := time.Now()
+	return clock.NewOf(clock.Sources{
+		Monotonic: func() time.Duration { return time.Since(start) },
+		Boot:      func() (time.Duration, bool) { return 0, false },
+		Wall:      func() time.Duration { return time.Since(start) },
+	})
+}
+
+// suspendedVM is a VM whose clocks a test moves: the monotonic one stands still while it is
+// suspended.
+type suspendedVM struct{ mono, asleep time.Duration }
+
+func (v *suspendedVM) clock() *clock.Clock {
+	all := func() time.Duration { return v.mono + v.asleep }
+	return clock.NewOf(clock.Sources{
+		Monotonic: func() time.Duration { return v.mono },
+		Boot:      func() (time.Duration, bool) { return all(), true },
+		Wall:      all,
+	})
+}
+
+// TestSuspendedOwnerSendsNothing: a VM that is suspended for longer than the owner's lease
+// wakes up beside the next owner. By the monotonic clock no time has passed; with it the
+// owner went on giving orders, and two owners started the same job.
+func TestSuspendedOwnerSendsNothing(t *testing.T) {
+	vm := &suspendedVM{mono: time.Minute}
+	n := &Node{steady: vm.clock(), log: &log.Logger{Writer: log.IOWriter{Writer: t.Output()}}}
+	n.opts.FreezeSlack = 300 * time.Millisecond
+	params := dispatch.Params{OwnerTTL: ownerTTL, OwnerHorizon: ownerHorizon, MaxTaskLease: 6 * time.Second}
+	o := &owner{node: n, own: &ownership{}, core: dispatch.New(params, 1, nil), lastAlive: n.clock()}
+	o.renewed(n.clock())
+	o.noticeFreeze()
+	if o.suspended {
+		t.Fatal("suspended before the VM was")
+	}
+	vm.asleep = ownerTTL + time.Second
+	o.noticeFreeze()
+	if !o.suspended {
+		t.Error("the owner goes on as if no time had passed")
+	}
+	if now := o.now().Steady; now-o.own.renewed < ownerTTL {
+		t.Errorf("its lease counts as %v old, want %v or more", now-o.own.renewed, ownerTTL)
+	}
+	o.renewed(n.clock())
+	if o.suspended {
+		t.Error("still suspended after its lease was renewed")
+	}
+}
+
+// TestTimeOfDayAfterASuspension: timed jobs are due by the time of day, of which a suspension
+// is no jump; held off as one, they began late by as much for half a minute.
+func TestTimeOfDayAfterASuspension(t *testing.T) {
+	const began = 1_700_000_000_000
+	vm := &suspendedVM{mono: time.Minute}
+	steady := vm.clock()
+	var w wallClock
+	wall := func() int64 { return began + (vm.mono + vm.asleep).Milliseconds() }
+	w.read(steady.Now(), wall())
+	vm.asleep = 7 * time.Second
+	vm.mono += 10 * time.Millisecond
+	if ms, _ := w.read(steady.Now(), wall()); ms != wall() {
+		t.Errorf("off by %d ms after a suspension", ms-wall())
+	}
+}
