--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -27,6 +27,7 @@
 	for task, list := range tasks {
 		w.checkOnce(task, list)
 		w.checkOrder(task, list, tasks)
+		w.checkCrashes(task, list)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -66,6 +67,34 @@
 	}
 }
 
+// Users allow two starts of a task after three workers have crashed under it, by entries
+// that have been without a fault for calmFor.
+const (
+	crashesAllowed = 3
+	startsAllowed  = 2
+	calmFor        = 3 * time.Second
+)
+
+// checkCrashes finds tasks that were started too often after they had crashed their workers,
+// by entries that no fault has met of late.
+func (w *world) checkCrashes(task string, list []wiretest.RunRecord) {
+	crashes, after := 0, 0
+	for _, r := range list {
+		if crashes >= crashesAllowed && r.Start.After(w.calmSince.Add(calmFor)) {
+			after++
+		}
+		if w.crashes(task) && r.How == "crashed" {
+			crashes++
+		}
+	}
+	if after > startsAllowed {
+		w.violation(task, fmt.Sprintf("started %d times after %d workers had crashed under it", after, crashesAllowed))
+	}
+	if w.crashes(task) {
+		w.t.Logf("task %s was started %d times and crashed %d workers", task, len(list), crashes)
+	}
+}
+
 // checkOrder finds starts of the second step before the first was done.
 func (w *world) checkOrder(task string, list []wiretest.RunRecord, tasks map[string][]wiretest.RunRecord) {
 	if !isSecond(task) {
--- a/soak/customers_test.go
+++ b/soak/customers_test.go
@@ -106,7 +106,8 @@
 	calls.Wait()
 }
 
-// awaitJobs waits until all accepted jobs are shown as done.
+// awaitJobs waits until all accepted jobs are shown as done, or as failed where a task
+// crashes its workers.
 func (w *world) awaitJobs() {
 	w.mu.Lock()
 	ids := make([]string, 0, len(w.accepted))
@@ -118,7 +119,11 @@
 	for n, id := range ids {
 		for {
 			status, text := w.call(w.procs[n%len(w.procs)], http.MethodGet, id, "")
-			if status == http.StatusOK && strings.Contains(text, "succeeded") {
+			want := "succeeded"
+			if w.hasCrasher(id) {
+				want = "failed"
+			}
+			if status == http.StatusOK && strings.Contains(text, want) {
 				break
 			}
 			if status == http.StatusGone {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -91,6 +93,11 @@
 		p.end(syscall.SIGTERM)
 		w.start(p)
 	case 2:
+		if length%2 == 0 { // by the seed
+			w.logFault(p.name, "suspended", length)
+			w.suspend(p, length)
+			return
+		}
 		w.logFault(p.name, "SIGSTOP", length)
 		p.pause(length)
 	default:
@@ -112,6 +119,19 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
+// suspend stops a process as if its VM were suspended: its monotonic clock does not count
+// the time, see the package clock.
+func (w *world) suspend(p *process, length time.Duration) {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	p.suspended += length
+	text := binary.LittleEndian.AppendUint64(nil, uint64(p.suspended))
+	if err := os.WriteFile(p.suspendedFile(), text, 0o600); err != nil {
+		w.t.Error(err)
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // pathFault is a fault of a process's path to the store.
 func (w *world) pathFault(p *process, m mode, length time.Duration) {
 	if !p.path.TryLock() {
@@ -243,6 +263,7 @@
 
 // calm ends all faults.
 func (w *world) calm() {
+	w.calmSince = time.Now()
 	w.store.SetFault(nil)
 	for _, p := range w.procs {
 		p.proxy.set(passing)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -47,6 +47,9 @@
 	cmd   *exec.Cmd
 	done  chan struct{}
 
+	// suspended is for how long its VM was suspended, over all its lives.
+	suspended time.Duration
+
 	signals, path sync.Mutex
 }
 
@@ -87,6 +90,8 @@
 	return p
 }
 
+func (p *process) suspendedFile() string { return filepath.Join(p.dir, "suspended") }
+
 // start runs a process, and again if it ends at once, as the platform does.
 func (w *world) start(p *process) {
 	for range 10 {
@@ -103,7 +108,7 @@
 
 func (w *world) startOnce(p *process) {
 	p.cmd = exec.Command(w.binary, "node", "--metrics-port", "0", "--log-level", "debug")
-	p.cmd.Env = append(os.Environ(), "LEVERSTILE_BOOT="+filepath.Join(p.dir, "node.toml"))
+	p.cmd.Env = append(os.Environ(), "LEVERSTILE_BOOT="+filepath.Join(p.dir, "node.toml"), "LEVERSTILE_TEST_SUSPENDED="+p.suspendedFile())
 	p.cmd.Stdout, p.cmd.Stderr = w.log, w.log
 	if err := p.cmd.Start(); err != nil {
 		w.t.Errorf("%s: %v", p.name, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,7 +47,11 @@
 	// leastWork and mostWork bound how long a task works.
 	leastWork, mostWork = 200 * time.Millisecond, 2 * time.Second
 	longestStop         = 800 * time.Millisecond
-	slowClock           = 0.98
+	// longestAway is the most that a worker is away after a task has crashed it.
+	longestAway = 2 * time.Second
+	// crashEvery is how many jobs there are for one with a task that crashes its workers.
+	crashEvery = 40
+	slowClock  = 0.98
 )
 
 // world is one seed's run. Its lock guards the maps; wards and paths are those of
@@ -66,6 +70,8 @@
 	maxLease time.Duration
 
 	violations int
+	// calmSince is when the last fault was over.
+	calmSince time.Time
 
 	mu       sync.Mutex
 	accepted map[string]bool
@@ -74,7 +80,7 @@
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "leverstile")
-	build := exec.Command("go", "build", "-o", binary, "leverstile.dev/cmd/leverstile")
+	build := exec.Command("go", "build", "-tags", "suspendable", "-o", binary, "leverstile.dev/cmd/leverstile")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
@@ -133,12 +139,25 @@
 		ID: fmt.Sprintf("i-%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%3),
 		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
 		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag,
+		Crashes: w.crashes, Away: func() time.Duration { return rand.N(longestAway) },
 		Wrap: w.wrapWorker,
 	})
 	worker.FailIf(func(task string, start int) bool { return start == 1 && strings.HasSuffix(task, "3") })
 	w.workers = append(w.workers, worker)
 }
 
+// crashes reports whether a task of this seed crashes the workers that start it.
+func (w *world) crashes(task string) bool {
+	return w.hasCrasher(jobOf(task)) && strings.HasSuffix(task, ".0.0.1")
+}
+
+// hasCrasher reports whether a job has such a task.
+func (w *world) hasCrasher(id string) bool {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, w.seed, id)
+	return h.Sum32()%crashEvery == 0
+}
+
 func (w *world) wrapWorker(address string) string {
 	p, err := newProxy(address)
 	if err != nil {
