--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -34,6 +34,9 @@
 	OwnerTTL, OwnerHorizon time.Duration
 	// Maintenance is how long a VM is down for its upkeep.
 	Maintenance time.Duration
+	// RoomNotice is how old the list of workers may be at starts in a service whose
+	// workers do not guard their room: it may have shrunk since. 0 is no bound.
+	RoomNotice time.Duration
 	// HolderGap is the least time between orders for VMs by two owners.
 	HolderGap time.Duration
 	// RecoveryWait is how long after a takeover orders of the previous owner
@@ -68,9 +71,13 @@
 	queues map[string]job.Queue // every queue ever seen, newest terms
 	// services holds those of all queues.
 	services map[string]bool
-	jobs     map[string]*jobState
-	workers  map[WorkerID]*worker
-	lives    map[string][]*worker // of workers, by VM where that is known
+	// unguarded holds services whose workers do not guard their room, listedAt is when
+	// the list of workers was last taken in.
+	unguarded map[string]bool
+	listedAt  time.Duration
+	jobs      map[string]*jobState
+	workers   map[WorkerID]*worker
+	lives     map[string][]*worker // of workers, by VM where that is known
 	// order holds all workers, members those of each service, by id.
 	order   []*worker
 	members map[string][]*worker
@@ -180,7 +187,7 @@
 	}
 	return &Core{
 		params: params, term: term,
-		queues: map[string]job.Queue{}, services: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{}, held: map[string]bool{},
+		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{}, held: map[string]bool{},
 		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
 		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
@@ -227,6 +234,7 @@
 	for _, q := range config.Queues {
 		c.queues[q.Name] = q
 		c.services[q.Service] = true
+		c.unguarded[q.Service] = q.RoomUnguarded
 	}
 }
 
--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -28,6 +28,9 @@
 	barrierAvoided
 	// barrierStale: its clock was read too long ago for a deadline; see leastAt.
 	barrierStale
+	// barrierOldRoom: it does not guard its room, which may have shrunk since the list
+	// of workers was read.
+	barrierOldRoom
 	// barrierUnrecorded: the next owner would not know that it may have orders.
 	barrierUnrecorded
 	barrierKinds
@@ -35,7 +38,7 @@
 
 // String returns the name, as logged and as told by Explain.
 func (b barrier) String() string {
-	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "stale", "unrecorded"}[b]
+	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "stale", "old_room", "unrecorded"}[b]
 }
 
 // barrierOf returns the first reason why a worker gets no new tasks.
@@ -59,6 +62,8 @@
 		return barrierAvoided
 	case w.leastAt(c.validUntil) <= w.clockNow(now):
 		return barrierStale
+	case c.unguarded[w.info.Service] && c.params.RoomNotice > 0 && now.Steady-c.listedAt > c.params.RoomNotice:
+		return barrierOldRoom
 	case !w.recorded:
 		return barrierUnrecorded
 	default:
--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -130,8 +130,8 @@
 }
 
 // freeOfLasting returns what lasting tasks leave of a worker, thousandths of a
-// core.
-func (w *worker) freeOfLasting() int64 { return w.info.CPUMilli - w.lasting.cpu }
+// core; nothing of one whose room has shrunk below what they take.
+func (w *worker) freeOfLasting() int64 { return max(w.info.CPUMilli-w.lasting.cpu, 0) }
 
 // boolRank puts true first.
 func boolRank(b bool) int {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -11,6 +11,7 @@
 // about lives: entries of ended ones lapse late, and a write of an ended life
 // may be carried out after those of the next. Only a worker itself tells.
 func (c *Core) SetWorkers(list []WorkerInfo, now Instant) {
+	c.listedAt = now.Steady
 	listed := make(map[WorkerID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
--- /dev/null
+++ b/dispatch/room_test.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// roomFleet is one worker that does not guard its room, and a core whose list of workers
+// names it.
+type roomFleet struct {
+	core *Core
+	now  Instant
+	info WorkerInfo
+}
+
+func newRoomFleet(t *testing.T, unguarded bool) *roomFleet {
+	t.Helper()
+	f := &roomFleet{now: Instant{Steady: time.Second}, info: lifeInfo("w1", "m1")}
+	f.info.CPUMilli = 4000
+	f.core = sureCore(Params{RoomNotice: 3 * time.Second}, 1, f.now)
+	f.core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, TargetLatency: time.Second, RoomUnguarded: unguarded}}})
+	f.list()
+	rosterOf(t, f.core)
+	poll(f.core, "w1", f.now.Steady, f.now.Steady+time.Millisecond)
+	return f
+}
+
+func (f *roomFleet) list() { f.core.SetWorkers([]WorkerInfo{f.info}, f.now) }
+
+// starts lets a moment pass and has all orders answered.
+func (f *roomFleet) starts() int {
+	n := 0
+	f.now.Steady += 20 * time.Millisecond
+	f.core.Schedule(f.now)
+	for _, o := range f.core.TakeOrders() {
+		if o.Kind == OrderStart {
+			n++
+		}
+		f.core.OrderDone(o, Answer{Outcome: OutcomeOK, ClockMS: f.now.Steady.Milliseconds()}, f.now)
+	}
+	return n
+}
+
+// end has the worker list the end of an attempt.
+func (f *roomFleet) end(a *attempt, number uint64) {
+	w := a.worker
+	reply := HoldReply{ClockMS: f.now.Steady.Milliseconds(), Ended: []EndedTask{{Number: number, Task: a.task.id(), Run: a.run, Kind: EndStopped}}}
+	for _, other := range w.attempts {
+		if other != a {
+			reply.Running = append(reply.Running, RunningTask{Task: other.task.id(), Run: other.run, Percent: fullPace})
+		}
+	}
+	f.core.HoldDone(f.core.PlanHold("w1", f.now).Order, reply, OutcomeOK, f.now)
+}
+
+// TestShrunkAndGrownRoom: a start never brings a worker over the room that it lists, what is
+// being stopped included; room that has grown is used at once.
+func TestShrunkAndGrownRoom(t *testing.T) {
+	f := newRoomFleet(t, true)
+	spec := simpleJob(1, 20) // each task takes 500
+	f.core.AddJob(spec, nil, false, f.now)
+	if n := f.starts(); n != 8 {
+		t.Fatalf("%d starts in a room for 8", n)
+	}
+	f.info.CPUMilli = 2000
+	f.list()
+	w := f.core.workers["w1"]
+	for number := uint64(1); number <= 4; number++ {
+		a := w.attempts[0]
+		f.core.stop(a, "test", f.now)
+		if n := f.starts(); n != 0 {
+			t.Fatalf("%d starts while a worker has %d runs, one being stopped, in a room for 4", n, len(w.attempts))
+		}
+		f.end(a, number)
+		if n := f.starts(); n != 0 {
+			t.Fatalf("%d starts while a worker has %d runs in a room for 4", n, len(w.attempts))
+		}
+	}
+	a := w.attempts[0]
+	f.core.stop(a, "test", f.now)
+	if n := f.starts(); n != 0 {
+		t.Errorf("%d starts while the run that makes room is being stopped", n)
+	}
+	f.end(a, 5)
+	if n := f.starts(); n != 1 {
+		t.Errorf("%d starts once there is room for one", n)
+	}
+	f.info.CPUMilli = 5000
+	f.list()
+	if n := f.starts(); n != 6 {
+		t.Errorf("%d starts after the room has grown by 6", n)
+	}
+}
+
+// TestOldListOfUnguardedRoom: room may have shrunk since the list was read. A worker that
+// guards its room refuses what does not fit.
+func TestOldListOfUnguardedRoom(t *testing.T) {
+	for _, unguarded := range []bool{false, true} {
+		f := newRoomFleet(t, unguarded)
+		f.core.AddJob(simpleJob(1, 2), nil, false, f.now)
+		if n := f.starts(); n != 2 {
+			t.Fatalf("%d starts with a new list", n)
+		}
+		f.now.Steady += f.core.params.RoomNotice
+		f.core.AddJob(simpleJob(2, 2), nil, false, f.now)
+		want := 2
+		if unguarded {
+			want = 0
+		}
+		if n := f.starts(); n != want {
+			t.Errorf("unguarded %v: %d starts with an old list, want %d", unguarded, n, want)
+		}
+		f.list()
+		if n := f.starts(); n != 2-want {
+			t.Errorf("unguarded %v: %d starts with a new list, want %d", unguarded, n, 2-want)
+		}
+	}
+}
+
+// TestKeptRoomOfShrunkWorkers: a worker that has shrunk below what its lasting tasks take
+// leaves nothing to short ones, and takes nothing from what others leave.
+func TestKeptRoomOfShrunkWorkers(t *testing.T) {
+	w := &worker{info: WorkerInfo{CPUMilli: 2000}, lasting: resources{cpu: 5000}}
+	if free := w.freeOfLasting(); free != 0 {
+		t.Errorf("%d free, want 0", free)
+	}
+}
--- a/job/config.go
+++ b/job/config.go
@@ -20,6 +20,9 @@
 	// work, plus TargetLatency, of its first submission.
 	Stretch       float64
 	TargetLatency time.Duration
+	// RoomUnguarded is set if the service's workers start whatever they are told, also
+	// beyond their room.
+	RoomUnguarded bool
 	// Advice is set if the service's placement policy must be asked.
 	Advice *AdviceTerms
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -23,6 +23,9 @@
 		if r.Payload != payloadOf(jobOf(r.Task)) {
 			w.violation(r.Task, fmt.Sprintf("started with another payload %q", r.Payload))
 		}
+		if r.Over {
+			w.violation(r.Task, "it does not fit: "+r.String())
+		}
 	}
 	for task, list := range tasks {
 		w.checkOnce(task, list)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -217,7 +217,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	i := rng.IntN(len(w.workers))
 	worker, path, name := w.workers[i], w.paths[i], w.workers[i].ID
-	kind, length := rng.IntN(18), between(rng, 300*time.Millisecond, 5*time.Second)
+	kind, length := rng.IntN(20), between(rng, 300*time.Millisecond, 5*time.Second)
 	if !w.wards[i].TryLock() {
 		return
 	}
@@ -238,6 +238,11 @@
 		}
 		worker.Crash(fmt.Sprintf("%s-%x", worker.ID, seed>>32), length/4)
 		path.set(passing)
+	case kind < 19:
+		w.logFault(name, "smaller room", 2*length)
+		worker.Resize(smallRoom, roomNotice)
+		time.Sleep(2 * length)
+		worker.Resize(largeRoom, roomNotice)
 	default:
 		w.logFault(name, "unlisted", length)
 		worker.Unlist()
@@ -246,6 +251,13 @@
 	}
 }
 
+// Rooms of workers that shrink and grow, thousandths of a core, and the time that users
+// give entries to hear of it: the time within which they are in touch, and a heartbeat.
+const (
+	smallRoom, largeRoom = 2000, 9000
+	roomNotice           = 4 * time.Second
+)
+
 // unwell lets a share of a worker's calls, or of the starts alone, fail.
 func (w *world) unwell(rng *rand.Rand, worker *wiretest.Worker, length time.Duration) {
 	kinds := unwell[rng.IntN(len(unwell))]
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -32,6 +32,7 @@
 max_hold_ms = %d
 stop_timeout_ms = 900
 harm_ms = 4000
+contact_ms = 3000
 thaw_slack_ms = 300
 status_s = 600
 pace_ms = 100
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,7 +38,7 @@
 const settle = 90 * time.Second
 
 const config = `{"version":%d,"routes":[{"name":"q","host":"h.example","path_prefix":"/a/","timeout_ms":3000,"target_latency_ms":4000,
-"priority":0,"service":"svc","max_attempts":1000,"stretch":6}],"services":[{"name":"svc","admission_check":true}],"limits":{"max_body_bytes":100000}}`
+"priority":0,"service":"svc","max_attempts":1000,"stretch":6}],"services":[{"name":"svc","admission_check":%v}],"limits":{"max_body_bytes":100000}}`
 
 // Sizes of a seed's world, from the least to the most.
 const (
@@ -101,7 +101,7 @@
 		t: t, seed: seed, binary: binary, store: wiretest.NewStore(),
 		accepted: map[string]bool{}, refused: map[string]bool{},
 	}
-	w.store.Put("op/config", fmt.Appendf(nil, config, 1))
+	w.store.Put("op/config", fmt.Appendf(nil, config, 1, !w.unguarded()))
 	log, err := os.CreateTemp(*soakLogs, fmt.Sprintf("soak-%d-*.log", seed))
 	if err != nil {
 		t.Fatal(err)
@@ -139,13 +139,16 @@
 		ID: fmt.Sprintf("i-%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%3),
 		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
 		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag,
-		Crashes: w.crashes, Away: func() time.Duration { return rand.N(longestAway) },
+		Unguarded: w.unguarded(), Crashes: w.crashes, Away: func() time.Duration { return rand.N(longestAway) },
 		Wrap: w.wrapWorker,
 	})
 	worker.FailIf(func(task string, start int) bool { return start == 1 && strings.HasSuffix(task, "3") })
 	w.workers = append(w.workers, worker)
 }
 
+// unguarded reports whether the workers of this seed start also what does not fit.
+func (w *world) unguarded() bool { return w.seed%2 == 0 }
+
 // crashes reports whether a task of this seed crashes the workers that start it.
 func (w *world) crashes(task string) bool {
 	return w.hasCrasher(jobOf(task)) && strings.HasSuffix(task, ".0.0.1")
