--- a/cmd/leverstile/jobs.go
+++ b/cmd/leverstile/jobs.go
@@ -94,6 +94,10 @@
 	if !resp.Msg.GetKnown() {
 		return result.New(result.UnknownTask, "no job %s", c.Args.ID)
 	}
+	if reason := resp.Msg.GetReason(); reason != "" {
+		fmt.Printf("%s: %s\n", resp.Msg.GetState(), reason)
+		return nil
+	}
 	fmt.Println(resp.Msg.GetState())
 	return nil
 }
--- a/cmd/leverstile/losses.go
+++ b/cmd/leverstile/losses.go
@@ -115,6 +115,8 @@
 		return "stopped: " + l.Reason
 	case "run_lost":
 		return "run lost: " + l.Reason
+	case "task_suspected":
+		return "suspected to crash its workers, started apart"
 	case "run_missing":
 		return "run missing: " + l.Reason
 	case "start_refused":
--- a/cmd/leverstile/trace.go
+++ b/cmd/leverstile/trace.go
@@ -105,7 +105,7 @@
 
 func (t *tracer) take(l *logLine) {
 	mine := l.Job == t.job || strings.HasSuffix(l.Key, "/"+t.job)
-	if !mine && (!surroundings[l.Event] || t.first.IsZero()) {
+	if !mine && (t.first.IsZero() || !surroundings[l.Event] && !t.endsWorker(l)) {
 		return
 	}
 	if mine {
@@ -118,6 +118,9 @@
 	_, _ = fmt.Fprintf(t.out, "%s%s %-18s %-16s %s\n", mark, l.Time.Format("15:04:05.000"), l.Entry, l.Event, l.detail())
 }
 
+// endsWorker reports whether a line tells how a worker ended that the job was on.
+func (t *tracer) endsWorker(l *logLine) bool { return l.Event == "worker_ended" && t.workers[l.Worker] }
+
 func (t *tracer) note(l *logLine) {
 	if t.first.IsZero() {
 		t.first, t.events, t.workers = l.Time, map[string]int{}, map[string]bool{}
@@ -149,8 +152,8 @@
 	if t.first.IsZero() {
 		return result.New(result.UnknownTask, "no line names job %s", t.job)
 	}
-	_, err := fmt.Fprintf(t.out, "job %s: %.3f s from its first line to its last; on %d workers; started %d, done %d, failed %d, stopped %d, lost %d, slowed %d, waited %d times\n",
+	_, err := fmt.Fprintf(t.out, "job %s: %.3f s from its first line to its last; on %d workers; started %d, done %d, failed %d, stopped %d, lost %d (%d shortly after their start, as their worker crashed), slowed %d, waited %d times\n",
 		t.job, t.last.Sub(t.first).Seconds(), len(t.workers), t.events["run_started"], t.events["run_done"], t.events["run_failed"],
-		t.events["run_stopped"], t.events["run_lost"], t.events["fill_slowed"], t.events["step_waits"])
+		t.events["run_stopped"], t.events["run_lost"], t.events["run_in_crash"], t.events["fill_slowed"], t.events["step_waits"])
 	return err
 }
--- a/cmd/leverstile/trace_test.go
+++ b/cmd/leverstile/trace_test.go
@@ -39,3 +39,34 @@
 		t.Error("a job that no line names is no error")
 	}
 }
+
+const crashLog = `{"time":"2026-01-01T10:00:01.000Z","entry":"e1","event":"job_submitted","job":"aa","recorded":"yes"}
+{"time":"2026-01-01T10:00:02.000Z","entry":"e2","event":"run_started","job":"aa","task":"aa.0.0.0","worker":"w1"}
+{"time":"2026-01-01T10:00:05.000Z","entry":"e2","event":"worker_ended","worker":"w2","reason":"drained"}
+{"time":"2026-01-01T10:00:05.000Z","entry":"e2","event":"worker_ended","worker":"w1","reason":"crashed"}
+{"time":"2026-01-01T10:00:05.000Z","entry":"e2","event":"run_in_crash","job":"aa","task":"aa.0.0.0","worker":"w1"}
+{"time":"2026-01-01T10:00:05.000Z","entry":"e2","event":"run_lost","job":"aa","task":"aa.0.0.0","worker":"w1"}
+{"time":"2026-01-01T10:00:05.000Z","entry":"e2","event":"task_suspected","job":"aa","task":"aa.0.0.0","worker":"w1","reason":"its worker crashed at its start, 3 times in a row"}
+{"time":"2026-01-01T10:00:05.000Z","entry":"e2","event":"job_failed","job":"aa","reason":"task aa.0.0.0: 3 workers in a row crashed when it was started"}
+`
+
+// TestTraceTellsCrashes: how the job's own workers ended stands between its lines.
+func TestTraceTellsCrashes(t *testing.T) {
+	var out bytes.Buffer
+	tr := tracer{job: "aa", out: &out}
+	if err := readLog(strings.NewReader(crashLog), tr.take); err != nil {
+		t.Fatal(err)
+	}
+	if err := tr.summary(); err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	for _, want := range []string{"worker=w1 reason=crashed", "3 workers in a row crashed", "lost 1 (1 shortly after their start"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in:\n%s", want, text)
+		}
+	}
+	if strings.Contains(text, "w2") {
+		t.Errorf("the end of another worker stands in:\n%s", text)
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -105,6 +105,7 @@
 	// many more of its runs may have been crashes; see lostLife.
 	crashes, unsettled int
 	crashVersion       uint64
+	lostWithOwner      bool // see noteLostWithOwner
 }
 
 // attempt is a run that was ordered and may be running.
@@ -285,8 +286,7 @@
 	}
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			n, _ := j.progress.CrashCount(t.id())
-			c.setCrashes(t, n)
+			c.setCrashes(t, j.progress.CrashCount(t.id()).All)
 		}
 	}
 }
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -121,11 +121,21 @@
 
 // Status returns the state that may be shown, and whether the job is known.
 func (c *Core) Status(id string) (job.State, bool) {
+	s, known := c.JobStatus(id)
+	return s.State, known
+}
+
+// JobStatus is Status with the reason of a failure.
+func (c *Core) JobStatus(id string) (job.Status, bool) {
 	j := c.jobs[id]
 	if j == nil {
-		return "", false
+		return job.Status{}, false
+	}
+	s := job.Status{State: j.shown}
+	if s.State == job.Failed {
+		s.Reason = j.progress.Reason
 	}
-	return j.shown, true
+	return s, true
 }
 
 // Pending returns how many jobs of a queue have not begun.
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -56,6 +56,8 @@
 	delete(c.unresolved, id)
 	if u.open {
 		c.openUnresolved--
+		w := c.workers[id]
+		c.openLost = c.openLost || w == nil || w.heardAt == 0
 	}
 	switch {
 	case c.openUnresolved > 0:
@@ -133,6 +135,7 @@
 				if t.phase == phaseUnknown && !c.mayRun(t) {
 					t.phase = phaseWaiting
 					t.concluded = true
+					c.noteLostWithOwner(t)
 				}
 			}
 			if s.spec.Gang && s.gangRun != 0 {
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -256,17 +256,32 @@
 		return
 	}
 	j := t.step.job
+	if t.lostWithOwner {
+		t.lostWithOwner = false
+		j.progress.CountCrash(t.id(), job.Crash{Run: c.term << runBits, Unsure: true})
+	}
 	c.touch(j)
-	n, nAlone := j.progress.CrashCount(t.id())
-	c.setCrashes(t, n)
-	d := taskDecision("task_suspected", t, nil, r.Run, fmt.Sprintf("its worker crashed at its start, %d times in a row", n))
+	n := j.progress.CrashCount(t.id())
+	c.setCrashes(t, n.All)
+	d := taskDecision("task_suspected", t, nil, r.Run, fmt.Sprintf("its worker crashed at its start, %d times in a row", n.Sure))
 	d.Worker = id
 	d.Detail = fmt.Sprintf("on trial %v, its worker crashed alone %v", r.Trial, alone)
 	c.trace(d)
-	sure := r.Trial && alone && nAlone >= aloneLimit
-	if n >= mostCrashes || n >= crashLimit && sure {
+	proven := n.Sure >= crashLimit && r.Trial && alone && n.Alone >= aloneLimit
+	if n.All >= mostCrashes || proven {
 		c.stats.CrashersGivenUp++
-		c.setFinal(j, job.Failed, fmt.Sprintf("task %s: %d workers in a row crashed when it was started", t.id(), n), now)
+		c.setFinal(j, job.Failed, fmt.Sprintf("task %s: %d workers in a row crashed when it was started", t.id(), n.Sure), now)
+	}
+}
+
+// noteLostWithOwner notes that the previous owner may have started a task of which
+// nobody tells, while a worker was lost of which this owner has heard nothing. If the
+// task crashes a worker again, that start counts for the most that a task is fed.
+// Without it, a task whose first crash fell into the moment of a takeover was started
+// six times.
+func (c *Core) noteLostWithOwner(t *task) {
+	if c.openLost && t.suspect() == t && t.step.gangRun == 0 {
+		t.lostWithOwner = true
 	}
 }
 
@@ -279,6 +294,7 @@
 		return
 	}
 	progress.ClearCrashes(t.id())
+	t.lostWithOwner = false
 	c.touch(t.step.job)
 	c.setCrashes(t, 0)
 	c.tellTask("task_cleared", t, nil, run, reason)
--- a/job/progress.go
+++ b/job/progress.go
@@ -24,6 +24,13 @@
 // Final reports whether the state never changes again.
 func (s State) Final() bool { return s == Succeeded || s == Failed || s == Cancelled }
 
+// Status is what a caller is told of a job.
+type Status struct {
+	State State
+	// Reason is why it failed.
+	Reason string
+}
+
 // Progress is the durable part of a job's progress: what a new owner can't
 // learn from the workers, because they were told to forget it.
 type Progress struct {
@@ -49,6 +56,9 @@
 	Run uint64 `json:"run"`
 	// Alone is set if no other worker crashed at that moment.
 	Alone bool `json:"alone,omitempty"`
+	// Unsure is set of a start that may have been, and whose end nobody has told: the
+	// owner was lost at that moment, and a worker crashed. Run is one that no start has.
+	Unsure bool `json:"unsure,omitempty"`
 }
 
 // StepKey is the key of a step in Progress.Done.
@@ -112,16 +122,25 @@
 	return true
 }
 
-// CrashCount returns at how many starts of a task in a row its worker crashed, and how
-// many of these workers crashed alone.
-func (p *Progress) CrashCount(t TaskID) (crashes, alone int) {
+// CrashCount is how often the worker of a task crashed at its start, in a row.
+type CrashCount struct {
+	// All counts also the unsure ones.
+	All, Sure, Alone int
+}
+
+// CrashCount returns how often the worker of a task crashed at its start, in a row.
+func (p *Progress) CrashCount(t TaskID) CrashCount {
 	list := p.Crashes[t.FailureKey()]
+	n := CrashCount{All: len(list)}
 	for _, c := range list {
+		if !c.Unsure {
+			n.Sure++
+		}
 		if c.Alone {
-			alone++
+			n.Alone++
 		}
 	}
-	return len(list), alone
+	return n
 }
 
 // NewestCrash returns the highest of those runs, 0 without any.
--- a/node/intake.go
+++ b/node/intake.go
@@ -153,34 +153,34 @@
 
 // State returns a job's state. The owner knows it; without an owner the store
 // tells. An error means that neither answered.
-func (n *Node) State(ctx context.Context, id string) (job.State, bool, error) {
+func (n *Node) State(ctx context.Context, id string) (job.Status, bool, error) {
 	if state, ok := n.ownerState(ctx, id); ok {
 		return state, true, nil
 	}
 	p, err := n.store.Get(ctx, progressPrefix+id)
 	if err != nil {
-		return "", false, err
+		return job.Status{}, false, err
 	}
 	if p != nil {
 		progress, err := dispatch.DecodeProgress(p.Value)
 		if err != nil {
 			n.noteUnreadable("progress_unreadable", p.Key, p.ModRevision, err)
-			return "", false, errors.Trace(err)
+			return job.Status{}, false, errors.Trace(err)
 		}
-		return progress.State, true, nil
+		return job.Status{State: progress.State, Reason: progress.Reason}, true, nil
 	}
 	p, err = n.store.Get(ctx, jobPrefix+id)
 	if err != nil || p == nil {
-		return "", false, err
+		return job.Status{}, false, err
 	}
-	return job.Queued, true, nil
+	return job.Status{State: job.Queued}, true, nil
 }
 
 // stateOf answers for a job that this node owns.
-func (o *owner) stateOf(id string) (job.State, bool) {
+func (o *owner) stateOf(id string) (job.Status, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.core.Status(id)
+	return o.core.JobStatus(id)
 }
 
 func (o *owner) pendingOf(queue string) int {
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -46,11 +46,11 @@
 
 // Get implements jobsv1connect.JobsHandler.
 func (s *jobsServer) Get(ctx context.Context, req *connect.Request[jobsv1.GetRequest]) (*connect.Response[jobsv1.GetResponse], error) {
-	state, known, err := s.node.State(ctx, req.Msg.GetId())
+	status, known, err := s.node.State(ctx, req.Msg.GetId())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&jobsv1.GetResponse{Known: known, State: string(state)}), nil
+	return connect.NewResponse(&jobsv1.GetResponse{Known: known, State: string(status.State), Reason: status.Reason}), nil
 }
 
 // Cancel implements jobsv1connect.JobsHandler.
--- a/node/peers.go
+++ b/node/peers.go
@@ -40,22 +40,22 @@
 }
 
 // ownerState asks the owner for a job's state; false if it doesn't know.
-func (n *Node) ownerState(ctx context.Context, id string) (job.State, bool) {
+func (n *Node) ownerState(ctx context.Context, id string) (job.Status, bool) {
 	if o := n.current.Load(); o != nil {
 		return o.stateOf(id)
 	}
 	client := n.ownerClient()
 	if client == nil {
-		return "", false
+		return job.Status{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerAskTimeout)
 	defer cancel()
 	resp, err := client.GetJob(ctx, connect.NewRequest(&jobsv1.GetJobRequest{Id: id}))
 	if err != nil {
 		n.log.Warn().Str("event", "owner_unreached").Str("job", id).Err(err).Msg("")
-		return "", false
+		return job.Status{}, false
 	}
-	return job.State(resp.Msg.GetState()), resp.Msg.GetKnown()
+	return job.Status{State: job.State(resp.Msg.GetState()), Reason: resp.Msg.GetReason()}, resp.Msg.GetKnown()
 }
 
 func (n *Node) ownerPending(ctx context.Context, queue string) (int, bool) {
@@ -147,8 +147,8 @@
 	if o == nil {
 		return connect.NewResponse(&jobsv1.GetJobResponse{}), nil
 	}
-	state, known := o.stateOf(req.Msg.GetId())
-	return connect.NewResponse(&jobsv1.GetJobResponse{Owner: true, Known: known, State: string(state)}), nil
+	status, known := o.stateOf(req.Msg.GetId())
+	return connect.NewResponse(&jobsv1.GetJobResponse{Owner: true, Known: known, State: string(status.State), Reason: status.Reason}), nil
 }
 
 // CountPending implements jobsv1connect.OwnerHandler.
