--- a/node/owner.go
+++ b/node/owner.go
@@ -59,8 +59,12 @@
 	node *Node
 	own  *ownership
 
-	// writing is held during a write of progress; it is taken before mu.
+	// writing is held during a write of progress; it is taken before mu. It guards
+	// unsure, which is set if the newest write may have been carried out without an
+	// answer, and removal.
 	writing sync.Mutex
+	unsure  bool
+	removal unsureRemoval
 	mu      sync.Mutex
 	core    *dispatch.Core
 	polled  map[dispatch.WorkerID]context.CancelFunc
--- a/node/record.go
+++ b/node/record.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"leverstile.dev/dispatch"
 	"leverstile.dev/kv"
 )
@@ -22,9 +23,6 @@
 	// idleFlush is the pause after which a flush is tried without news: for what
 	// was learnt, and for the last records to be removed.
 	idleFlush = 3 * time.Second
-	// removeJobs is the most finished jobs whose three records are removed in
-	// one write.
-	removeJobs = 8
 	// flushTimeout bounds one write; a slow store takes 400 ms.
 	flushTimeout = 700 * time.Millisecond
 )
@@ -117,40 +115,6 @@
 	return true
 }
 
-// removeBatch removes records of old jobs once there are as many as one write takes:
-// while jobs come, no flush is without news.
-func (o *owner) removeBatch() {
-	o.mu.Lock()
-	full := len(o.core.Expired(removeJobs)) == removeJobs
-	o.mu.Unlock()
-	if !full {
-		return
-	}
-	o.writing.Lock()
-	defer o.writing.Unlock()
-	o.removeExpired(o.ctx)
-}
-
-// removeExpired removes the records of jobs that ended long ago.
-func (o *owner) removeExpired(ctx context.Context) bool {
-	o.mu.Lock()
-	ids := slices.Clone(o.core.Expired(removeJobs))
-	o.mu.Unlock()
-	if len(ids) == 0 {
-		return true
-	}
-	var ops []kv.Op
-	for _, id := range ids {
-		ops = append(ops, kv.Delete(jobPrefix+id), kv.Delete(cancelPrefix+id), kv.Delete(progressPrefix+id))
-	}
-	if !o.write(ctx, ops) {
-		return false
-	}
-	revision := o.own.chainRev
-	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.Removed(len(ids), revision) })
-	return true
-}
-
 func recordOps(records []dispatch.Record, roster, learnt []byte) []kv.Op {
 	var ops []kv.Op
 	if roster != nil {
@@ -165,16 +129,17 @@
 	return ops
 }
 
-// write makes one transaction, under the condition that this is still the
-// owner and that no other write of its own came between.
-func (o *owner) write(ctx context.Context, ops []kv.Op) bool {
+// write makes one transaction, under the condition that this is still the owner, that no
+// other write of its own came between, and under those given.
+func (o *owner) write(ctx context.Context, ops []kv.Op, more ...kv.Compare) bool {
 	txn := kv.Txn{
-		If:   []kv.Compare{{Key: leadKey, ModRevision: o.own.leadRev}, {Key: chainKey, ModRevision: o.own.chainRev}},
+		If:   append([]kv.Compare{{Key: leadKey, ModRevision: o.own.leadRev}, {Key: chainKey, ModRevision: o.own.chainRev}}, more...),
 		Then: append([]kv.Op{kv.Put(chainKey, []byte(o.own.lead.Session), 0)}, ops...),
 	}
 	wctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	res, err := o.node.store.Do(wctx, txn)
+	o.unsure = err != nil && !errors.Is(err, kv.ErrNotDone)
 	if err != nil {
 		if ctx.Err() == nil {
 			o.node.log.Warn().Str("event", "flush_failed").Int("operations", len(ops)).Err(err).Msg("")
--- /dev/null
+++ b/node/removal.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"slices"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/kv"
+)
+
+// Figures of removals.
+const (
+	// removeJobs is the most finished jobs whose three records are removed in
+	// one write.
+	removeJobs = 8
+	// removeAgainJobs is the same where each is removed under a condition of its own,
+	// of 32 entries that the store takes in all.
+	removeAgainJobs = 6
+)
+
+// unsureRemoval is a removal that may have been carried out: its answer was lost.
+type unsureRemoval struct {
+	// before is a revision of the store before it, left how many of the core's
+	// expired jobs it may have removed.
+	before int64
+	left   int
+}
+
+// removeBatch removes records of old jobs once there are as many as one write takes:
+// while jobs come, no flush is without news.
+func (o *owner) removeBatch() {
+	o.mu.Lock()
+	full := len(o.core.Expired(removeJobs)) == removeJobs
+	o.mu.Unlock()
+	if !full {
+		return
+	}
+	o.writing.Lock()
+	defer o.writing.Unlock()
+	o.removeExpired(o.ctx)
+}
+
+// removeExpired removes the records of jobs that ended long ago.
+func (o *owner) removeExpired(ctx context.Context) bool {
+	if o.removal.left > 0 {
+		return o.removeAgain(ctx)
+	}
+	ids := o.expired(removeJobs)
+	if len(ids) == 0 {
+		return true
+	}
+	var ops []kv.Op
+	for _, id := range ids {
+		ops = append(ops, removeOps(id)...)
+	}
+	before := o.own.chainRev
+	if !o.write(ctx, ops) {
+		if o.unsure {
+			o.removal = unsureRemoval{before, len(ids)}
+		}
+		return false
+	}
+	o.removed(len(ids), o.own.chainRev)
+	return true
+}
+
+// removeAgain makes a removal again that may have been carried out. Jobs may have come
+// since under the same ids: their records are newer, and stay.
+func (o *owner) removeAgain(ctx context.Context) bool {
+	ids := o.expired(min(o.removal.left, removeAgainJobs))
+	var ops []kv.Op
+	var unchanged []kv.Compare
+	for _, id := range ids {
+		p, err := o.node.store.Get(ctx, jobPrefix+id)
+		if err != nil {
+			return false
+		}
+		if p != nil && p.ModRevision <= o.removal.before {
+			ops = append(ops, removeOps(id)...)
+			unchanged = append(unchanged, kv.Compare{Key: p.Key, ModRevision: p.ModRevision})
+		}
+	}
+	if len(ops) > 0 && !o.write(ctx, ops, unchanged...) {
+		return false
+	}
+	o.removed(len(ids), o.removal.before)
+	o.removal.left -= len(ids)
+	return true
+}
+
+func removeOps(id string) []kv.Op {
+	return []kv.Op{kv.Delete(jobPrefix + id), kv.Delete(cancelPrefix + id), kv.Delete(progressPrefix + id)}
+}
+
+// expired returns the first jobs whose records can be removed.
+func (o *owner) expired(limit int) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.core.Expired(limit))
+}
+
+// removed tells the core that the records of the first n of these are gone, from a
+// revision of the store on.
+func (o *owner) removed(n int, revision int64) {
+	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.Removed(n, revision) })
+}
