--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -106,9 +106,10 @@
 	asks             []AdviceRequest // not taken yet
 	learntAt         time.Duration   // when it was last recorded what was learnt
 	dropped          droppedJobs
-	deferred         []deferredJob   // jobs that came while the lease was not sure
-	cancelled        map[string]bool // jobs that were cancelled before they came
-	held             map[string]bool // jobs that are left alone; see HoldJob
+	deferred         []deferredJob // jobs that came while the lease was not sure
+	// cancelled holds jobs that were cancelled before they came, and when that was heard.
+	cancelled map[string]time.Duration
+	held      map[string]bool // jobs that are left alone; see HoldJob
 	// lostLives holds lives that may have crashed, crashed the newest crash of VMs
 	// that crashed of late, both by VM. suspects counts the tasks with crashes.
 	lostLives map[string]lostLife
@@ -190,7 +191,7 @@
 	}
 	return &Core{
 		params: params, term: term,
-		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]bool{}, held: map[string]bool{},
+		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
 		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
--- a/dispatch/dropped.go
+++ b/dispatch/dropped.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"leverstile.dev/job"
 )
@@ -60,6 +61,32 @@
 	}
 }
 
+// cancelKept is how long a cancellation is kept of a job that has not come. A write of the
+// store is carried out up to 12 s late, and heard of within some seconds once the store is
+// reached.
+const cancelKept = time.Minute
+
+// OldCancels returns jobs that were cancelled long ago and never came, at most limit: the
+// records of their cancellation can be removed, if they still have not come. They are
+// returned until CancelsRemoved.
+func (c *Core) OldCancels(limit int, now Instant) []string {
+	var ids []string
+	for id, heard := range c.cancelled {
+		if now.Steady-heard > cancelKept {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids[:min(limit, len(ids))]
+}
+
+// CancelsRemoved tells that the store no longer holds the cancellations of jobs.
+func (c *Core) CancelsRemoved(ids []string) {
+	for _, id := range ids {
+		delete(c.cancelled, id)
+	}
+}
+
 // Expired returns jobs that were final for long, whose records can be removed;
 // at most limit. They are returned until Removed.
 func (c *Core) Expired(limit int) []string {
--- a/dispatch/dropped_test.go
+++ b/dispatch/dropped_test.go
@@ -49,3 +49,32 @@
 		t.Errorf("kept at the end: %+v", c.dropped)
 	}
 }
+
+// TestCancelsOfNoJob: a cancellation of a job that has not come is kept for as long as its
+// hand-in may be under way; a job that comes by then is cancelled, one that comes later is not.
+func TestCancelsOfNoJob(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := sureCore(Params{JobKept: time.Hour}, 1, now)
+	early, late := simpleJob(1, 1), simpleJob(2, 1)
+	core.Cancel(early.ID, now)
+	core.Cancel(late.ID, now)
+	now.Steady += cancelKept
+	core.Cancel(late.ID, now) // heard of again
+	if ids := core.OldCancels(8, now); len(ids) > 0 {
+		t.Fatalf("%v can be removed", ids)
+	}
+	core.AddJob(early, nil, false, now)
+	if s, _ := core.Status(early.ID); !core.jobs[early.ID].cancelled {
+		t.Errorf("the job is %s, want cancelled", s)
+	}
+	now.Steady += time.Millisecond
+	ids := core.OldCancels(8, now)
+	if len(ids) != 1 || ids[0] != late.ID {
+		t.Fatalf("%v can be removed, want %s", ids, late.ID)
+	}
+	core.CancelsRemoved(ids)
+	core.AddJob(late, nil, false, now)
+	if core.jobs[late.ID].cancelled {
+		t.Error("a job that came later is cancelled")
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -200,7 +200,7 @@
 	}
 	c.finishIfDone(j, now)
 	c.trace(Decision{Event: "job_added", Job: spec.ID, Reason: spec.Queue})
-	if c.cancelled[spec.ID] {
+	if _, cancelled := c.cancelled[spec.ID]; cancelled {
 		delete(c.cancelled, spec.ID)
 		c.Cancel(spec.ID, now)
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -107,8 +107,8 @@
 func (c *Core) Cancel(id string, now Instant) {
 	j := c.jobs[id]
 	if j == nil {
-		if !c.dropped.known[id] {
-			c.cancelled[id] = true // its job is put off, or comes later
+		if _, heard := c.cancelled[id]; !heard && !c.dropped.known[id] {
+			c.cancelled[id] = now.Steady // its job is put off, or comes later
 		}
 		return
 	}
@@ -155,7 +155,7 @@
 	counted := map[string]bool{}
 	for _, d := range c.deferred {
 		id := d.spec.ID
-		if d.spec.Queue == queue && c.jobs[id] == nil && !c.cancelled[id] {
+		if _, cancelled := c.cancelled[id]; d.spec.Queue == queue && c.jobs[id] == nil && !cancelled {
 			counted[id] = true
 		}
 	}
--- a/node/intake.go
+++ b/node/intake.go
@@ -141,13 +141,15 @@
 	if err != nil {
 		return RecordedNo
 	}
-	if !known {
-		return RecordedNotFound
-	}
+	// Also of a job that is not known: its hand-in may be under way at the store, and ran
+	// after its customer had heard that there is no such job.
 	recorded, fresh := n.create(ctx, cancelPrefix+id, []byte("1"))
 	if fresh {
 		n.hintOwner(id, nil)
 	}
+	if recorded == RecordedYes && !known {
+		return RecordedNotFound
+	}
 	return recorded
 }
 
--- a/node/removal.go
+++ b/node/removal.go
@@ -47,7 +47,7 @@
 	}
 	ids := o.expired(removeJobs)
 	if len(ids) == 0 {
-		return true
+		return o.removeCancels(ctx)
 	}
 	var ops []kv.Op
 	for _, id := range ids {
@@ -88,6 +88,27 @@
 	return true
 }
 
+// removeCancels removes cancellations of jobs that never came, if they still have not.
+func (o *owner) removeCancels(ctx context.Context) bool {
+	o.mu.Lock()
+	ids := o.core.OldCancels(removeJobs, o.now())
+	o.mu.Unlock()
+	if len(ids) == 0 {
+		return true
+	}
+	var ops []kv.Op
+	var missing []kv.Compare
+	for _, id := range ids {
+		ops = append(ops, kv.Delete(cancelPrefix+id))
+		missing = append(missing, kv.Compare{Key: jobPrefix + id, Missing: true})
+	}
+	if !o.write(ctx, ops, missing...) {
+		return false
+	}
+	o.locked(func(c *dispatch.Core, _ dispatch.Instant) { c.CancelsRemoved(ids) })
+	return true
+}
+
 func removeOps(id string) []kv.Op {
 	return []kv.Op{kv.Delete(jobPrefix + id), kv.Delete(cancelPrefix + id), kv.Delete(progressPrefix + id)}
 }
--- a/node/removal_test.go
+++ b/node/removal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -59,3 +61,66 @@
 	c.await("the second job's end", func() bool { return c.startsOf(id(1)) == 12 })
 	c.checkRuns()
 }
+
+// lateHandIns is a store that carries the writes of one job's record out only when it is told
+// to, without an answer.
+type lateHandIns struct {
+	node.Store
+	key  string
+	held chan kv.Txn
+}
+
+// Do implements kv.Store.
+func (s *lateHandIns) Do(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	for _, op := range txn.Then {
+		if op.Key == s.key {
+			select {
+			case s.held <- txn:
+			default: // one is enough
+			}
+			return kv.TxnResult{}, errors.Trace(kv.ErrUnavailable)
+		}
+	}
+	return s.Store.Do(ctx, txn)
+}
+
+// TestCancelledBeforeItWasRecorded: a hand-in is under way at the store as its customer
+// cancels the job and hears that there is none. The job comes to light later, and does not
+// run, under this owner and the next one.
+func TestCancelledBeforeItWasRecorded(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", takeover), func(t *testing.T) {
+			c := newCell(t, 0, 1)
+			held := make(chan kv.Txn, 1)
+			var plain node.Store
+			c.wrap = func(_ string, s node.Store) node.Store {
+				plain = s
+				return &lateHandIns{Store: s, key: "ls/in/job/" + id(1), held: held}
+			}
+			c.nodes = append(c.nodes, c.startNode("entry-0"), c.startNode("entry-1"))
+			c.submit(0, id(9), twoSteps)
+			c.awaitState(1, id(9), "succeeded")
+			if status, _, _ := c.call(0, "POST", id(1), twoSteps); status != http.StatusGatewayTimeout {
+				t.Fatalf("handing in without an answer of the store: %d", status)
+			}
+			if status, _, _ := c.call(1, "DELETE", id(1), ""); status != http.StatusGone {
+				t.Fatalf("cancelling a job that is not there: %d", status)
+			}
+			if takeover {
+				for _, n := range c.nodes {
+					n.close()
+				}
+				c.nodes = append(c.nodes[:0], c.startNode("entry-2"))
+			}
+			if res, err := plain.Do(context.Background(), <-held); err != nil || !res.Succeeded {
+				t.Fatalf("the late write: %+v, %v", res, err)
+			}
+			c.awaitState(0, id(1), "cancelled")
+			c.submit(0, id(10), twoSteps)
+			c.awaitState(0, id(10), "succeeded")
+			if n := c.startsOf(id(1)); n > 0 {
+				t.Errorf("%d starts of a cancelled job", n)
+			}
+		})
+	}
+}
