--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -179,3 +179,38 @@
 		core.HoldDone(HoldOrder{Worker: w.info.ID}, reply, OutcomeOK, now)
 	}
 }
+
+// BenchmarkPassAfterAWave is a pass over 600 suspects of 300 steps, as a wave of crashes leaves
+// them at 490 workers: 13.0 ms with the workers looked through for each suspect, 5.9 ms with
+// what they share kept for the pass.
+func BenchmarkPassAfterAWave(b *testing.B) {
+	const steps, workers = 300, 490
+	for b.Loop() {
+		b.StopTimer()
+		now := Instant{Steady: time.Second}
+		core := sureCore(Params{}, 1, now)
+		var list []WorkerInfo
+		for i := range workers {
+			list = append(list, lifeInfo(fmt.Sprintf("w%03d", i), fmt.Sprintf("m%03d", i)))
+		}
+		core.SetWorkers(list, now)
+		_, ids, err := core.Roster()
+		if err != nil {
+			b.Fatal(err)
+		}
+		core.RosterStored(ids)
+		for _, info := range list {
+			poll(core, info.ID, now.Steady, now.Steady+time.Millisecond)
+		}
+		for i := range steps {
+			spec := simpleJob(i+1, 2)
+			core.AddJob(spec, nil, false, now)
+			for _, t := range core.jobs[spec.ID].steps[0].tasks {
+				core.setCrashes(t, 1)
+			}
+			core.jobs[spec.ID].persisted = core.jobs[spec.ID].version
+		}
+		b.StartTimer()
+		core.Schedule(now)
+	}
+}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -1,7 +1,7 @@
 package dispatch
 
 // placeGang starts all tasks of a gang at once, or none.
-func (c *Core) placeGang(s *stepRun, pool []*worker, now Instant) {
+func (c *Core) placeGang(s *stepRun, p *pool, now Instant) {
 	if s.ready < s.left || s.gangRun != 0 {
 		return
 	}
@@ -13,7 +13,7 @@
 	if c.suspectWaits(s.tasks[0], now) != "" {
 		return
 	}
-	chosen, apart := c.chooseGangApart(s, pool, now)
+	chosen, apart := c.chooseGangApart(s, p, now)
 	if chosen == nil {
 		return
 	}
@@ -32,21 +32,22 @@
 	for _, t := range s.tasks {
 		if t.attempt != nil {
 			c.tryApart(t, apart, now)
+			p.apart(now).take(t.attempt.worker)
 		}
 	}
 }
 
 // chooseGangApart is chooseGang; members of a suspect gang go to workers where no
 // other suspect was just started, unless it has long waited for that.
-func (c *Core) chooseGangApart(s *stepRun, pool []*worker, now Instant) (chosen []*worker, apart bool) {
+func (c *Core) chooseGangApart(s *stepRun, p *pool, now Instant) (chosen []*worker, apart bool) {
 	if s.suspects == 0 {
-		return c.chooseGang(s, pool, now), false
+		return c.chooseGang(s, p.workers, now), false
 	}
-	free := withoutSuspects(pool, now)
+	free := p.apart(now).workers
 	if chosen = c.chooseGang(s, free, now); chosen != nil || now.Steady-s.tasks[0].readySince < starvedAfter {
 		return chosen, true
 	}
-	return c.chooseGang(s, pool, now), false
+	return c.chooseGang(s, p.workers, now), false
 }
 
 // chooseGang returns a worker for each task of a gang: in one rack if it asks
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -51,6 +51,7 @@
 	measured    int           // measures of its tasks' speed; see progressWatch
 	fastest     time.Duration // the shortest run time measured
 	suspects    int           // tasks with crashes
+	apartRetry  time.Duration // when its suspects are tried again
 	preempted   time.Duration // when room was last made for it
 	basis       rankBasis
 	// preemptTried is when room to be made for it was last looked for.
--- /dev/null
+++ b/dispatch/lostlife.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import "time"
+
+// Figures of lives that were lost.
+const (
+	// lostLifeKept bounds the wait for the next life of a VM whose worker was lost.
+	lostLifeKept = time.Minute
+	// crashedLately is how long suspects avoid a VM whose worker has crashed: it may
+	// be the VM's own fault.
+	crashedLately = 30 * time.Second
+)
+
+// LostRun is a run that was young when its worker fell silent.
+type LostRun struct {
+	Task string `json:"task"`
+	Run  uint64 `json:"run"`
+	// Trial is set if the run was the only one that can have crashed the worker.
+	Trial bool `json:"trial,omitempty"`
+	// Older is set if another run was started justStarted later or more: that one is
+	// likelier to have crashed the worker.
+	Older bool `json:"older,omitempty"`
+}
+
+// lostLife is a life of a worker whose leases were over before it was known how it
+// ended. Its runs are unsettled until the VM answers again.
+type lostLife struct {
+	id  WorkerID
+	end lifeEnd
+	// busy is set if it had tasks, so that this owner polled it.
+	busy bool
+	loss contactLoss
+	runs []LostRun
+	// unsettled is set while its runs count as unsettled at their tasks.
+	unsettled bool
+	// inherited is set if the previous owner's roster tells of it.
+	inherited bool
+	at        time.Duration
+}
+
+// lostRuns returns the young runs at a worker, as they are remembered after it.
+func (w *worker) lostRuns(now Instant) []LostRun {
+	young := w.youngRuns()
+	silentSince := now.Steady
+	if w.loss.since > 0 {
+		silentSince = w.loss.since
+	}
+	newest := time.Duration(0)
+	for _, a := range young {
+		newest = max(newest, a.placedAt)
+	}
+	list := make([]LostRun, 0, len(young))
+	for _, a := range young {
+		trial := a.trial && silentSince-a.placedAt <= trialTime
+		list = append(list, LostRun{Task: a.task.id().String(), Run: a.run, Trial: trial, Older: newest-a.placedAt >= justStarted})
+	}
+	return list
+}
+
+// lifeOf returns what is remembered of a worker whose runs are about to be lost.
+func (c *Core) lifeOf(w *worker, now Instant) lostLife {
+	l := lostLife{id: w.info.ID, end: c.howEnded(w, now), busy: len(w.attempts) > 0, loss: w.loss, runs: w.lostRuns(now), at: now.Steady}
+	if l.loss.since == 0 {
+		l.loss = contactLoss{since: now.Steady, broken: true}
+	}
+	return l
+}
+
+// youngForRoster returns the runs of a silent worker that may have crashed it, for the
+// next owner.
+func (c *Core) youngForRoster(w *worker) []LostRun {
+	if !w.loss.broken {
+		return nil
+	}
+	silent := Instant{Steady: w.loss.since}
+	if c.howEnded(w, silent) != endCrashed {
+		return nil
+	}
+	return w.lostRuns(silent)
+}
+
+// recoverLost takes in a roster entry's young runs: if the worker's life proves to be
+// over, it crashed under the previous owner.
+func (c *Core) recoverLost(e RosterEntry, now Instant) {
+	if e.VM != "" && len(e.Young) > 0 {
+		c.lostLives[e.VM] = lostLife{id: e.ID, end: endCrashed, loss: contactLoss{now.Steady, true}, runs: e.Young, inherited: true, at: now.Steady}
+	}
+}
+
+// keepUnsettled remembers the runs of a worker that is lost without a proof that its
+// life has ended. If it crashed, that is known once the VM answers again: by then its
+// tasks run elsewhere, or wait if too many of their runs are unsettled.
+func (c *Core) keepUnsettled(vm string, l lostLife) {
+	if l.end != endCrashed || vm == "" || len(l.runs) == 0 {
+		return
+	}
+	c.dropUnsettled(vm)
+	l.unsettled = true
+	c.lostLives[vm] = l
+	c.addUnsettled(l, 1)
+}
+
+// dropUnsettled forgets the lost life of a VM and returns it.
+func (c *Core) dropUnsettled(vm string) (lostLife, bool) {
+	l, ok := c.lostLives[vm]
+	if !ok {
+		return l, false
+	}
+	delete(c.lostLives, vm)
+	if l.unsettled {
+		c.addUnsettled(l, -1)
+	}
+	return l, true
+}
+
+// addUnsettled changes the numbers of unsettled runs of the tasks of a lost life.
+func (c *Core) addUnsettled(l lostLife, change int) {
+	for _, r := range l.runs {
+		if t := c.suspectNamed(r.Task); t != nil {
+			c.setSuspicion(t, t.crashes, t.unsettled+change)
+		}
+	}
+}
+
+// settleLost concludes what became of a VM's lost life once a worker answers there:
+// the same one has lived on, another one proves a crash.
+func (c *Core) settleLost(w *worker, now Instant) {
+	if l, ok := c.dropUnsettled(w.info.VM); ok && l.id != w.info.ID {
+		c.countCrashes(w.info.VM, l, now)
+	}
+}
+
+// forgetOldCrashes drops what is remembered of VMs for too long.
+func (c *Core) forgetOldCrashes(now Instant) {
+	for vm, l := range c.lostLives {
+		if now.Steady-l.at > lostLifeKept {
+			c.dropUnsettled(vm)
+		}
+	}
+	for vm, r := range c.crashed {
+		if now.Steady-r.at > crashedLately {
+			delete(c.crashed, vm)
+		}
+	}
+}
+
+// noteLostWithOwner notes that the previous owner may have started a task of which
+// nobody tells, while a worker was lost of which this owner has heard nothing. Of a
+// suspect, that start counts for the most that a task is fed, but proves nothing; of
+// another task it does once it crashes a worker. Without it, a task whose first crash
+// fell into the moment of a takeover was started six times.
+func (c *Core) noteLostWithOwner(t *task, now Instant) {
+	switch {
+	case t.suspect() != t || t.step.gangRun != 0 || t.crashInherited || !c.lostUnheard.has(t):
+	case t.crashes > 0:
+		c.countUnsure(t)
+		c.giveUpIfCrasher(t, false, now)
+	default:
+		t.lostWithOwner = true
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -42,7 +42,7 @@
 			p = &pool{workers: c.advised(x.step, p.workers, *x.queue.Advice, now)}
 		}
 		if x.step.spec.Gang {
-			c.placeGang(x.step, p.workers, now)
+			c.placeGang(x.step, p, now)
 		} else {
 			c.placeStep(x.step, p, now)
 		}
@@ -57,6 +57,8 @@
 	// step that asks; useKnown is set then. A pass places a few per cent.
 	use      float64
 	useKnown bool
+	// withoutSuspects is set once a step of the pass has asked for it.
+	withoutSuspects *apartPool
 }
 
 func (p *pool) usedPart() float64 {
