--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -227,3 +227,22 @@
 		})
 	}
 }
+
+// crashSeeds are those of the fault case of crashing tasks that broke something before a mend.
+var crashSeeds = []uint64{
+	11, 13, 26, 39, 58, 75, // started too often after an owner was lost, or a worker was silent
+	19, 34, 82, // a job failed whose task only was there
+}
+
+// TestCrashSeeds plays the seeds that once failed.
+func TestCrashSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("they are played without -short")
+	}
+	for _, seed := range crashSeeds {
+		checkAll(t, faultsRun(seed, crashingTasks))
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,9 @@
 	// again below the core; the second copy met a worker that refused for being
 	// unwell, and the task was started elsewhere while its first run worked on.
 	308,
+	// An owner was killed 66 ms after a task had crashed its first worker, before
+	// anything of that was written; the next one fed it five more.
+	1000,
 }
 
 // settle bounds the wait for the end of all jobs once the faults are over.
