--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -33,8 +33,7 @@
 		a = nil
 	}
 	if e.Checkpoint != "" && (a != nil || t.attempt == nil) {
-		t.checkpoint = e.Checkpoint
-		t.step.checkpoint = e.Checkpoint
+		t.noteCheckpoint(checkpoint{text: e.Checkpoint, run: e.Run, worker: w.info.ID, end: e.Number})
 	}
 	c.tellTask("run_"+string(e.Kind), t, w, e.Run, "")
 	c.countEnd(w, t, a, e, now)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -45,7 +45,7 @@
 	// gangRun is the run number of the gang that is active, 0 for none.
 	gangRun     uint64
 	perWork     map[*worker]int // attempts by worker, only with MaxPerWorker
-	checkpoint  string          // of a gang
+	checkpoint  checkpoint      // of a gang
 	advice      *advice         // of the placement policy, if the queue has one
 	toldWaiting time.Duration
 	measured    int           // measures of its tasks' speed; see progressWatch
@@ -86,7 +86,7 @@
 	index      int
 	phase      phase
 	attempt    *attempt
-	checkpoint string
+	checkpoint checkpoint
 	// notBefore delays a start after a failure.
 	notBefore time.Duration
 	// avoid is the worker where the last attempt failed.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -171,12 +171,11 @@
 }
 
 func (c *Core) place(t *task, w *worker, run uint64, now Instant) {
-	checkpoint := t.checkpoint
-	if t.step.spec.Gang {
-		checkpoint = t.step.checkpoint
-	}
-	c.tellTask(eventPlaced, t, w, run, t.step.spec.Image)
-	c.start(t, w, run, checkpoint, t.step.ticketFor(w), now)
+	from := t.continuesFrom()
+	d := taskDecision(eventPlaced, t, w, run, t.step.spec.Image)
+	d.Detail = from.String()
+	c.trace(d)
+	c.start(t, w, run, from.text, t.step.ticketFor(w), now)
 	s := t.step.spec
 	if t.step.short() {
 		c.keptOf(w.info.Service).placed += s.CPUMilli
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -31,7 +31,7 @@
 // learnRunTime takes in the time of a run that began without a checkpoint.
 func (c *Core) learnRunTime(a *attempt, now Instant) {
 	s := a.task.step
-	if s.spec.Lasting || a.adopted || a.task.checkpoint != "" {
+	if s.spec.Lasting || a.adopted || a.task.checkpoint.text != "" {
 		return
 	}
 	key := perfKey{s.job.spec.Queue, s.spec.Image}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -89,7 +89,7 @@
 
 // startTakes returns how long a task makes no progress after its start.
 func (c *Core) startTakes(t *task) time.Duration {
-	if t.checkpoint == "" {
+	if t.checkpoint.text == "" {
 		return startSlack
 	}
 	return startSlack + c.params.Restore
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -114,7 +114,7 @@
 				return percentOf(max(since-700*time.Millisecond, 0), 10*time.Second)
 			}
 			return percentOf(since, 10*time.Second)
-		}, func(s *speedCase) { s.step.tasks[0].checkpoint = "c" }},
+		}, func(s *speedCase) { s.step.tasks[0].checkpoint.text = "c" }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSpeedCase(6, x.step)
