--- a/logging/logging.go
+++ b/logging/logging.go
@@ -12,6 +12,9 @@
 // counted: logging must not hold up a request.
 const logQueue = 8192
 
+// droppedTotal counts the lines that were dropped.
+const droppedTotal = "leverstile_log_dropped_total"
+
 // droppingWriter writes lines in the background.
 type droppingWriter struct {
 	async   *log.AsyncWriter
@@ -37,7 +40,7 @@
 	}
 	l := &log.Logger{
 		Level:  log.ParseLevel(level),
-		Writer: &droppingWriter{async, set.NewCounter("leverstile_log_dropped_total")},
+		Writer: &droppingWriter{async, set.NewCounter(droppedTotal)},
 	}
 	l.Context = log.NewContext(nil).Str("entry", entry).Value()
 	return l, func() { _ = async.Close() }
