--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
 	"sync"
 	"testing"
 
@@ -35,3 +39,74 @@
 		}
 	}
 }
+
+// TestLinesStayWhole: lines of many goroutines come out whole, each once, or are counted as
+// dropped.
+func TestLinesStayWhole(t *testing.T) {
+	const writers, lines = 8, 5000
+	set := metrics.NewSet()
+	var out bytes.Buffer
+	l, closeLog := New(&out, "info", "e", set)
+	var running sync.WaitGroup
+	for w := range writers {
+		running.Go(func() {
+			for n := range lines {
+				l.Info().Int("writer", w).Int("n", n).Str("again", fmt.Sprint(w, "/", n)).Msg("")
+			}
+		})
+	}
+	running.Wait()
+	closeLog()
+	seen := map[string]bool{}
+	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		var line struct {
+			Writer, N int
+			Again     string
+		}
+		if err := json.Unmarshal([]byte(text), &line); err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		if line.Again != fmt.Sprint(line.Writer, "/", line.N) || seen[line.Again] {
+			t.Fatalf("%q is of two lines, or came twice", text)
+		}
+		seen[line.Again] = true
+	}
+	dropped := int(set.GetOrCreateCounter(droppedTotal).Get())
+	if len(seen)+dropped != writers*lines {
+		t.Errorf("%d lines were written and %d counted as dropped, of %d", len(seen), dropped, writers*lines)
+	}
+}
+
+// A writer that stands still holds up nobody: lines beyond the queue are dropped.
+func TestLogNeverBlocks(t *testing.T) {
+	set := metrics.NewSet()
+	stuck := &stuckWriter{release: make(chan struct{})}
+	l, closeLog := New(stuck, "info", "e", set)
+	const lines = 3 * queueLength
+	for range lines {
+		l.Info().Msg("")
+	}
+	if n := set.GetOrCreateCounter(droppedTotal).Get(); n < lines-2*queueLength {
+		t.Errorf("%d of %d lines were dropped", n, lines)
+	}
+	close(stuck.release)
+	closeLog()
+}
+
+type stuckWriter struct{ release chan struct{} }
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// BenchmarkLine is a line of a decision, written to nowhere.
+func BenchmarkLine(b *testing.B) {
+	l, closeLog := New(io.Discard, "info", "edge-a-1", metrics.NewSet())
+	defer closeLog()
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Info().Str("event", "run_placed").Str("task", "4fea0d83dc528de4.0.0.21").Str("job", "4fea0d83dc528de4").
+			Uint64("run", 268438684).Str("worker", "i-ebfa4ba623").Str("reason", "043cd1").Msg("")
+	}
+}
