TestLateWatchBringsNoJobBack hands its job in once an owner decides

Cause: the test withholds the watch, so that the owner hears of the job by a hint alone. A job that is handed in while the owner still reads its state is in neither; the hint of a job that the owner can't take yet gets lost, as it may, and the watch that would tell of it is withheld for ever. Change: the test waits until an owner answers; what it checks is the same.

--- a/node/reread_test.go
+++ b/node/reread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -69,6 +70,15 @@
 	})
 }
 
+// awaitDecisions waits until an owner answers a node: before, a hint gets lost.
+func (c *cell) awaitDecisions(n int) {
+	c.t.Helper()
+	c.await("an owner's answer", func() bool {
+		status, _, _ := c.call(n, "GET", "", "")
+		return status == http.StatusOK
+	})
+}
+
 // newRemovalsCell returns a cell of one node that forgets jobs soon.
 func newRemovalsCell(t *testing.T, store *removals) *cell {
 	c := newCell(t, 0, 1)
@@ -116,6 +126,7 @@
 	store := &removals{}
 	store.withheld.Store(true)
 	c := newRemovalsCell(t, store)
+	c.awaitDecisions(0)
 	c.submit(0, id(1), twoSteps)
 	c.await("the removal of the job", func() bool { return store.seen.Load() > 0 })
 	store.withheld.Store(false)
