--- a/node/node_test.go
+++ b/node/node_test.go
@@ -82,23 +82,36 @@
 }
 
 func (c *cell) startNode(name string) *testNode {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
 	set := metrics.NewSet()
-	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	store := platform.NewStore(c.store.Address(), set)
 	var seen node.Store = store
 	if c.wrap != nil {
 		seen = c.wrap(name, store)
 	}
+	params := dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1}
+	ports := node.Ports{Store: seen, Lister: store, Workers: platform.NewWorkers(set, 0), Advisor: platform.NewAdvisor(c.advisor), VMs: platform.NewVMs(c.cloud, name)}
+	return startNodeWith(name, params, ports, set)
+}
+
+// startNodeAt starts a node on a store, with nothing in between.
+func startNodeAt(address, name string, set *metrics.Set) *testNode {
+	store := platform.NewStore(address, set)
+	params := dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: time.Minute, RemoteFactor: 1}
+	return startNodeWith(name, params, node.Ports{Store: store, Lister: store, Workers: platform.NewWorkers(set, 0), Advisor: platform.NewAdvisor(""), VMs: platform.NewVMs("", name)}, set)
+}
+
+func startNodeWith(name string, params dispatch.Params, ports node.Ports, set *metrics.Set) *testNode {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	n := node.New(node.Options{
 		Entry: name, PeerAddress: l.Addr().String(), OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, EvacuationPrefix: platform.EvacuationPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 		FreezeSlack: 5 * time.Second, // a loaded machine is no freeze
-		Params:      dispatch.Params{MaxTaskLease: 6 * time.Second, OverTarget: 4 * time.Second, JobKept: c.jobKept, RemoteFactor: 1},
-	}, node.Ports{Store: seen, Lister: store, Workers: platform.NewWorkers(set, 0), Advisor: platform.NewAdvisor(c.advisor), VMs: platform.NewVMs(c.cloud, name)}, logger, set)
+		Params:      params,
+	}, ports, logger, set)
 	tn := &testNode{node: n, address: l.Addr().String(), peers: &http.Server{Handler: n.PeersHandler()}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.stop = cancel
