A start is written in one piece

Cause: fasthttp's buffer for requests held 2,048 bytes, and a start with its payload has some 2,900, so each one took two system calls and went out as two packets.

Change: the buffer holds 4,608 bytes: a payload of 4,000, the most that a job may have, with its headers. TestRequestIsOneWrite fails with the smaller buffer in each of 50 runs.

--- a/dial/client.go
+++ b/dial/client.go
@@ -26,9 +26,11 @@
 	// have been closed while it was idle: the other idle ones of the host are
 	// closed before the second try, which opens a new one.
 	callAttempts = 2
-	// headerBuffer is for the headers of a request or an answer, which must fit;
-	// each call under way holds two buffers.
-	headerBuffer = 2048
+	// headerBuffer is for the headers of an answer, which must fit; requestBuffer
+	// is for a request, which is written in one piece if it fits. Each call under
+	// way holds one of both.
+	headerBuffer  = 2048
+	requestBuffer = 4608
 	// leastPerHost connections are open to a host however many hosts there are:
 	// one that waits for an answer, and one for other calls.
 	leastPerHost = 2
@@ -103,7 +105,7 @@
 		MaxIdleConnDuration:       idleTimeout,
 		MaxResponseBodySize:       limits.MaxAnswer,
 		ReadBufferSize:            headerBuffer,
-		WriteBufferSize:           headerBuffer,
+		WriteBufferSize:           requestBuffer,
 		MaxIdemponentCallAttempts: 1, // Post tries again, and tells so
 		DialTimeout:               func(address string, _ time.Duration) (net.Conn, error) { return c.open(dialer, address) },
 		ConfigureClient: func(host *fasthttp.HostClient) error {
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -337,3 +337,32 @@
 		t.Errorf("a port where nobody listens: %v", err)
 	}
 }
+
+// TestRequestIsOneWrite: a start with its payload takes one system call to send, and arrives as
+// one piece.
+func TestRequestIsOneWrite(t *testing.T) {
+	const payload = 4000 // bytes, the most that a job may have
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	first := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		n, _ := conn.Read(make([]byte, 1<<16))
+		first <- n
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}()
+	call := Call{Address: l.Addr().String(), Path: "/x", Header: "X-Life", Value: "a", Body: make([]byte, payload), Timeout: time.Minute}
+	if _, err := testClient(t, 1).Post(call, func(int, []byte) {}); err != nil {
+		t.Fatal(err)
+	}
+	if n := <-first; n <= payload {
+		t.Errorf("the first read has %d bytes of a body of %d", n, payload)
+	}
+}
