Simulation: workers keep checkpoints, and starts must bring their own

The simulated workers told no checkpoints, so that no test could see a start that brings another task's.

A run now saves a text that tells the work done and the task (of a gang: its step and occurrence) after each interval of work and at a stop, lists it with what runs and with its end, and a start that brings one continues from there. Jobs with checkpoints are plain, gangs, repeated, lasting or fills beside tasks that serve, which are slowed, moved and preempted. The oracle fails a start that brings another task's checkpoint, one that no worker told, one for a step that keeps none, or another one than the gang's other members. It counts beside that the starts that bring less than the newest checkpoint told to their owner. TestCheckpointFaults plays all kinds of faults so, TestCheckpointMutations breaks the bookkeeping in six ways, each found.

The oracle's check of earlier steps now looks at those of the start's own occurrence: it looked at the first one's, and no job was repeated.

--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -45,6 +45,7 @@
 			id++
 			s.submitGang(id)
 		}
+		s.submitCheckpointJobs()
 		if s.extra != nil && s.rng.IntN(60) == 0 {
 			s.extra(s)
 		}
--- /dev/null
+++ b/dispatch/sim_checkpoint_faults_test.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"testing"
+
+	"leverstile.dev/job"
+)
+
+// checkpointSeeds is how many seeds of each kind of fault are played with jobs that keep
+// checkpoints; the first is that of the other runs.
+var checkpointSeeds = flag.Uint64("dispatch.checkpoints", 2, "number of seeds of each kind of fault with checkpoints")
+
+// checkpointRun plays one seed of faultsRun with jobs that keep checkpoints as well.
+func checkpointRun(seed uint64, setup, mutate func(s *sim)) *sim {
+	return faultsRun(seed, func(s *sim) {
+		s.checkpointJobs = true
+		s.params.OverTarget, s.params.PaceAfter = simOverTarget, simPaceAfter
+		if setup != nil {
+			setup(s)
+		}
+		if mutate != nil {
+			mutate(s)
+		}
+	})
+}
+
+// checkpointTally sums up what was played of checkpoints.
+type checkpointTally struct {
+	brought, jobs, paced, moved int
+	less                        map[string]int
+	examples                    map[string]string
+	wasted                      float64 // seconds
+}
+
+func (c *checkpointTally) add(s *sim) {
+	o := &s.oracle.checkpoints
+	c.brought += o.brought
+	c.jobs += s.checkpointIDs
+	c.paced += s.paced
+	c.moved += s.preempted
+	c.wasted += o.wasted.Seconds()
+	for class, n := range o.less {
+		c.less[class] += n
+		if c.examples[class] == "" {
+			c.examples[class] = o.examples[class]
+		}
+	}
+}
+
+func (c *checkpointTally) log(t *testing.T) {
+	t.Helper()
+	t.Logf("%d jobs, %d starts with a checkpoint, %d orders of a pace, %d moves for memory or readings; %.1f s of work not continued from", c.jobs, c.brought, c.paced, c.moved, c.wasted)
+	for _, class := range slices.Sorted(maps.Keys(c.less)) {
+		t.Logf("%d brought less than %s; %s", c.less[class], class, c.examples[class])
+	}
+}
+
+// TestCheckpointFaults plays all kinds of faults with jobs that keep checkpoints.
+func TestCheckpointFaults(t *testing.T) {
+	cases := append([]faultCase{{name: "plain faults", inShort: true}}, moreFaultCases()...)
+	tally := checkpointTally{less: map[string]int{}, examples: map[string]string{}}
+	for _, c := range cases {
+		if testing.Short() && !c.inShort {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			for n := range *checkpointSeeds {
+				seed := *simFirst + n
+				s := checkpointRun(seed, c.setup, nil)
+				tally.add(s)
+				checkAll(t, s)
+				if t.Failed() {
+					t.Fatalf("seed %d", seed)
+				}
+			}
+		})
+	}
+	tally.log(t)
+	if tally.brought == 0 || tally.paced == 0 || tally.moved == 0 {
+		t.Error("no checkpoint was brought, or no fill was slowed or moved")
+	}
+}
+
+// foreignCheckpoint replaces the checkpoint of a start, where that is of a step that fits.
+func foreignCheckpoint(fits func(s *stepRun) bool, other func(t *task) string) func(s *sim) {
+	return func(s *sim) {
+		s.alterStart = func(core *Core, o *Order) {
+			if t := core.findTask(o.Task); t != nil && fits(t.step) {
+				o.Checkpoint = other(t)
+			}
+		}
+	}
+}
+
+// checkpointMutations removes one safeguard at a time.
+func checkpointMutations() map[string]func(s *sim) {
+	return map[string]func(s *sim){
+		"a step's checkpoint is used for plain tasks": foreignCheckpoint(
+			func(s *stepRun) bool { return s.spec.Checkpoints && !s.spec.Gang },
+			func(t *task) string { return t.step.checkpoint.text }),
+		"a gang's members bring their own": foreignCheckpoint(
+			func(s *stepRun) bool { return s.spec.Gang },
+			func(t *task) string { return t.checkpoint.text }),
+		"occurrences share a checkpoint": foreignCheckpoint(
+			func(s *stepRun) bool { return s.spec.Checkpoints && s.occurrence > 0 },
+			func(t *task) string {
+				first := job.TaskID{Job: t.id().Job, Step: t.step.index, Index: t.index}
+				return t.step.job.steps[first.Step].tasks[first.Index].continuesFrom().text
+			}),
+		"a text told of a step that keeps none is used": func(s *sim) {
+			lieOfPlainSteps(s)
+			told := map[job.TaskID]string{}
+			s.alterReply = func(_ *Core, reply *HoldReply) {
+				for i := range reply.Ended {
+					told[reply.Ended[i].Task] = reply.Ended[i].Checkpoint
+				}
+			}
+			s.alterStart = func(_ *Core, o *Order) {
+				if o.Checkpoint == "" {
+					o.Checkpoint = told[o.Task]
+				}
+			}
+		},
+		"an end's checkpoint goes to what the worker runs now": func(s *sim) {
+			s.alterReply = func(_ *Core, reply *HoldReply) {
+				for i := range reply.Ended {
+					if text := reply.Ended[i].Checkpoint; text != "" && len(reply.Running) > 0 {
+						reply.Running = slices.Clone(reply.Running)
+						reply.Running[0].Checkpoint = text
+					}
+				}
+			}
+		},
+		"a list's rows are matched by their place": func(s *sim) {
+			s.alterReply = func(_ *Core, reply *HoldReply) {
+				if len(reply.Running) < 2 {
+					return
+				}
+				rows := slices.Clone(reply.Running)
+				for i := range rows {
+					rows[i].Checkpoint = reply.Running[(i+1)%len(rows)].Checkpoint
+				}
+				reply.Running = rows
+			}
+		},
+	}
+}
+
+// lieOfPlainSteps has workers tell a checkpoint of each task whose step keeps none.
+func lieOfPlainSteps(s *sim) {
+	s.lie = func(w *simWorker, reply *HoldReply) {
+		for i := range reply.Running {
+			if row := &reply.Running[i]; !s.stepOf(row.Task).Checkpoints {
+				row.Checkpoint = s.checkpointText(row.Task, simCheckpointInterval)
+			}
+		}
+		for i := range reply.Ended {
+			if e := &reply.Ended[i]; !s.stepOf(e.Task).Checkpoints {
+				e.Checkpoint = s.checkpointText(e.Task, simCheckpointInterval)
+			}
+		}
+	}
+}
+
+// TestCheckpointMutations removes one safeguard at a time: the oracle must find each.
+func TestCheckpointMutations(t *testing.T) {
+	mutations := checkpointMutations()
+	for _, name := range slices.Sorted(maps.Keys(mutations)) {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(mutationSeeds) {
+				if s := checkpointRun(seed, gangsLoseMembers, mutations[name]); len(s.oracle.broken) > 0 {
+					t.Logf("seed %d: %s", seed, s.oracle.broken[0])
+					return
+				}
+			}
+			t.Errorf("not found in %d seeds", mutationSeeds)
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/sim_checkpoint_oracle_test.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// checkpointOracle checks that starts bring checkpoints of their own tasks.
+type checkpointOracle struct {
+	// told holds what workers have listed.
+	told map[string]bool
+	// gangs holds what the first member of a gang's run brought.
+	gangs map[gangID]string
+	// newest holds the checkpoint with the most work that an owner was told of a task.
+	newest map[tellKey]toldCheckpoint
+	// brought counts the starts that brought one, and less those that brought less than
+	// the newest told to their owner, by class; wasted is the work between.
+	brought int
+	less    map[string]int
+	wasted  time.Duration
+	// examples holds the first of each class.
+	examples map[string]string
+}
+
+// tellKey names what one owner was told of a task or gang.
+type tellKey struct {
+	term uint64
+	of   job.TaskID
+}
+
+// toldCheckpoint is a checkpoint as an owner was told of it.
+type toldCheckpoint struct {
+	text  string
+	task  job.TaskID
+	run   uint64
+	ended bool
+	kind  EndKind
+	at    time.Duration
+	// current is set if its run was the one that the owner expected then.
+	current bool
+}
+
+func newCheckpointOracle() checkpointOracle {
+	return checkpointOracle{
+		told: map[string]bool{}, gangs: map[gangID]string{}, newest: map[tellKey]toldCheckpoint{},
+		less: map[string]int{}, examples: map[string]string{},
+	}
+}
+
+// listed notes the checkpoints that a worker lists.
+func (o *checkpointOracle) listed(reply HoldReply) {
+	for i := range reply.Running {
+		o.told[reply.Running[i].Checkpoint] = true
+	}
+	for i := range reply.Ended {
+		o.told[reply.Ended[i].Checkpoint] = true
+	}
+}
+
+// heard notes what an owner was told.
+func (o *oracle) heard(core *Core, reply HoldReply) {
+	for i := range reply.Running {
+		row := &reply.Running[i]
+		o.heardOne(core, toldCheckpoint{text: row.Checkpoint, task: row.Task, run: row.Run})
+	}
+	for i := range reply.Ended {
+		e := &reply.Ended[i]
+		o.heardOne(core, toldCheckpoint{text: e.Checkpoint, task: e.Task, run: e.Run, ended: true, kind: e.Kind})
+	}
+}
+
+func (o *oracle) heardOne(core *Core, told toldCheckpoint) {
+	key := tellKey{core.Term(), o.sim.checkpointOwner(told.task)}
+	if told.text == "" || workTold(told.text) <= workTold(o.checkpoints.newest[key].text) {
+		return
+	}
+	t := core.findTask(told.task)
+	told.current = t != nil && t.attempt != nil && t.attempt.run == told.run
+	told.at = o.sim.now
+	o.checkpoints.newest[key] = told
+}
+
+// checkStart checks the checkpoint that an order brings.
+func (o *oracle) checkStart(core *Core, order *Order) {
+	s, text := o.sim, order.Checkpoint
+	what := fmt.Sprintf("the start of task %s run %d brings %q", order.Task, order.Run, text)
+	switch {
+	case text == "":
+	case !s.stepOf(order.Task).Checkpoints:
+		o.fail("%s, and its step keeps no checkpoints", what)
+	case text != s.checkpointText(order.Task, workTold(text)):
+		o.fail("%s, which is not the task's", what)
+	case !o.checkpoints.told[text]:
+		o.fail("%s, which no worker has told", what)
+	}
+	if s.stepOf(order.Task).Gang {
+		id := gangID{order.Task.Job, order.Task.Occurrence, order.Task.Step, order.Run}
+		if first, ok := o.checkpoints.gangs[id]; ok && first != text {
+			o.fail("%s, and another member %q", what, first)
+		}
+		o.checkpoints.gangs[id] = text
+	}
+	o.measureStart(core, order)
+}
+
+// measureStart counts a start that brings less than its owner was told. It is no fault: work
+// is done twice.
+func (o *oracle) measureStart(core *Core, order *Order) {
+	c := &o.checkpoints
+	if order.Checkpoint != "" {
+		c.brought++
+	}
+	newest := c.newest[tellKey{core.Term(), o.sim.checkpointOwner(order.Task)}]
+	missed := workTold(newest.text) - workTold(order.Checkpoint)
+	if missed <= 0 {
+		return
+	}
+	class := o.lessClass(core, order, newest)
+	if c.less[class] == 0 {
+		c.examples[class] = fmt.Sprintf("%v: start of %s run %d brings %q; told %q of run %d at %v", o.sim.now, order.Task, order.Run, order.Checkpoint, newest.text, newest.run, newest.at)
+	}
+	c.less[class]++
+	c.wasted += missed
+}
+
+// lessClass tells what the newest checkpoint and the one that was brought come from.
+func (o *oracle) lessClass(core *Core, order *Order, newest toldCheckpoint) string {
+	origin := "a list"
+	if newest.ended {
+		origin = "an end " + string(newest.kind)
+	}
+	expected := "another run than expected"
+	if newest.current {
+		expected = "the run expected"
+	}
+	class := fmt.Sprintf("told in %s of %s", origin, expected)
+	t := core.findTask(order.Task)
+	if t == nil {
+		return class + ", task unknown"
+	}
+	from := t.continuesFrom()
+	switch {
+	case order.Checkpoint == "":
+		return class + ", nothing brought"
+	case from.text != order.Checkpoint:
+		return class + ", the order is sent again"
+	case newest.run > from.run:
+		return class + ", brought of an older run"
+	case newest.run < from.run:
+		return class + ", brought of a newer run"
+	default:
+		return class + ", brought of the same run"
+	}
+}
--- /dev/null
+++ b/dispatch/sim_checkpoint_test.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// checkpointFaults is what the simulation plays of checkpoints, where it is switched on,
+// and the safeguards on them that can be off.
+type checkpointFaults struct {
+	// checkpointJobs: some jobs keep checkpoints, among them gangs, repeated and lasting
+	// jobs, and fills that are slowed and preempted.
+	checkpointJobs bool
+	// checkpointRNG draws what only these jobs need.
+	checkpointRNG *rand.Rand
+	checkpointIDs int
+	// paced counts the orders of a pace that were carried out, preempted the moves of fills.
+	paced, preempted int
+	// lie adds to a worker's lists what is not so, if set.
+	lie func(w *simWorker, reply *HoldReply)
+
+	// Safeguards that are off: alterStart changes an order, alterReply an answer.
+	alterStart func(core *Core, o *Order)
+	alterReply func(core *Core, reply *HoldReply)
+}
+
+const (
+	// simCheckpointInterval is the work between two checkpoints of a run. Members of a
+	// gang differ by simMemberLag, so that their checkpoints do.
+	simCheckpointInterval = 400 * time.Millisecond
+	simMemberLag          = 35 * time.Millisecond
+	// simTarget is the target of tasks that serve, in milliseconds. They read simTailAlone,
+	// and simTailFill more for each fill beside at full pace.
+	simTarget    = 100
+	simTailAlone = 50
+	simTailFill  = 60
+	// firstCheckpointJob is the first id of jobs with checkpoints, apart from others.
+	firstCheckpointJob = 200_000
+	// simOverTarget is how long fills may keep a serving task over its target, simPaceAfter
+	// the age from which a run can be paced.
+	simOverTarget = 4 * time.Second
+	simPaceAfter  = 300 * time.Millisecond
+	// fillQueue is the queue that any other may preempt.
+	fillQueue = "fills"
+)
+
+// simWork is what a run has done, counted from the task's first run.
+type simWork struct {
+	begun   time.Duration // work that its start's checkpoint told
+	done    time.Duration // until since
+	since   time.Duration
+	working bool // a gang's member waits for the others first
+	pace    int
+	left    time.Duration // at full pace, when the pace was last set
+	brought string        // its start's checkpoint
+}
+
+// at returns the work done by a moment.
+func (x *simWork) at(now time.Duration) time.Duration {
+	if !x.working {
+		return x.done
+	}
+	return x.done + (now-x.since)*time.Duration(x.pace)/fullPace
+}
+
+// setPace changes the pace of a run, which ends later or sooner by that.
+func (r *simRun) setPace(percent int, now time.Duration) {
+	const halted = time.Hour
+	left := (r.ends - now) * time.Duration(r.work.pace) / fullPace
+	if r.work.pace == 0 {
+		left = r.work.left
+	}
+	r.work.done, r.work.since, r.work.pace = r.work.at(now), now, percent
+	r.work.left = left
+	r.ends = now + halted
+	if percent > 0 {
+		r.ends = now + left*fullPace/time.Duration(percent)
+	}
+}
+
+// checkpointOwner returns the task that stands for all that a checkpoint is good for: that
+// of any member is good for its gang.
+func (s *sim) checkpointOwner(id job.TaskID) job.TaskID {
+	if s.stepOf(id).Gang {
+		id.Index = 0
+	}
+	return id
+}
+
+func (s *sim) stepOf(id job.TaskID) *job.Step { return &s.specs[id.Job].Steps[id.Step] }
+
+// checkpointText tells the work done, and of which task or gang.
+func (s *sim) checkpointText(id job.TaskID, done time.Duration) string {
+	return fmt.Sprintf("%08x", done.Milliseconds()) + s.checkpointOwner(id).String()
+}
+
+// workTold returns the work that a checkpoint tells.
+func workTold(text string) time.Duration {
+	const digits = 8
+	if len(text) < digits {
+		return 0
+	}
+	ms, err := strconv.ParseInt(text[:digits], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// begin has a run continue from a checkpoint. How much work is left is drawn anew for each
+// run, so that runs last as long without checkpoints as with them.
+func (r *simRun) begin(s *sim, checkpoint string) {
+	done := workTold(checkpoint)
+	r.work = simWork{begun: done, done: done, since: s.now, working: !s.stepOf(r.task).Gang, pace: fullPace, brought: checkpoint}
+}
+
+// saved returns the checkpoint that a run has saved.
+func (r *simRun) saved(s *sim, stopped bool) string {
+	if !s.stepOf(r.task).Checkpoints {
+		return ""
+	}
+	done := r.work.at(s.now)
+	if stopped && done > r.work.begun {
+		return s.checkpointText(r.task, done)
+	}
+	interval := simCheckpointInterval + simMemberLag*time.Duration(r.task.Index%8)
+	if saved := (done - r.work.begun) / interval * interval; saved > 0 {
+		return s.checkpointText(r.task, r.work.begun+saved)
+	}
+	if r.run%2 == 0 {
+		return "" // it has saved none itself
+	}
+	return r.work.brought
+}
+
+// reading returns the fifth entry of a run's row.
+func (w *simWorker) reading(r *simRun) (value int64, has bool) {
+	step := w.sim.stepOf(r.task)
+	switch {
+	case step.Fills:
+		return step.CPUMilli * int64(r.work.pace) / fullPace, true
+	case step.TargetMS == 0:
+		return 0, false
+	}
+	value = simTailAlone
+	for _, other := range w.running {
+		if w.sim.stepOf(other.task).Fills {
+			value += simTailFill * int64(other.work.pace) / fullPace
+		}
+	}
+	return value, true
+}
+
+// submitCheckpointJobs submits a job that plays checkpoints, now and then.
+func (s *sim) submitCheckpointJobs() {
+	if !s.checkpointJobs || s.checkpointRNG.IntN(30) > 0 {
+		return
+	}
+	s.checkpointIDs++
+	spec := s.checkpointJob(firstCheckpointJob + s.checkpointIDs)
+	s.submit(spec)
+	if spec.Lasting() {
+		s.later(2*time.Second+time.Duration(s.checkpointRNG.Int64N(int64(20*time.Second))), func() { s.cancel(spec.ID) })
+	}
+}
+
+func (s *sim) checkpointJob(id int) *job.Spec {
+	rng := s.checkpointRNG
+	spec := simpleJob(id, 1+rng.IntN(3), 1+rng.IntN(2))
+	first := &spec.Steps[0]
+	first.Checkpoints = true
+	switch rng.IntN(7) {
+	case 0:
+		first.Gang, first.Count = true, 2+rng.IntN(3)
+	case 1:
+		spec.Occurrences, spec.IntervalMS = 2+rng.IntN(2), rng.Int64N(1500)
+		spec.FirstDueMS = s.now.Milliseconds() + rng.Int64N(2000)
+		first.Gang = rng.IntN(2) == 0
+	case 2:
+		spec.Steps = spec.Steps[:1]
+		first.Lasting = true
+	case 3:
+		spec.Steps = spec.Steps[:1]
+		first.Lasting, first.TargetMS, first.Image = true, simTarget, "serves"
+	case 4, 5:
+		spec.Queue = fillQueue
+		spec.Steps = spec.Steps[:1]
+		first.Fills, first.MemoryMiB, first.Image = true, 2500, "fills"
+	}
+	return spec
+}
+
+// config is what owners are told; the queue of fills is there for jobs with checkpoints.
+func (s *sim) config() *job.Config {
+	queues := []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: s.stretch}}
+	if s.checkpointJobs {
+		queues = append(queues, job.Queue{Name: fillQueue, Service: "svc", Priority: 1, MaxAttempts: s.maxAttempts, Stretch: s.stretch})
+	}
+	return &job.Config{Version: 1, Queues: queues}
+}
+
+func (s *sim) isFill(id job.TaskID) bool { return s.stepOf(id).Fills }
--- a/dispatch/sim_gang_test.go
+++ b/dispatch/sim_gang_test.go
@@ -55,6 +55,7 @@
 	g.whole = true
 	for _, m := range g.members {
 		m.run.ends = s.now + work
+		m.run.work.working, m.run.work.since = true, s.now
 	}
 }
 
--- a/dispatch/sim_oracle_test.go
+++ b/dispatch/sim_oracle_test.go
@@ -27,8 +27,9 @@
 	doneSince map[*simWorker]map[uint64]time.Duration
 	// failures holds the failed ends of each task at workers that live on, and
 	// exhausted the starts after as many of them as the queue allows.
-	failures  map[job.TaskID][]*simFailure
-	exhausted []exhaustedStart
+	failures    map[job.TaskID][]*simFailure
+	exhausted   []exhaustedStart
+	checkpoints checkpointOracle
 }
 
 // simFailure is a failed end in a worker's list; it counts once the worker was
@@ -79,7 +80,7 @@
 	spec := o.sim.specs[r.task.Job]
 	for _, earlier := range spec.Steps[r.task.Step].After {
 		for i := range spec.Steps[earlier].Count {
-			if !o.everDone[job.TaskID{Job: r.task.Job, Step: earlier, Index: i}] {
+			if !o.everDone[job.TaskID{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: earlier, Index: i}] {
 				o.fail("task %s starts before step %d is done", r.task, earlier)
 			}
 		}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -72,6 +72,7 @@
 	strict bool
 
 	moreFaults
+	checkpointFaults
 	adopted int
 	closed  int // entries found closed at takeovers
 	trace   []string
@@ -87,11 +88,11 @@
 
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 7)), specs: map[string]*job.Spec{}, progress: map[string][]byte{},
+		rng: rand.New(rand.NewPCG(seed, 7)), checkpointFaults: checkpointFaults{checkpointRNG: rand.New(rand.NewPCG(seed, 11))}, specs: map[string]*job.Spec{}, progress: map[string][]byte{},
 		cancelled: map[string]time.Duration{}, evacuated: map[string]time.Duration{}, maxAttempts: 50, stretch: 2,
 		params: Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, OwnerTTL: simTTL, OwnerHorizon: simHorizon, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
 	}
-	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}, startedAt: map[job.TaskID]time.Duration{}, doneSince: map[*simWorker]map[uint64]time.Duration{}, failures: map[job.TaskID][]*simFailure{}}
+	s.oracle = &oracle{sim: s, runs: map[job.TaskID][]*simWorker{}, done: map[job.TaskID]bool{}, doneAt: map[*simWorker]map[uint64]job.TaskID{}, everDone: map[job.TaskID]bool{}, startedAt: map[job.TaskID]time.Duration{}, doneSince: map[*simWorker]map[uint64]time.Duration{}, failures: map[job.TaskID][]*simFailure{}, checkpoints: newCheckpointOracle()}
 	for i := range workers {
 		s.workers = append(s.workers, s.newWorker(i))
 	}
@@ -187,6 +188,9 @@
 	s.term++
 	o := &simOwner{polling: map[WorkerID]bool{}, leadEnd: s.now + simTTL}
 	o.core = New(s.params, s.term, func(d Decision) {
+		if d.Event == "run_stop" && s.isFill(d.Task) {
+			s.preempted++
+		}
 		if d.Event == "run_adopted" {
 			s.adopted++
 		}
@@ -209,7 +213,7 @@
 		}
 	}
 	o.core.Recover(list, s.instant())
-	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: s.stretch}}})
+	o.core.SetConfig(s.config())
 	if !s.blindTakeover {
 		s.tellEvacuated(o)
 	}
@@ -383,6 +387,12 @@
 
 func (s *sim) dispatch(o *simOwner) {
 	for _, order := range o.core.TakeOrders() {
+		if order.Kind == OrderStart {
+			if s.alterStart != nil {
+				s.alterStart(o.core, &order)
+			}
+			s.oracle.checkStart(o.core, &order)
+		}
 		if order.Kind == OrderStart && s.chance(s.notSentShare) {
 			s.notSent(o, order)
 			continue
@@ -437,6 +447,10 @@
 func (s *sim) holdDone(core *Core, order HoldOrder, reply HoldReply, outcome Outcome) time.Duration {
 	w := core.workers[order.Worker]
 	s.misread(core, w, reply)
+	if s.alterReply != nil {
+		s.alterReply(core, &reply)
+	}
+	s.oracle.heard(core, reply)
 	if s.hastyRetry && w != nil && w.synced {
 		waiting, open := core.unresolved, core.openUnresolved
 		core.unresolved, core.openUnresolved = nil, 0
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -43,6 +43,7 @@
 	// stopping: a stop was ordered and takes its time.
 	stopping bool
 	gang     *simGang // of a gang's member
+	work     simWork
 }
 
 // percent returns the part of the run's work that is done.
@@ -98,7 +99,7 @@
 	delete(w.running, r.task)
 	w.endedNo++
 	w.highest[r.task] = max(w.highest[r.task], r.run)
-	w.ended = append(w.ended, EndedTask{Number: w.endedNo, Task: r.task, Run: r.run, Kind: kind})
+	w.ended = append(w.ended, EndedTask{Number: w.endedNo, Task: r.task, Run: r.run, Kind: kind, Checkpoint: r.saved(w.sim, kind == EndStopped)})
 	w.sim.oracle.ended(w, r, kind)
 	r.gang.left(w.sim, kind)
 }
@@ -130,7 +131,13 @@
 func (w *simWorker) lists() HoldReply {
 	reply := HoldReply{ClockMS: w.clock(), Ended: append([]EndedTask(nil), w.ended...)}
 	for _, r := range w.sorted() {
-		reply.Running = append(reply.Running, RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now)})
+		row := RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now), Checkpoint: r.saved(w.sim, false)}
+		row.Reading, row.HasReading = w.reading(r)
+		reply.Running = append(reply.Running, row)
+	}
+	w.sim.oracle.checkpoints.listed(reply)
+	if w.sim.lie != nil {
+		w.sim.lie(w, &reply)
 	}
 	return reply
 }
@@ -151,6 +158,11 @@
 	switch o.Kind {
 	case OrderStart:
 		return w.startRun(o)
+	case OrderPace:
+		if r := w.running[o.Task]; r != nil && r.run == o.Run {
+			w.sim.paced++
+			r.setPace(o.Percent, w.sim.now)
+		}
 	case OrderStop:
 		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 		if r := w.running[o.Task]; r != nil && r.run <= o.Run {
@@ -206,6 +218,7 @@
 	}
 	r := &simRun{task: o.Task, run: o.Run, ends: w.sim.now + work, since: w.sim.now, fails: w.bad || w.sim.rng.Float64() < w.sim.failShare}
 	w.running[o.Task] = r
+	r.begin(w.sim, o.Checkpoint)
 	w.sim.joinGang(w, r, work)
 	w.sim.oracle.started(w, r)
 	w.sim.crashUnder(w, r)
