--- /dev/null
+++ b/dispatch/checkpoint_test.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// checkpointCore is a core with idle workers and a job, of which a test tells what workers list.
+type checkpointCore struct {
+	*testing.T
+	core  *Core
+	now   Instant
+	clock int64
+	ends  map[WorkerID]uint64
+	// orders holds the newest start of each task.
+	orders map[job.TaskID]Order
+}
+
+// newCheckpointCore starts all tasks of a job with one step, at two workers.
+func newCheckpointCore(t *testing.T, tasks int, change func(s *job.Step)) *checkpointCore {
+	t.Helper()
+	core, now := idleCore(t, 2)
+	x := &checkpointCore{T: t, core: core, now: now, clock: 1000, ends: map[WorkerID]uint64{}, orders: map[job.TaskID]Order{}}
+	spec := simpleJob(1, tasks)
+	spec.Steps[0].Checkpoints = true
+	if change != nil {
+		change(&spec.Steps[0])
+	}
+	core.AddJob(spec, nil, false, now)
+	x.schedule()
+	if len(x.orders) != tasks {
+		t.Fatalf("%d tasks start, want %d", len(x.orders), tasks)
+	}
+	return x
+}
+
+// schedule lets time pass until tasks that failed start again.
+func (x *checkpointCore) schedule() {
+	x.now.Steady += 2 * retryDelay
+	x.core.Schedule(x.now)
+	for _, o := range starts(x.core) {
+		x.orders[o.Task] = o
+	}
+}
+
+func (x *checkpointCore) order(index int) Order {
+	return x.orders[job.TaskID{Job: simpleJob(1, 1).ID, Index: index}]
+}
+
+// list has a worker list these rows and ends; ends get their numbers.
+func (x *checkpointCore) list(id WorkerID, running []RunningTask, ended ...EndedTask) {
+	x.clock += 20
+	for i := range ended {
+		x.ends[id]++
+		ended[i].Number = x.ends[id]
+	}
+	x.now.Steady += 20 * time.Millisecond
+	x.core.HoldDone(HoldOrder{Worker: id}, HoldReply{ClockMS: x.clock, Running: running, Ended: ended}, OutcomeOK, x.now)
+}
+
+func endOf(o Order, kind EndKind, text string) EndedTask {
+	return EndedTask{Task: o.Task, Run: o.Run, Kind: kind, Checkpoint: text}
+}
+
+func rowOf(o Order, text string) RunningTask {
+	return RunningTask{Task: o.Task, Run: o.Run, Checkpoint: text}
+}
+
+// brings fails the test unless the newest start of a task is a later one and brings a text.
+func (x *checkpointCore) brings(index int, before Order, want string) {
+	x.Helper()
+	switch o := x.order(index); {
+	case o.Run <= before.Run:
+		x.Errorf("task %d did not start again", index)
+	case o.Checkpoint != want:
+		x.Errorf("task %d starts with %q, want %q", index, o.Checkpoint, want)
+	}
+}
+
+// A worker told a checkpoint of a task whose step keeps none, and the next start brought it.
+func TestStepsWithoutCheckpointsBringNone(t *testing.T) {
+	x := newCheckpointCore(t, 1, func(s *job.Step) { s.Checkpoints = false })
+	first := x.order(0)
+	x.list(first.Worker, []RunningTask{rowOf(first, "listed")})
+	x.list(first.Worker, nil, endOf(first, EndFailed, "ended"))
+	x.schedule()
+	x.brings(0, first, "")
+}
+
+// A worker told the end of a run that the owner had not ordered, and the task's next start
+// brought its checkpoint.
+func TestCheckpointsOfUnknownRunsAreNotBrought(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(unknown *Order)
+	}{
+		{"a later run", func(unknown *Order) { unknown.Run += 100 }},
+		{"an earlier run", func(unknown *Order) { unknown.Run-- }},
+		{"the run at another worker", func(unknown *Order) { unknown.Worker = map[WorkerID]WorkerID{"w0": "w1", "w1": "w0"}[unknown.Worker] }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newCheckpointCore(t, 1, nil)
+			first := x.order(0)
+			x.list(first.Worker, nil, endOf(first, EndFailed, "own"))
+			unknown := first
+			c.change(&unknown)
+			x.list(unknown.Worker, nil, endOf(unknown, EndLapsed, "unknown"))
+			x.schedule()
+			x.brings(0, first, "own")
+		})
+	}
+}
+
+// The end of a run that one worker told late, after those of newer runs, replaced their
+// checkpoint: the task went back to where it had been long before.
+func TestNewerRunsCheckpointStays(t *testing.T) {
+	core, now := idleCore(t, 2)
+	x := &checkpointCore{T: t, core: core, now: now, clock: 1000, ends: map[WorkerID]uint64{}, orders: map[job.TaskID]Order{}}
+	core.term = 3
+	spec := simpleJob(1, 1)
+	spec.Steps[0].Checkpoints = true
+	core.AddJob(spec, nil, false, now)
+	of := func(term uint64) Order { return Order{Task: job.TaskID{Job: spec.ID}, Run: term<<runBits | 7} }
+	x.list("w0", nil, endOf(of(2), EndLapsed, "newer"))
+	x.list("w1", nil, endOf(of(1), EndLapsed, "older"))
+	x.schedule()
+	x.brings(0, of(2), "newer")
+}
+
+// A member of a gang's earlier run was told to have ended after the next run had ended too:
+// the gang went back to the earlier run's checkpoint.
+func TestNewerGangRunsCheckpointStays(t *testing.T) {
+	core, now := idleCore(t, 2)
+	x := &checkpointCore{T: t, core: core, now: now, clock: 1000, ends: map[WorkerID]uint64{}, orders: map[job.TaskID]Order{}}
+	core.term = 3
+	spec := simpleJob(1, 2)
+	spec.Steps[0].Checkpoints, spec.Steps[0].Gang = true, true
+	core.AddJob(spec, nil, false, now)
+	of := func(index int, term uint64) Order {
+		return Order{Task: job.TaskID{Job: spec.ID, Index: index}, Run: term<<runBits | 7}
+	}
+	x.list("w0", nil, endOf(of(0, 2), EndLapsed, "newer"))
+	x.list("w1", nil, endOf(of(1, 1), EndLapsed, "older"))
+	x.schedule()
+	x.brings(0, of(0, 2), "newer")
+	x.brings(1, of(1, 2), "newer")
+}
+
+// A worker told one task's checkpoint as another's too, and the start of each brought it.
+func TestCheckpointToldOfTwoTasksIsNotBrought(t *testing.T) {
+	x := newCheckpointCore(t, 2, nil)
+	first, second := x.order(0), x.order(1)
+	x.list(first.Worker, nil, endOf(first, EndFailed, "text"))
+	x.list(second.Worker, nil, endOf(second, EndFailed, "text"))
+	x.schedule()
+	x.brings(0, first, "")
+	x.brings(1, second, "")
+}
