A checkpoint counts only of a step that keeps them and of a run that may be the task's

The core kept for a task whatever text a list or an end named it with: also for a step that keeps no checkpoints, for a run that it never ordered or that it ordered elsewhere, and of an older run after that of a newer one, which ends read late after a takeover do with honest workers.

noteCheckpoint now takes a text only for a step with checkpoints; of this term only that of the task's newest start, at its worker; of earlier terms, whose starts are not known, any; and none of an older run than the one that saved what is kept. An end of an older run now counts also while a newer run is active, since run numbers say which is newer. A gang's checkpoint is kept once, at its step, and a plain step has none any more. A text of an end that does not count is logged as checkpoint_ignored.

Weighed: a set of all runs ordered for each task, which would keep the text of an older run of this term that is told late. It costs memory for each start, and no such loss was seen that the newest start alone does not bear.

--- a/dispatch/checkpoint.go
+++ b/dispatch/checkpoint.go
@@ -32,17 +32,46 @@
 	return fmt.Sprintf("checkpoint %q of run %d, told by %s in %s", text, c.run, c.worker, from)
 }
 
-// noteCheckpoint takes in a checkpoint that a worker told. That of any member is good
-// for its gang.
-func (t *task) noteCheckpoint(c checkpoint) {
-	t.checkpoint = c
-	t.step.checkpoint = c
+// startedRun names a start that this owner ordered.
+type startedRun struct {
+	run    uint64
+	worker WorkerID
 }
 
-// continuesFrom returns the checkpoint that the task's next start brings.
-func (t *task) continuesFrom() checkpoint {
+// noteCheckpoint takes in a checkpoint that a worker told of a task, unless it does not
+// count; then it returns why. An older run's does not replace that of a newer one, since
+// ends may be told late and in any order.
+func (c *Core) noteCheckpoint(t *task, told checkpoint) (ignored string) {
+	kept := t.keptCheckpoint()
+	switch {
+	case !t.step.spec.Checkpoints:
+		return "its step keeps none"
+	case !c.mayHaveSaved(t, told):
+		return "its run is not one that was ordered there"
+	case told.run < kept.run:
+		return "a newer run has saved one"
+	}
+	*kept = told
+	return ""
+}
+
+// mayHaveSaved reports whether a run at a worker may be one of the task's. Of this owner's
+// starts only the newest counts; which ones earlier owners ordered is not known.
+func (c *Core) mayHaveSaved(t *task, told checkpoint) bool {
+	if told.run>>runBits < c.term {
+		return true
+	}
+	return t.lastStart == startedRun{told.run, told.worker}
+}
+
+// keptCheckpoint returns where the task's checkpoint is kept. That of any member is good
+// for its gang, and all members must bring the same one.
+func (t *task) keptCheckpoint() *checkpoint {
 	if t.step.spec.Gang {
-		return t.step.checkpoint
+		return &t.step.checkpoint
 	}
-	return t.checkpoint
+	return &t.checkpoint
 }
+
+// continuesFrom returns the checkpoint that the task's next start brings.
+func (t *task) continuesFrom() checkpoint { return *t.keptCheckpoint() }
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -32,9 +32,7 @@
 	if a != nil && (a.worker != w || a.run != e.Run) {
 		a = nil
 	}
-	if e.Checkpoint != "" && (a != nil || t.attempt == nil) {
-		t.noteCheckpoint(checkpoint{text: e.Checkpoint, run: e.Run, worker: w.info.ID, end: e.Number})
-	}
+	c.noteEndCheckpoint(t, w, e)
 	c.tellTask("run_"+string(e.Kind), t, w, e.Run, "")
 	c.countEnd(w, t, a, e, now)
 	if a != nil {
@@ -43,6 +41,20 @@
 	w.ends = append(w.ends, pendingEnd{number: e.Number, task: e.Task, job: t.step.job, version: t.step.job.version})
 }
 
+// noteEndCheckpoint takes in the checkpoint that an end tells, also of an older run than the
+// one that is expected.
+func (c *Core) noteEndCheckpoint(t *task, w *worker, e *EndedTask) {
+	if e.Checkpoint == "" {
+		return
+	}
+	told := checkpoint{text: e.Checkpoint, run: e.Run, worker: w.info.ID, end: e.Number}
+	if ignored := c.noteCheckpoint(t, told); ignored != "" {
+		d := taskDecision("checkpoint_ignored", t, w, e.Run, ignored)
+		d.Detail = told.String()
+		c.trace(d)
+	}
+}
+
 // countEnd draws the consequences of an end for the task and the worker.
 func (c *Core) countEnd(w *worker, t *task, a *attempt, e *EndedTask, now Instant) {
 	switch e.Kind {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -86,7 +86,9 @@
 	index      int
 	phase      phase
 	attempt    *attempt
-	checkpoint checkpoint
+	checkpoint checkpoint // unless it is of a gang
+	// lastStart is the newest start that this owner ordered.
+	lastStart startedRun
 	// notBefore delays a start after a failure.
 	notBefore time.Duration
 	// avoid is the worker where the last attempt failed.
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -136,7 +136,7 @@
 		a.started = now.Steady
 	}
 	if row.Checkpoint != "" {
-		t.noteCheckpoint(checkpoint{text: row.Checkpoint, run: row.Run, worker: a.worker.info.ID, clock: clock})
+		c.noteCheckpoint(t, checkpoint{text: row.Checkpoint, run: row.Run, worker: a.worker.info.ID, clock: clock})
 	}
 	a.missed = false
 	a.atWork = row.Percent == fullPace
--- a/dispatch/sim_checkpoint_faults_test.go
+++ b/dispatch/sim_checkpoint_faults_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"flag"
 	"maps"
 	"slices"
@@ -13,10 +14,12 @@
 // checkpoints; the first is that of the other runs.
 var checkpointSeeds = flag.Uint64("dispatch.checkpoints", 2, "number of seeds of each kind of fault with checkpoints")
 
-// checkpointRun plays one seed of faultsRun with jobs that keep checkpoints as well.
+// checkpointRun plays one seed of faultsRun with jobs that keep checkpoints as well. Fills
+// that are halted stay long, and may be at several workers that crash by chance; see
+// mayBeGivenUp.
 func checkpointRun(seed uint64, setup, mutate func(s *sim)) *sim {
 	return faultsRun(seed, func(s *sim) {
-		s.checkpointJobs = true
+		s.checkpointJobs, s.onCrashed = true, map[job.TaskID]int{}
 		s.params.OverTarget, s.params.PaceAfter = simOverTarget, simPaceAfter
 		if setup != nil {
 			setup(s)
@@ -100,10 +103,19 @@
 	return map[string]func(s *sim){
 		"a step's checkpoint is used for plain tasks": foreignCheckpoint(
 			func(s *stepRun) bool { return s.spec.Checkpoints && !s.spec.Gang },
-			func(t *task) string { return t.step.checkpoint.text }),
-		"a gang's members bring their own": foreignCheckpoint(
-			func(s *stepRun) bool { return s.spec.Gang },
-			func(t *task) string { return t.checkpoint.text }),
+			func(t *task) string {
+				last := t.step.tasks[len(t.step.tasks)-1]
+				return cmp.Or(last.checkpoint.text, t.checkpoint.text)
+			}),
+		"a gang's members bring their own": func(s *sim) {
+			told := map[job.TaskID]string{}
+			s.alterReply = func(_ *Core, reply *HoldReply) { noteEach(told, reply) }
+			s.alterStart = func(_ *Core, o *Order) {
+				if text := told[o.Task]; s.stepOf(o.Task).Gang && text != "" {
+					o.Checkpoint = text
+				}
+			}
+		},
 		"occurrences share a checkpoint": foreignCheckpoint(
 			func(s *stepRun) bool { return s.spec.Checkpoints && s.occurrence > 0 },
 			func(t *task) string {
@@ -113,11 +125,7 @@
 		"a text told of a step that keeps none is used": func(s *sim) {
 			lieOfPlainSteps(s)
 			told := map[job.TaskID]string{}
-			s.alterReply = func(_ *Core, reply *HoldReply) {
-				for i := range reply.Ended {
-					told[reply.Ended[i].Task] = reply.Ended[i].Checkpoint
-				}
-			}
+			s.alterReply = func(_ *Core, reply *HoldReply) { noteEach(told, reply) }
 			s.alterStart = func(_ *Core, o *Order) {
 				if o.Checkpoint == "" {
 					o.Checkpoint = told[o.Task]
@@ -149,6 +157,16 @@
 	}
 }
 
+// noteEach notes the checkpoint told of each task.
+func noteEach(told map[job.TaskID]string, reply *HoldReply) {
+	for i := range reply.Running {
+		told[reply.Running[i].Task] = reply.Running[i].Checkpoint
+	}
+	for i := range reply.Ended {
+		told[reply.Ended[i].Task] = reply.Ended[i].Checkpoint
+	}
+}
+
 // lieOfPlainSteps has workers tell a checkpoint of each task whose step keeps none.
 func lieOfPlainSteps(s *sim) {
 	s.lie = func(w *simWorker, reply *HoldReply) {
@@ -180,3 +198,15 @@
 		})
 	}
 }
+
+// TestCheckpointsOfPlainStepsAreNotBrought: workers tell checkpoints of steps that keep none,
+// beside all faults; no start brings one.
+func TestCheckpointsOfPlainStepsAreNotBrought(t *testing.T) {
+	for n := range *checkpointSeeds {
+		seed := *simFirst + n
+		checkAll(t, checkpointRun(seed, allAtOnce, lieOfPlainSteps))
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
