Property test of checkpoints: the last text of the newest run, whatever is told when

Lists and ends of tasks, gangs and occurrences, of this owner's newest starts and of earlier terms' runs, come from three workers and their next lives in any order and more than once. What each task brings must be the last text told of it, or its gang, by the newest run that told one, and nothing for a step that keeps none.

--- /dev/null
+++ b/dispatch/checkpoint_rapid_test.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"leverstile.dev/job"
+)
+
+// checkpointModel tells a core lists and ends in any order, and keeps what it was told.
+type checkpointModel struct {
+	core *Core
+	now  Instant
+	spec *job.Spec
+	// workers are the lives that are there, lives how many there were.
+	workers []WorkerID
+	lives   int
+	clock   int64
+	ends    map[WorkerID]uint64
+	// newest is the highest run that told a text of a task or gang, told the last that it told.
+	newest map[job.TaskID]uint64
+	told   map[job.TaskID]string
+	// sent holds answers that may come once more.
+	sent []checkpointReply
+}
+
+type checkpointReply struct {
+	worker WorkerID
+	reply  HoldReply
+}
+
+// of returns the task that stands for all that share a checkpoint.
+func (m *checkpointModel) of(id job.TaskID) job.TaskID {
+	if m.spec.Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
+// drawRun draws a task, a run of it that may have saved a checkpoint, and its worker: a run of an
+// earlier term anywhere, or the newest start of this one.
+func (m *checkpointModel) drawRun(t *rapid.T) (id job.TaskID, run uint64, worker WorkerID) {
+	id = job.TaskID{Job: m.spec.ID, Occurrence: rapid.IntRange(0, m.spec.Times()-1).Draw(t, "occurrence"), Step: rapid.IntRange(0, len(m.spec.Steps)-1).Draw(t, "step")}
+	id.Index = rapid.IntRange(0, m.spec.Steps[id.Step].Count-1).Draw(t, "index")
+	if a := m.core.findTask(id).attempt; a != nil && rapid.Bool().Draw(t, "newest start") {
+		return id, a.run, a.worker.info.ID
+	}
+	term := rapid.Uint64Range(1, m.core.term-1).Draw(t, "term")
+	return id, term<<runBits | rapid.Uint64Range(1, 5).Draw(t, "number"), rapid.SampledFrom(m.workers).Draw(t, "worker")
+}
+
+// tell notes a text, as of a run of the task, unless its step keeps none.
+func (m *checkpointModel) tell(id job.TaskID, run uint64, text string) {
+	if text == "" || !m.spec.Steps[id.Step].Checkpoints {
+		return
+	}
+	id = m.of(id)
+	if run < m.newest[id] {
+		return
+	}
+	m.newest[id], m.told[id] = run, text
+}
+
+func (m *checkpointModel) answer(worker WorkerID, reply HoldReply) {
+	m.now.Steady += 10 * time.Millisecond
+	m.core.HoldDone(HoldOrder{Worker: worker}, reply, OutcomeOK, m.now)
+}
+
+// end has a worker tell the end of a run.
+func (m *checkpointModel) end(t *rapid.T) {
+	id, run, worker := m.drawRun(t)
+	text := m.drawText(t, id, run)
+	m.ends[worker]++
+	m.clock++
+	reply := HoldReply{ClockMS: m.clock, Running: m.running(worker, id), Ended: []EndedTask{{
+		Number: m.ends[worker], Task: id, Run: run, Checkpoint: text,
+		Kind: rapid.SampledFrom([]EndKind{EndStopped, EndLapsed, EndFailed, EndBroken}).Draw(t, "kind"),
+	}}}
+	m.tell(id, run, text)
+	m.send(worker, reply)
+}
+
+// list has a worker list what it runs, with a new checkpoint of one task.
+func (m *checkpointModel) list(t *rapid.T) {
+	id, run, worker := m.drawRun(t)
+	a := m.core.findTask(id).attempt
+	if a == nil || a.run != run || a.worker.info.ID != worker {
+		return // the row of a run that is not expected tells nothing
+	}
+	text := m.drawText(t, id, run)
+	m.clock++
+	rows := append(m.running(worker, id), RunningTask{Task: id, Run: run, Checkpoint: text})
+	m.tell(id, run, text)
+	m.send(worker, HoldReply{ClockMS: m.clock, Running: rows})
+}
+
+func (m *checkpointModel) drawText(t *rapid.T, id job.TaskID, run uint64) string {
+	if rapid.IntRange(0, 3).Draw(t, "saved") == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s/%d/%d", m.of(id), run, rapid.IntRange(0, 9).Draw(t, "work"))
+}
+
+// running returns the rows of what a worker runs but one task.
+func (m *checkpointModel) running(worker WorkerID, except job.TaskID) []RunningTask {
+	var rows []RunningTask
+	for _, a := range m.core.workers[worker].attempts {
+		if id := a.task.id(); id != except {
+			rows = append(rows, RunningTask{Task: id, Run: a.run})
+		}
+	}
+	return rows
+}
+
+func (m *checkpointModel) send(worker WorkerID, reply HoldReply) {
+	m.sent = append(m.sent, checkpointReply{worker, reply})
+	m.answer(worker, reply)
+}
+
+// repeat has an answer come once more.
+func (m *checkpointModel) repeat(t *rapid.T) {
+	if len(m.sent) > 0 {
+		r := rapid.SampledFrom(m.sent).Draw(t, "answer")
+		m.answer(r.worker, r.reply)
+	}
+}
+
+// begin lists a new life of a worker, which answers.
+func (m *checkpointModel) begin(i int) {
+	m.lives++
+	id := WorkerID(fmt.Sprintf("w%d-%d", i, m.lives))
+	m.workers[i] = id
+	var list []WorkerInfo
+	for i, id := range m.workers {
+		list = append(list, WorkerInfo{ID: id, Address: fmt.Sprint(i), Service: "svc", CPUMilli: 16_000, MemoryMiB: 32_000})
+	}
+	m.core.SetWorkers(list, m.now)
+	m.core.RosterStored([]WorkerID{id})
+	m.answer(id, HoldReply{ClockMS: m.clock})
+}
+
+// restart ends a worker's life, and another one begins.
+func (m *checkpointModel) restart(t *rapid.T) {
+	const mostLives = 5 // tasks that meet more crashes are given up
+	if m.lives == mostLives {
+		return
+	}
+	i := rapid.IntRange(0, len(m.workers)-1).Draw(t, "restarted")
+	m.core.HoldDone(HoldOrder{Worker: m.workers[i]}, HoldReply{}, OutcomeOtherLife, m.now)
+	m.begin(i)
+}
+
+// schedule starts what is ready.
+func (m *checkpointModel) schedule(t *rapid.T) {
+	m.now.Steady += retryDelay
+	m.core.Schedule(m.now)
+	for _, o := range starts(m.core) {
+		m.checkText(t, o.Task, o.Checkpoint)
+	}
+}
+
+// check compares what each task's next start brings with what was told.
+func (m *checkpointModel) check(t *rapid.T) {
+	for _, s := range m.core.jobs[m.spec.ID].steps {
+		for _, task := range s.tasks {
+			m.checkText(t, task.id(), task.continuesFrom().text)
+		}
+	}
+}
+
+func (m *checkpointModel) checkText(t *rapid.T, id job.TaskID, text string) {
+	if told := m.told[m.of(id)]; text != told {
+		t.Fatalf("task %s brings %q; its newest run %d told %q", id, text, m.newest[m.of(id)], told)
+	}
+}
+
+// TestCheckpointsAreOfTheNewestRun: whatever lists and ends are told, in any order and more than
+// once, a task brings the last text told of it or its gang by the newest run that told one.
+func TestCheckpointsAreOfTheNewestRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newCheckpointModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"end": m.end, "list": m.list, "repeat": m.repeat, "schedule": m.schedule, "restart": m.restart, "": m.check,
+		})
+	})
+}
+
+func newCheckpointModel() *checkpointModel {
+	const term = 4
+	now := Instant{Steady: time.Minute, UnixMS: 1_000_000}
+	m := &checkpointModel{core: sureCore(Params{}, term, now), now: now, clock: 1, ends: map[WorkerID]uint64{}, newest: map[job.TaskID]uint64{}, told: map[job.TaskID]string{}}
+	for range 3 {
+		m.workers = append(m.workers, "")
+		m.begin(len(m.workers) - 1)
+	}
+	m.spec = simpleJob(1, 2, 3, 2)
+	m.spec.Occurrences, m.spec.IntervalMS = 2, 1
+	m.spec.Steps[0].Checkpoints = true
+	m.spec.Steps[1].Checkpoints, m.spec.Steps[1].Gang, m.spec.Steps[1].After = true, true, nil
+	m.spec.Steps[2].After = nil
+	m.core.AddJob(m.spec, nil, false, m.now)
+	return m
+}
