Simulation: workers that tell checkpoints which do not count

Beside all faults, workers tell checkpoints of steps that keep none, or list runs that no owner ordered, with one.

--- a/dispatch/sim_checkpoint_faults_test.go
+++ b/dispatch/sim_checkpoint_faults_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"leverstile.dev/job"
 )
@@ -172,11 +173,13 @@
 	s.lie = func(w *simWorker, reply *HoldReply) {
 		for i := range reply.Running {
 			if row := &reply.Running[i]; !s.stepOf(row.Task).Checkpoints {
+				s.lies++
 				row.Checkpoint = s.checkpointText(row.Task, simCheckpointInterval)
 			}
 		}
 		for i := range reply.Ended {
 			if e := &reply.Ended[i]; !s.stepOf(e.Task).Checkpoints {
+				s.lies++
 				e.Checkpoint = s.checkpointText(e.Task, simCheckpointInterval)
 			}
 		}
@@ -199,14 +202,44 @@
 	}
 }
 
-// TestCheckpointsOfPlainStepsAreNotBrought: workers tell checkpoints of steps that keep none,
-// beside all faults; no start brings one.
-func TestCheckpointsOfPlainStepsAreNotBrought(t *testing.T) {
-	for n := range *checkpointSeeds {
-		seed := *simFirst + n
-		checkAll(t, checkpointRun(seed, allAtOnce, lieOfPlainSteps))
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
+// lieOfUnknownRuns has workers list runs that no owner ordered, with a checkpoint.
+func lieOfUnknownRuns(s *sim) {
+	const firstUnknown = 1 << 20 // beyond the starts of a term
+	s.lie = func(w *simWorker, reply *HoldReply) {
+		rng := s.checkpointRNG
+		if len(s.order) == 0 || rng.IntN(20) > 0 {
+			return
+		}
+		id := job.TaskID{Job: s.order[rng.IntN(len(s.order))]}
+		if w.running[id] != nil || !s.stepOf(id).Checkpoints {
+			return
 		}
+		s.lies++
+		const work = 10 * time.Second // more than any task does
+		run := w.term<<runBits | uint64(firstUnknown+s.lies)
+		reply.Running = append(reply.Running, RunningTask{Task: id, Run: run, Percent: 1, Checkpoint: s.checkpointText(id, work)})
+	}
+}
+
+// TestCheckpointsThatDoNotCount: workers tell checkpoints of steps that keep none, or with runs
+// that no owner ordered, beside all faults; no start brings one.
+func TestCheckpointsThatDoNotCount(t *testing.T) {
+	for name, lie := range map[string]func(s *sim){"of plain steps": lieOfPlainSteps, "of unknown runs": lieOfUnknownRuns} {
+		t.Run(name, func(t *testing.T) {
+			lies := 0
+			for n := range *checkpointSeeds {
+				seed := *simFirst + n
+				s := checkpointRun(seed, allAtOnce, lie)
+				lies += s.lies
+				checkAll(t, s)
+				if t.Failed() {
+					t.Fatalf("seed %d", seed)
+				}
+			}
+			t.Logf("%d lies", lies)
+			if lies == 0 {
+				t.Error("no lie was told")
+			}
+		})
 	}
 }
--- a/dispatch/sim_checkpoint_test.go
+++ b/dispatch/sim_checkpoint_test.go
@@ -20,8 +20,9 @@
 	checkpointIDs int
 	// paced counts the orders of a pace that were carried out, preempted the moves of fills.
 	paced, preempted int
-	// lie adds to a worker's lists what is not so, if set.
-	lie func(w *simWorker, reply *HoldReply)
+	// lie adds to a worker's lists what is not so, if set; lies counts that.
+	lie  func(w *simWorker, reply *HoldReply)
+	lies int
 
 	// Safeguards that are off: alterStart changes an order, alterReply an answer.
 	alterStart func(core *Core, o *Order)
