--- a/dispatch/sim_checkpoint_faults_test.go
+++ b/dispatch/sim_checkpoint_faults_test.go
@@ -25,6 +25,7 @@
 		if setup != nil {
 			setup(s)
 		}
+		s.settleMore += time.Minute // there are more jobs than in other runs
 		if mutate != nil {
 			mutate(s)
 		}
