Simulation: jobs ask for labels, spread, services, accelerators, memory and times

Until now simulated jobs asked for processors alone and came once, and the oracle checked neither the payload of a start, its label, its service, its number beside its like, its memory and accelerators nor its time.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -176,6 +176,10 @@
 			name: "tasks crash their workers", setup: crashingTasks, played: func(s *sim) int { return s.crashed },
 			without: "an owner keeps what it knows of crashes", unguard: func(s *sim) { s.forgetCrashes = true },
 		},
+		{
+			name: "jobs ask for places and times", setup: shapesOfJobs, played: func(s *sim) int { return s.shaped },
+			without: "the label is heeded", unguard: func(s *sim) { s.forgetAsked = forgetLabels },
+		},
 		{
 			name: "workers were idle for long", setup: idleWorkers, played: func(*sim) int { return 1 },
 			without: "the roster is kept", unguard: func(s *sim) { s.dropRoster = true },
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -45,6 +45,10 @@
 			id++
 			s.submitGang(id)
 		}
+		if s.shapedJobs && s.rng.IntN(40) == 0 {
+			id++
+			s.submitShaped(id)
+		}
 		if s.extra != nil && s.rng.IntN(60) == 0 {
 			s.extra(s)
 		}
--- a/dispatch/sim_oracle_test.go
+++ b/dispatch/sim_oracle_test.go
@@ -76,10 +76,10 @@
 	if o.done[r.task] {
 		o.fail("task %s run %d starts at %s after its end was acknowledged", r.task, r.run, w.info.ID)
 	}
-	spec := o.sim.specs[r.task.Job]
+	spec := o.sim.askedSpec(r.task.Job)
 	for _, earlier := range spec.Steps[r.task.Step].After {
 		for i := range spec.Steps[earlier].Count {
-			if !o.everDone[job.TaskID{Job: r.task.Job, Step: earlier, Index: i}] {
+			if !o.everDone[job.TaskID{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: earlier, Index: i}] {
 				o.fail("task %s starts before step %d is done", r.task, earlier)
 			}
 		}
@@ -89,13 +89,6 @@
 	}
 	o.checkEvacuated(w, r)
 	o.checkCrasher(r)
-	taken := int64(0)
-	for id := range w.running {
-		taken += amountOf(&o.sim.specs[id.Job].Steps[id.Step]).cpu
-	}
-	if taken > w.info.CPUMilli {
-		o.fail("task %s starts at %s, of which %d of %d are taken then", r.task, w.info.ID, taken, w.info.CPUMilli)
-	}
 	o.runs[r.task] = append(o.runs[r.task], w)
 	o.startedAt[r.task] = o.sim.now
 	if list := o.failures[r.task]; len(list) >= o.sim.maxAttempts {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -72,6 +72,7 @@
 	strict bool
 
 	moreFaults
+	shapes
 	adopted int
 	closed  int // entries found closed at takeovers
 	trace   []string
@@ -104,11 +105,13 @@
 	if s.rng.IntN(2) == 0 {
 		rate = 0.98
 	}
-	return &simWorker{
+	w := &simWorker{
 		sim: s, alive: true, rate: rate, offset: int64(s.rng.IntN(1_000_000)) + 1, born: s.now,
 		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), VM: fmt.Sprintf("m%d", place), Address: fmt.Sprintf("addr%d", place), Service: "svc", DataCentre: fmt.Sprintf("dc%d", place%simDataCentres), CPUMilli: 4000, MemoryMiB: 8000},
 		running: map[job.TaskID]*simRun{}, highest: map[job.TaskID]uint64{},
 	}
+	s.shapeWorker(&w.info, place)
+	return w
 }
 
 func (s *sim) instant() Instant { return Instant{Steady: s.now, UnixMS: s.now.Milliseconds()} }
@@ -209,7 +212,7 @@
 		}
 	}
 	o.core.Recover(list, s.instant())
-	o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: s.stretch}}})
+	o.core.SetConfig(&job.Config{Version: 1, Queues: s.simQueues()})
 	if !s.blindTakeover {
 		s.tellEvacuated(o)
 	}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -208,6 +208,7 @@
 	w.running[o.Task] = r
 	w.sim.joinGang(w, r, work)
 	w.sim.oracle.started(w, r)
+	w.sim.oracle.checkAsked(w, o)
 	w.sim.crashUnder(w, r)
 	return Answer{Outcome: OutcomeOK, ClockMS: clock}
 }
