AVAIL: a lasting task at a worker that does not answer counts as away

Cause: whether a task of a step may be moved goes by the newest list of each worker, and a worker that had crashed or was cut off still counted with what it listed last, until its leases were over (5.2 s), and for as long as the store was out. Upkeep or room for short tasks could move another one beyond may_miss then. Change: tasks at workers that left two polls in a row unanswered are not at work. Test: TestTasksAtSilentWorkersCountAsAway, failed before.

--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -95,7 +95,7 @@
 	default:
 		return c.holdFailed(w, outcome, now)
 	}
-	if w.holdFails >= suspectAfter {
+	if w.unreached() {
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -75,7 +75,7 @@
 // getsNoStarts reports whether a worker gets no starts for longer than a write
 // of the roster takes.
 func (c *Core) getsNoStarts(w *worker) bool {
-	silent := w.holdFails >= suspectAfter && w.unanswered >= suspectAfter
+	silent := w.unreached() && w.unanswered >= suspectAfter
 	return w.info.Draining || !w.listed || silent || w.overReason != ""
 }
 
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -22,7 +22,7 @@
 		c.lose(w, "its leases are over", now)
 		c.keepUnsettled(w.info.VM, l)
 	}
-	if !w.listed && len(w.attempts) == 0 && len(w.ends) == 0 && w.holdFails >= suspectAfter {
+	if !w.listed && len(w.attempts) == 0 && len(w.ends) == 0 && w.unreached() {
 		if _, wait := c.unresolved[w.info.ID]; !wait {
 			c.forget(w, "not listed, silent and without tasks")
 		}
--- a/dispatch/upkeep_drain.go
+++ b/dispatch/upkeep_drain.go
@@ -132,9 +132,11 @@
 	return away
 }
 
-// atWork reports whether a lasting task was past its start in the newest list.
+// atWork reports whether a lasting task was past its start in the newest list. One at a
+// worker that has not answered since may be gone.
 func (t *task) atWork() bool {
-	return t.attempt != nil && t.phase == phaseRunning && !t.attempt.stopping && t.attempt.atWork
+	a := t.attempt
+	return a != nil && t.phase == phaseRunning && !a.stopping && a.atWork && !a.worker.unreached()
 }
 
 // workerOfVM returns the listed worker of a VM, nil if there is none. The last
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -164,6 +164,9 @@
 		used.accelerators+r.accelerators <= w.info.Accelerators
 }
 
+// unreached reports whether the worker left its newest polls unanswered.
+func (w *worker) unreached() bool { return w.holdFails >= suspectAfter }
+
 // noteClock takes in a clock reading; it reports false if it is older than one
 // that was seen before, because answers overtook each other.
 func (w *worker) noteClock(clock int64, now Instant) bool {
