DRAIN: a start without an answer is not repeated at a worker that drains

Cause: a start is sent up to four times within its window of 1.4 s. One decided just before the owner read that the worker drains (up to 0.9 s after the store took that) was sent again up to 2.25 s after it, drain_ms being 2 s. Evacuated data centres were left out already. Change: no copy goes to a worker that drains. Test: TestUnansweredStartIsNotRepeatedAtADrainingWorker, failed before.

--- a/dispatch/away_test.go
+++ b/dispatch/away_test.go
@@ -34,3 +34,25 @@
 		t.Error("a task may leave while the other's worker is silent")
 	}
 }
+
+// TestUnansweredStartIsNotRepeatedAtADrainingWorker: once a worker says that it drains, a start
+// that got no answer before is not sent there again.
+func TestUnansweredStartIsNotRepeatedAtADrainingWorker(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		core, now := idleCore(t, 1)
+		core.AddJob(simpleJob(1, 1), nil, false, now)
+		core.Schedule(now)
+		list := starts(core)
+		if len(list) != 1 {
+			t.Fatalf("%d starts, want 1", len(list))
+		}
+		info := core.workers["w0"].info
+		info.Draining, info.Leaving = draining, 10*time.Second
+		core.SetWorkers([]WorkerInfo{info}, now)
+		now.Steady += 400 * time.Millisecond
+		core.OrderDone(list[0], Answer{Outcome: OutcomeUnknown}, now)
+		if again := len(starts(core)); again != 0 && draining || again != 1 && !draining {
+			t.Errorf("draining %v: the start is sent %d times more", draining, again)
+		}
+	}
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -134,11 +134,12 @@
 	}
 }
 
-// startUnanswered sends the same start again: the worker carries it out once.
+// startUnanswered sends the same start again, unless its worker has been closed to new tasks
+// since: the worker carries it out once.
 func (c *Core) startUnanswered(a *attempt, o Order, now Instant) {
 	c.stats.Unanswered++
 	again := a.ackClock == 0 && !a.stopping && a.tries < maxStartTries && a.worker.clockNow(now) < a.deadline &&
-		!c.evacuated[a.worker.info.DataCentre]
+		!a.worker.info.Draining && !c.evacuated[a.worker.info.DataCentre]
 	c.tellTask("start_unanswered", a.task, a.worker, a.run, "")
 	if !again {
 		return // the next list after the deadline tells
