Tests of waves while entries of lives lapse late, of fenced upkeep and of counts of pending jobs

The world of the waves takes a life that was taken down off the list at once; the platform lists it for up to three heartbeats more.

--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"leverstile.dev/job"
 	"testing"
 	"time"
 )
@@ -27,3 +28,35 @@
 		t.Errorf("%d jobs wait afterwards, want 1", n)
 	}
 }
+
+// TestPendingCountsJobsThatHaveNotBegun: those of the queue, of which no task was started and
+// which are not over.
+func TestPendingCountsJobsThatHaveNotBegun(t *testing.T) {
+	core, now := idleCore(t, 1)
+	core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2}, {Name: "other", Service: "svc", Stretch: 2}}})
+	check := func(what, queue string, want int) {
+		t.Helper()
+		if got := core.Pending(queue); got != want {
+			t.Errorf("%s: %d jobs of %s wait, want %d", what, got, queue, want)
+		}
+	}
+	for i := range 3 {
+		spec := simpleJob(i, 1)
+		spec.Steps[0].CPUMilli = 4000 // one has room
+		core.AddJob(spec, nil, false, now)
+	}
+	check("handed in", "q", 3)
+	check("handed in", "other", 0)
+	core.Schedule(now)
+	if n := len(starts(core)); n != 1 {
+		t.Fatalf("%d starts, want 1", n)
+	}
+	check("one begun", "q", 2)
+	for i := range 3 {
+		if !core.jobs[simpleJob(i).ID].begun {
+			core.Cancel(simpleJob(i).ID, now)
+			break
+		}
+	}
+	check("one begun, one cancelled", "q", 1)
+}
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -26,6 +26,8 @@
 	down  bool // for its upkeep
 	begun bool
 	upAt  time.Duration
+	// listedUntil is when the entry of the life that was taken down lapses.
+	listedUntil time.Duration
 }
 
 const worldGap = time.Second // between orders of two owners
@@ -45,13 +47,17 @@
 func (u *upkeepWorld) list() {
 	var infos []WorkerInfo
 	for name, vm := range u.vms {
-		if !vm.down {
+		if !vm.down || u.now.Steady < vm.listedUntil {
 			infos = append(infos, WorkerInfo{ID: WorkerID(fmt.Sprintf("i-%s-%d", name, vm.life)), VM: name, Address: name, Service: "svc", CPUMilli: 1000, MemoryMiB: 1000})
 		}
 	}
 	u.core.SetWorkers(infos, u.now)
 	for _, info := range infos {
-		if u.core.workers[info.ID] != nil {
+		switch {
+		case u.core.workers[info.ID] == nil:
+		case u.vms[info.VM].down:
+			u.core.HoldDone(HoldOrder{Worker: info.ID}, HoldReply{}, OutcomeUnknown, u.now)
+		default:
 			u.core.HoldDone(HoldOrder{Worker: info.ID}, HoldReply{ClockMS: u.now.Steady.Milliseconds() + 1}, OutcomeOK, u.now)
 		}
 	}
@@ -108,6 +114,7 @@
 	}
 	vm.begun, vm.down = true, true
 	vm.upAt = u.now.Steady + 5*time.Second
+	vm.listedUntil = u.now.Steady + time.Duration(rapid.IntRange(0, 4).Draw(u.t, "seconds listed"))*time.Second
 }
 
 func (u *upkeepWorld) answer(carried, answered bool) {
@@ -299,3 +306,23 @@
 		}
 	})
 }
+
+// TestFencedUpkeepEndsTheTerm: an owner that hears of a higher term decides nothing more.
+func TestFencedUpkeepEndsTheTerm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := &upkeepWorld{t: t, vms: map[string]*worldVM{"m0": {}}, now: Instant{Steady: time.Minute}}
+		u.wave = Wave{Number: 1, VMs: []string{"m0"}, AtOnce: 1}
+		u.takeOver()
+		for range 100 {
+			u.advance(100 * time.Millisecond)
+			u.persist()
+		}
+		if len(u.calls) == 0 {
+			t.Fatal("no order")
+		}
+		u.core.UpkeepDone(u.calls[0], UpkeepFenced, u.now)
+		if !u.core.Deposed() {
+			t.Error("the owner goes on")
+		}
+	})
+}
