--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"leverstile.dev/job"
 	"testing"
 	"time"
+
+	"leverstile.dev/job"
 )
 
 // TestPendingCountsJobsThatAreDeferred: jobs that came while the lease was not sure wait as
--- a/dispatch/shown_test.go
+++ b/dispatch/shown_test.go
@@ -36,7 +36,7 @@
 		if got := shownState(t, core, spec.ID); got.Final() {
 			t.Errorf("%s: shown as %s before it is stored", name, got)
 		}
-		if seen := core.PlanHold("w0", now).Order.Seen; seen != 0 {
+		if seen := core.workers["w0"].seen; seen != 0 {
 			t.Errorf("%s: the worker may forget end %d before it is stored", name, seen)
 		}
 		records, err := core.Records(1)
