--- /dev/null
+++ b/dispatch/missing_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// lacking has a worker answer a poll, sent now, with a list in which nothing runs.
+func lacking(core *Core, now *Instant, clock int64, ended ...EndedTask) {
+	order := core.PlanHold("w0", *now).Order
+	now.Steady += 10 * time.Millisecond
+	core.HoldDone(order, HoldReply{ClockMS: clock, Ended: ended}, OutcomeOK, *now)
+}
+
+// TestListsThatLackARun: what a list must be like to prove that a run that was started is over
+// although its end was not told.
+func TestListsThatLackARun(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmed bool
+		lists     func(core *Core, now *Instant, deadline int64)
+		over      bool
+	}{
+		"one list": {true, func(core *Core, now *Instant, _ int64) { lacking(core, now, 1100) }, false},
+		"two lists": {true, func(core *Core, now *Instant, _ int64) {
+			lacking(core, now, 1100)
+			lacking(core, now, 1200)
+		}, true},
+		"two lists, the second asked for before the first came": {true, func(core *Core, now *Instant, _ int64) {
+			second := core.PlanHold("w0", *now).Order
+			lacking(core, now, 1100)
+			core.workers["w0"].holdSent = now.Steady - time.Millisecond
+			core.HoldDone(second, HoldReply{ClockMS: 1200}, OutcomeOK, *now)
+		}, false},
+		"lists of the moment of its start": {true, func(core *Core, now *Instant, _ int64) {
+			lacking(core, now, 1001)
+			lacking(core, now, 1001)
+		}, false},
+		"full lists": {true, func(core *Core, now *Instant, _ int64) {
+			lacking(core, now, 1100, fullEnds()...)
+			lacking(core, now, 1200, fullEnds()...)
+		}, false},
+		"before the deadline of a start without an answer": {false, func(core *Core, now *Instant, deadline int64) {
+			lacking(core, now, deadline-1)
+			lacking(core, now, deadline)
+		}, false},
+		"after the deadline of a start without an answer": {false, func(core *Core, now *Instant, deadline int64) {
+			lacking(core, now, deadline+1)
+			lacking(core, now, deadline+2)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, now := idleCore(t, 1)
+			core.AddJob(simpleJob(1, 1), nil, false, now)
+			core.Schedule(now)
+			list := starts(core)
+			if len(list) != 1 {
+				t.Fatalf("%d starts, want 1", len(list))
+			}
+			answer := Answer{Outcome: OutcomeUnknown}
+			if c.confirmed {
+				answer = Answer{Outcome: OutcomeOK, ClockMS: 1001}
+			}
+			core.OrderDone(list[0], answer, now)
+			c.lists(core, &now, list[0].DeadlineMS)
+			if over := core.findTask(list[0].Task).attempt == nil; over != c.over {
+				t.Errorf("the run counts as over: %v, want %v", over, c.over)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/node/follow_test.go
@@ -0,0 +1,62 @@
+package node_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"leverstile.dev/platform/wiretest"
+)
+
+// configApplied after a version was written, it is in force everywhere.
+const configApplied = 2 * time.Second
+
+// TestOwnerFollowsTheConfiguration: a queue that was added later gets the workers of its service.
+func TestOwnerFollowsTheConfiguration(t *testing.T) {
+	c := newCell(t, 1, 1)
+	c.submit(0, id(1), twoSteps)
+	c.awaitState(0, id(1), "succeeded")
+	w := wiretest.NewWorker(c.store, "i-other", "other", 30*time.Millisecond)
+	c.workers = append(c.workers, w)
+	config := fmt.Sprintf(configText, 2)
+	config = strings.Replace(config, `"service":"svc"`, `"service":"other"`, 1)
+	config = strings.Replace(config, `"services":[`, `"services":[{"name":"other","admission_check":true},`, 1)
+	c.store.Put("op/config", []byte(config))
+	c.await("version 2", func() bool { return c.nodes[0].node.Config().Version == 2 })
+	time.Sleep(configApplied)
+	c.submit(0, id(2), twoSteps)
+	c.awaitState(0, id(2), "succeeded")
+	for task := range c.workers[0].Starts() {
+		if strings.HasPrefix(task, id(2)) {
+			t.Errorf("task %s ran at the service before", task)
+		}
+	}
+}
+
+// TestJobsOfALostHistoryAreRun: a job whose news the store has forgotten is read with all others,
+// and so is its cancellation.
+func TestJobsOfALostHistoryAreRun(t *testing.T) {
+	c := newCell(t, 1, 1)
+	c.submit(0, id(1), twoSteps)
+	c.awaitState(0, id(1), "succeeded")
+	c.store.SetFault(func(_, path string) wiretest.Fault {
+		if path == "/kv-watch" {
+			return wiretest.FaultBusy
+		}
+		return wiretest.FaultNone
+	})
+	c.store.Compact() // ends the watches that wait
+	time.Sleep(100 * time.Millisecond)
+	value, ok := c.store.Value("ls/in/job/" + id(1))
+	if !ok {
+		t.Fatal("no record of the job")
+	}
+	c.store.Put("ls/in/job/"+id(2), []byte(strings.ReplaceAll(string(value), id(1), id(2))))
+	c.store.Put("ls/in/job/"+id(3), []byte(strings.ReplaceAll(string(value), id(1), id(3))))
+	c.store.Put("ls/in/cancel/"+id(3), []byte("1"))
+	c.store.Compact()
+	c.store.SetFault(nil)
+	c.awaitState(0, id(2), "succeeded")
+	c.awaitState(0, id(3), "cancelled")
+}
