--- /dev/null
+++ b/dispatch/onlyonce_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// runningTask is a core that is sure of its lease for two seconds and may order for ten, with two
+// workers and one task that runs at the first of them.
+func runningTask(t *testing.T) (core *Core, now Instant, o Order) {
+	t.Helper()
+	core, now = idleCore(t, 2)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.Schedule(now)
+	list := starts(core)
+	if len(list) != 1 {
+		t.Fatalf("%d starts, want 1", len(list))
+	}
+	core.OrderDone(list[0], Answer{Outcome: OutcomeOK, ClockMS: 1001}, now)
+	core.certainUntil, core.validUntil = now.Steady+2*time.Second, now.Steady+10*time.Second
+	return core, now, list[0]
+}
+
+// TestReplacedOwnerStartsNothing: not after a worker has told of a higher term, nor once its right
+// to give orders is over.
+func TestReplacedOwnerStartsNothing(t *testing.T) {
+	for name, replace := range map[string]func(core *Core, now *Instant, o Order){
+		"fenced by an order": func(core *Core, now *Instant, o Order) {
+			core.OrderDone(o, Answer{Outcome: OutcomeFenced, ClockMS: 1002}, *now)
+		},
+		"fenced by a poll": func(core *Core, now *Instant, o Order) {
+			core.HoldDone(HoldOrder{Worker: o.Worker}, HoldReply{}, OutcomeFenced, *now)
+		},
+		"horizon": func(core *Core, now *Instant, _ Order) { now.Steady = core.validUntil },
+	} {
+		core, now, o := runningTask(t)
+		core.AddJob(simpleJob(2, 1), nil, false, now)
+		replace(core, &now, o)
+		core.Schedule(now)
+		if list := starts(core); len(list) > 0 {
+			t.Errorf("%s: task %s starts", name, list[0].Task)
+		}
+	}
+}
+
+// TestTaskWhoseEndIsUnknownAwaitsASureLease: another owner may know how it ended.
+func TestTaskWhoseEndIsUnknownAwaitsASureLease(t *testing.T) {
+	core, now, o := runningTask(t)
+	core.lose(core.workers[o.Worker], "its leases are over", now)
+	now.Steady = core.certainUntil
+	core.Schedule(now)
+	if list := starts(core); len(list) > 0 {
+		t.Error("it starts again while the lease is not sure")
+	}
+	core.Renewed(now.Steady)
+	core.Schedule(now)
+	if list := starts(core); len(list) != 1 {
+		t.Errorf("%d starts under a sure lease, want 1", len(list))
+	}
+}
+
+// TestEarlierRunThatIsDoneEndsTheTask: a run that was given up turns out to be done, while a later
+// one runs elsewhere.
+func TestEarlierRunThatIsDoneEndsTheTask(t *testing.T) {
+	core, now, o := runningTask(t)
+	core.lose(core.workers[o.Worker], "its leases are over", now)
+	core.Schedule(now)
+	list := starts(core)
+	if len(list) != 1 || list[0].Worker == o.Worker {
+		t.Fatalf("started again: %+v", list)
+	}
+	core.OrderDone(list[0], Answer{Outcome: OutcomeOK, ClockMS: 1001}, now)
+	listEnds(core, o.Worker, 1100, now, EndedTask{Number: 1, Task: o.Task, Run: o.Run, Kind: EndDone})
+	stops := core.TakeOrders()
+	if len(stops) != 1 || stops[0].Kind != OrderStop || stops[0].Run != list[0].Run || stops[0].Worker != list[0].Worker {
+		t.Errorf("orders %+v, want a stop of the later run", stops)
+	}
+	listEnds(core, list[0].Worker, 1200, now, EndedTask{Number: 1, Task: o.Task, Run: list[0].Run, Kind: EndStopped})
+	core.Schedule(now)
+	if again := starts(core); len(again) > 0 {
+		t.Error("a task that is done starts again")
+	}
+}
+
+// TestRunsThatAreNotWantedAreStopped: runs of the previous owner, of tasks that are done or of
+// jobs that are over, are stopped again and again until they are gone, and not adopted.
+func TestRunsThatAreNotWantedAreStopped(t *testing.T) {
+	done := func(spec *job.Spec) *job.Progress {
+		p := &job.Progress{State: job.Running}
+		p.MarkDone(job.TaskID{Job: spec.ID}, spec.Steps[0].Count)
+		return p
+	}
+	for name, progress := range map[string]func(spec *job.Spec) *job.Progress{
+		"the task is done":     done,
+		"the job has ended":    func(*job.Spec) *job.Progress { return &job.Progress{State: job.Succeeded} },
+		"the job is cancelled": func(*job.Spec) *job.Progress { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := Instant{Steady: time.Second}
+			core := sureCore(Params{}, 2, now)
+			core.Recover([]RosterEntry{{ID: "w0", Address: "w0"}}, now)
+			spec := simpleJob(1, 2)
+			p := progress(spec)
+			core.AddJob(spec, p, true, now)
+			if p == nil {
+				core.Cancel(spec.ID, now)
+			}
+			core.SetWorkers([]WorkerInfo{lifeInfo("w0", "m0")}, now)
+			row := RunningTask{Task: job.TaskID{Job: spec.ID}, Run: 1<<runBits | 1, Percent: 10}
+			stops := 0
+			for i := range 8 {
+				now.Steady += foreignRetry / 4
+				core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 1000 + int64(i), Running: []RunningTask{row}}, OutcomeOK, now)
+				for _, o := range core.TakeOrders() {
+					if o.Kind == OrderStop && o.Task == row.Task && o.Run == row.Run {
+						stops++
+					}
+				}
+			}
+			if stops != 2 {
+				t.Errorf("%d stops in 2 periods, want 2", stops)
+			}
+			if task := core.findTask(row.Task); task != nil && task.attempt != nil {
+				t.Error("the run is adopted")
+			}
+		})
+	}
+}
