--- /dev/null
+++ b/dispatch/cancel_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// ordersOf returns how many starts and stops were decided.
+func ordersOf(core *Core) (started, stopped int) {
+	for _, o := range core.TakeOrders() {
+		switch o.Kind {
+		case OrderStart:
+			started++
+		case OrderStop:
+			stopped++
+		}
+	}
+	return started, stopped
+}
+
+// TestCancelledJobStopsAndStaysStopped: whatever its tasks do when its cancellation is heard of,
+// what runs is stopped until it is gone, and nothing starts.
+func TestCancelledJobStopsAndStaysStopped(t *testing.T) {
+	for _, kind := range []EndKind{EndStopped, EndFailed, EndDone, EndLapsed} {
+		for name, change := range map[string]func(s *job.Step){
+			"plain": func(*job.Step) {}, "lasting": func(s *job.Step) { s.Lasting = true }, "gang": func(s *job.Step) { s.Gang = true },
+		} {
+			t.Run(name+" "+string(kind), func(t *testing.T) {
+				core, now := idleCore(t, 1)
+				spec := simpleJob(1, 2, 1)
+				spec.Steps[0].CPUMilli = 2000
+				change(&spec.Steps[0])
+				core.AddJob(spec, nil, false, now)
+				core.Schedule(now)
+				list := starts(core)
+				if len(list) != 2 {
+					t.Fatalf("%d starts, want 2", len(list))
+				}
+				for _, o := range list {
+					core.OrderDone(o, Answer{Outcome: OutcomeOK, ClockMS: 1001}, now)
+				}
+				core.Cancel(spec.ID, now)
+				if started, stopped := ordersOf(core); started != 0 || stopped != 2 {
+					t.Errorf("%d starts and %d stops at the cancellation, want 2 stops", started, stopped)
+				}
+				now.Steady += stopRetry
+				core.Tick(now)
+				if started, stopped := ordersOf(core); started != 0 || stopped != 2 {
+					t.Errorf("%d starts and %d stops while no end is listed, want 2 stops", started, stopped)
+				}
+				var ended []EndedTask
+				for i, o := range list {
+					ended = append(ended, EndedTask{Number: uint64(i + 1), Task: o.Task, Run: o.Run, Kind: kind})
+				}
+				listEnds(core, "w0", 1300, now, ended...)
+				for range 5 {
+					now.Steady += time.Second
+					core.Tick(now)
+				}
+				if started, _ := ordersOf(core); started != 0 {
+					t.Errorf("%d tasks of a cancelled job start", started)
+				}
+			})
+		}
+	}
+}
+
+// TestCancelledTasksThatWaitNeverStart: neither those that lack room, nor those whose time comes
+// later, nor any of a job that was cancelled before it was heard of.
+func TestCancelledTasksThatWaitNeverStart(t *testing.T) {
+	for name, hear := range map[string]func(core *Core, spec *job.Spec, now Instant){
+		"cancelled later": func(core *Core, spec *job.Spec, now Instant) {
+			core.AddJob(spec, nil, false, now)
+			core.Cancel(spec.ID, now)
+		},
+		"cancelled before": func(core *Core, spec *job.Spec, now Instant) {
+			core.Cancel(spec.ID, now)
+			core.AddJob(spec, nil, false, now)
+		},
+		"cancelled before a sure lease": func(core *Core, spec *job.Spec, now Instant) {
+			sure := core.certainUntil
+			core.certainUntil = now.Steady
+			core.AddJob(spec, nil, false, now)
+			core.Cancel(spec.ID, now)
+			core.certainUntil = sure
+		},
+	} {
+		for _, delay := range []int64{0, 500} {
+			core, now := idleCore(t, 1)
+			spec := simpleJob(1, 1)
+			if delay > 0 {
+				spec.Occurrences, spec.FirstDueMS, spec.IntervalMS = 2, now.UnixMS+delay, 300
+			}
+			hear(core, spec, now)
+			for range 20 {
+				now.Steady += 100 * time.Millisecond
+				now.UnixMS += 100
+				core.Tick(now)
+			}
+			if started, _ := ordersOf(core); started != 0 {
+				t.Errorf("%s, due in %d ms: %d starts", name, delay, started)
+			}
+			if state := core.jobs[spec.ID].progress.State; state != job.Cancelled {
+				t.Errorf("%s, due in %d ms: the job is %s", name, delay, state)
+			}
+		}
+	}
+}
