--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -60,3 +60,31 @@
 	c.awaitState(0, id(2), "succeeded")
 	c.awaitState(0, id(3), "cancelled")
 }
+
+// drainHeeded after a worker says that it drains, nothing more is started there.
+const drainHeeded = 2 * time.Second
+
+// TestDrainingWorkerGetsNothing: once that is known, whatever comes.
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	c := newCell(t, 2, 2)
+	next := 0
+	submit := func() {
+		for range 6 {
+			c.submit(next%2, id(next), twoSteps)
+			next++
+		}
+	}
+	submit()
+	leaving := c.workers[0]
+	leaving.Drain(30 * time.Second)
+	time.Sleep(drainHeeded)
+	before := len(leaving.Records())
+	submit()
+	for i := range next {
+		c.awaitState(i%2, id(i), "succeeded")
+	}
+	if n := len(leaving.Records()) - before; n > 0 {
+		t.Errorf("%d tasks were started at a worker that drains", n)
+	}
+	c.checkRuns()
+}
