Acks: a worker that becomes idle is told to forget its last ends

Cause: a worker without tasks is not polled, to save calls, from the moment when its last ends were stored; they were never acknowledged until the next task or, a minute later, the reading of its clock. Change: one more poll, without a wait, while the worker has not answered to the newest mark. One call more each time a worker becomes idle.

--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -33,7 +33,8 @@
 	if c.needless(w) {
 		return HoldPlan{Pause: idlePause}
 	}
-	idle := w.synced && len(w.attempts) == 0 && len(w.foreign) == 0 && len(w.ends) == 0
+	// A worker whose last task has ended is told once more, so that it forgets the end.
+	idle := w.synced && len(w.attempts) == 0 && len(w.foreign) == 0 && len(w.ends) == 0 && w.told >= w.seen
 	if idle && now.Steady-w.clockAt < idleRead {
 		return HoldPlan{Pause: idlePause}
 	}
@@ -59,7 +60,7 @@
 }
 
 func (w *worker) pollWait(load Load) time.Duration {
-	if len(w.ends) > 0 {
+	if len(w.ends) > 0 || len(w.attempts) == 0 && len(w.foreign) == 0 {
 		return 0
 	}
 	serves, fills := false, false
@@ -99,6 +100,7 @@
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
+	w.told = max(w.told, order.Seen)
 	w.noteAnswered(now)
 	c.endOtherLives(w, now)
 	c.settleLost(w, now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,6 +49,7 @@
 	// processed is the last end taken into account, seen the last that the
 	// worker may forget; ends lists those between.
 	processed, seen uint64
+	told            uint64 // the mark that the worker has answered to
 	ends            []pendingEnd
 	attempts        []*attempt // in the order of their orders
 	foreign         map[job.TaskID]foreignRun
