--- a/dispatch/away_test.go
+++ b/dispatch/away_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"leverstile.dev/job"
 )
 
 // TestTasksAtSilentWorkersCountAsAway: a lasting task whose worker has not answered for long may
@@ -35,6 +37,56 @@
 	}
 }
 
+// TestTasksThatStartCountAsAway: a lasting task is at work only once it is past its start.
+func TestTasksThatStartCountAsAway(t *testing.T) {
+	core, now := idleCore(t, 1)
+	spec := simpleJob(1, 2)
+	spec.Steps[0].Lasting, spec.Steps[0].MaxAway = true, 1
+	core.AddJob(spec, nil, false, now)
+	core.Schedule(now)
+	for _, percent := range []int{0, fullPace - 1, fullPace} {
+		want := percent == fullPace
+		reply := HoldReply{ClockMS: 1100 + int64(percent)}
+		for _, s := range core.jobs[spec.ID].steps[0].tasks {
+			reply.Running = append(reply.Running, RunningTask{Task: s.id(), Run: s.attempt.run, Percent: percent})
+		}
+		core.HoldDone(core.PlanHold("w0", now).Order, reply, OutcomeOK, now)
+		if got := core.findTask(reply.Running[0].Task).mayLeave(); got != want {
+			t.Errorf("a task may leave while the other is at %d%%: %v, want %v", percent, got, want)
+		}
+	}
+}
+
+// TestOnlyFillsThatSaveMakeRoom: neither lasting tasks nor others are stopped for more urgent ones.
+func TestOnlyFillsThatSaveMakeRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(s *job.Step)
+		stops  int
+	}{
+		"lasting":             {func(s *job.Step) { s.Lasting = true }, 0},
+		"short":               {func(*job.Step) {}, 0},
+		"fill that saves not": {func(s *job.Step) { s.Fills = true }, 0},
+		"fill that saves":     {func(s *job.Step) { s.Fills, s.Checkpoints = true, true }, 1},
+	} {
+		core, now := idleCore(t, 1)
+		core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", Priority: 1, Stretch: 2}, {Name: "urgent", Service: "svc", Stretch: 2}}})
+		patient, urgent := simpleJob(1, 1), simpleJob(2, 1)
+		patient.Steps[0].MemoryMiB, urgent.Steps[0].MemoryMiB, urgent.Queue = 8000, 8000, "urgent"
+		c.change(&patient.Steps[0])
+		core.AddJob(patient, nil, false, now)
+		core.Schedule(now)
+		for _, o := range starts(core) {
+			core.OrderDone(o, Answer{Outcome: OutcomeOK, ClockMS: 1001}, now)
+		}
+		core.AddJob(urgent, nil, false, now)
+		now.Steady += time.Second
+		core.Schedule(now)
+		if started, stopped := ordersOf(core); started != 0 || stopped != c.stops {
+			t.Errorf("%s: %d starts and %d stops, want %d stops", name, started, stopped, c.stops)
+		}
+	}
+}
+
 // TestUnansweredStartIsNotRepeatedAtADrainingWorker: once a worker says that it drains, a start
 // that got no answer before is not sent there again.
 func TestUnansweredStartIsNotRepeatedAtADrainingWorker(t *testing.T) {
