--- /dev/null
+++ b/dispatch/attempts_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// endRound has all runs that can be started end alike, and returns how many there were.
+func endRound(core *Core, now *Instant, number *uint64, kind EndKind) int {
+	now.Steady += 2 * avoidMax // past all pauses after failures
+	core.Schedule(*now)
+	list := starts(core)
+	var ended []EndedTask
+	for _, o := range list {
+		*number++
+		ended = append(ended, EndedTask{Number: *number, Task: o.Task, Run: o.Run, Kind: kind})
+	}
+	core.HoldDone(HoldOrder{Worker: "w0"}, HoldReply{ClockMS: 1000 + now.Steady.Milliseconds(), Ended: ended}, OutcomeOK, *now)
+	return len(list)
+}
+
+// TestWhatUsesAttempts: only runs that failed do, those of a gang together, and none of a task
+// that lasts.
+func TestWhatUsesAttempts(t *testing.T) {
+	const attempts = 2
+	for name, c := range map[string]struct {
+		kind     EndKind
+		change   func(s *job.Step)
+		failedBy int // the round after which the job has failed, 0 for never
+	}{
+		"failed":         {EndFailed, func(*job.Step) {}, attempts},
+		"failed gang":    {EndFailed, func(s *job.Step) { s.Gang = true }, attempts},
+		"failed lasting": {EndFailed, func(s *job.Step) { s.Lasting = true }, 0},
+		"done lasting":   {EndDone, func(s *job.Step) { s.Lasting = true }, 0},
+		"stopped":        {EndStopped, func(*job.Step) {}, 0},
+		"lapsed":         {EndLapsed, func(*job.Step) {}, 0},
+		"broken gang":    {EndBroken, func(s *job.Step) { s.Gang = true }, 0},
+		"lonely gang":    {EndAlone, func(s *job.Step) { s.Gang = true }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, now := idleCore(t, 1)
+			core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: attempts, Stretch: 2}}})
+			spec := simpleJob(1, 2)
+			c.change(&spec.Steps[0])
+			core.AddJob(spec, nil, false, now)
+			var number uint64
+			for round := 1; round <= 3*attempts; round++ {
+				over := c.failedBy > 0 && round > c.failedBy
+				if n := endRound(core, &now, &number, c.kind); !over && n != 2 || over && n != 0 {
+					t.Fatalf("round %d: %d starts", round, n)
+				}
+				failed := core.jobs[spec.ID].progress.State == job.Failed
+				if want := c.failedBy > 0 && round >= c.failedBy; failed != want {
+					t.Fatalf("round %d: failed %v, want %v", round, failed, want)
+				}
+			}
+		})
+	}
+}
+
+// TestGangThatLostMembersWithItsOwnerStartsAnew: what is left of it is stopped, and then all start
+// under one new run.
+func TestGangThatLostMembersWithItsOwnerStartsAnew(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := sureCore(Params{RecoveryWait: 10 * time.Second}, 2, now)
+	core.Recover([]RosterEntry{{ID: "w0", Address: "w0", VM: "m0"}, {ID: "gone", Address: "gone", VM: "m1"}}, now)
+	spec := simpleJob(1, 3)
+	spec.Steps[0].Gang = true
+	core.AddJob(spec, nil, true, now)
+	core.SetWorkers([]WorkerInfo{lifeInfo("w0", "m0")}, now)
+	core.RosterStored([]WorkerID{"w0"})
+	var rows []RunningTask
+	for i := range 2 {
+		rows = append(rows, RunningTask{Task: job.TaskID{Job: spec.ID, Index: i}, Run: 1<<runBits | 1, Percent: 10})
+	}
+	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 1000, Running: rows}, OutcomeOK, now)
+	core.Tick(now)
+	if started, stopped := ordersOf(core); started+stopped != 0 {
+		t.Fatalf("%d starts and %d stops while the third may run", started, stopped)
+	}
+	now.Steady += 11 * time.Second
+	for range suspectAfter {
+		core.HoldDone(core.PlanHold("gone", now).Order, HoldReply{}, OutcomeUnknown, now)
+	}
+	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 12_000, Running: rows}, OutcomeOK, now)
+	core.Tick(now)
+	if started, stopped := ordersOf(core); started != 0 || stopped != 2 {
+		t.Fatalf("%d starts and %d stops once the third is gone, want 2 stops", started, stopped)
+	}
+	var ended []EndedTask
+	for i, row := range rows {
+		ended = append(ended, EndedTask{Number: uint64(i + 1), Task: row.Task, Run: row.Run, Kind: EndStopped})
+	}
+	listEnds(core, "w0", 12_100, now, ended...)
+	core.Schedule(now)
+	list := starts(core)
+	if len(list) != 3 || list[0].Run != list[1].Run || list[0].Run != list[2].Run || list[0].Run>>runBits != 2 {
+		t.Errorf("started anew: %+v", list)
+	}
+}
+
+// TestGangAwaitsItsLastMember: none starts while one may still run where the previous owner
+// started it.
+func TestGangAwaitsItsLastMember(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := sureCore(Params{RecoveryWait: 10 * time.Second}, 2, now)
+	spec := simpleJob(1, 3)
+	spec.Steps[0].Gang = true
+	last := job.TaskID{Job: spec.ID, Index: 2}
+	core.Recover([]RosterEntry{{ID: "w0", Address: "w0", VM: "m0"}, {ID: "gone", Address: "gone", VM: "m1", Closed: true, Tasks: []string{last.String()}}}, now)
+	core.AddJob(spec, nil, true, now)
+	core.SetWorkers([]WorkerInfo{lifeInfo("w0", "m0")}, now)
+	core.RosterStored([]WorkerID{"w0"})
+	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
+	core.Tick(now)
+	if list := starts(core); len(list) > 0 {
+		t.Errorf("%d members start while one may run elsewhere", len(list))
+	}
+	core.HoldDone(core.PlanHold("gone", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
+	core.Tick(now)
+	if list := starts(core); len(list) != 3 {
+		t.Errorf("%d members start once none runs anywhere, want 3", len(list))
+	}
+}
