--- a/dispatch/attempts_test.go
+++ b/dispatch/attempts_test.go
@@ -124,3 +124,33 @@
 		t.Errorf("%d members start once none runs anywhere, want 3", len(list))
 	}
 }
+
+// TestGangFailsAsOne: a run of which one member fails uses one attempt, whichever it was.
+func TestGangFailsAsOne(t *testing.T) {
+	core, now := idleCore(t, 1)
+	core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}})
+	spec := simpleJob(1, 2)
+	spec.Steps[0].Gang = true
+	core.AddJob(spec, nil, false, now)
+	var number uint64
+	for round := range 2 {
+		if core.jobs[spec.ID].progress.State == job.Failed {
+			t.Fatalf("failed after %d rounds", round)
+		}
+		now.Steady += 2 * avoidMax
+		core.Schedule(now)
+		var ended []EndedTask
+		for _, o := range starts(core) {
+			number++
+			kind := EndBroken
+			if o.Task.Index == round {
+				kind = EndFailed
+			}
+			ended = append(ended, EndedTask{Number: number, Task: o.Task, Run: o.Run, Kind: kind})
+		}
+		listEnds(core, "w0", 1000+now.Steady.Milliseconds(), now, ended...)
+	}
+	if state := core.jobs[spec.ID].progress.State; state != job.Failed {
+		t.Errorf("the job is %s after its gang has failed twice", state)
+	}
+}
