--- a/dispatch/onlyonce_test.go
+++ b/dispatch/onlyonce_test.go
@@ -128,3 +128,39 @@
 		})
 	}
 }
+
+// TestRefusedCopyProvesNothing: if an earlier copy of a start was left unanswered, that one may
+// have been carried out, whatever a later one is answered.
+func TestRefusedCopyProvesNothing(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		for _, refusal := range []Outcome{OutcomeOld, OutcomeNoRoom, OutcomeUnwell, OutcomeLate} {
+			core, now := idleCore(t, 2)
+			core.AddJob(simpleJob(1, 1), nil, false, now)
+			core.Schedule(now)
+			o := starts(core)[0]
+			if unanswered {
+				core.OrderDone(o, Answer{Outcome: OutcomeUnknown}, now)
+				if again := starts(core); len(again) != 1 {
+					t.Fatalf("sent again %d times", len(again))
+				}
+			}
+			core.OrderDone(o, Answer{Outcome: refusal, ClockMS: 1001}, now)
+			if released := core.findTask(o.Task).attempt == nil; released == unanswered {
+				t.Errorf("%v, after an unanswered copy %v: given up %v", refusal, unanswered, released)
+			}
+		}
+	}
+}
+
+// TestHeldJobsAreLeftAlone: however often they are heard of.
+func TestHeldJobsAreLeftAlone(t *testing.T) {
+	core, now := idleCore(t, 1)
+	spec := simpleJob(1, 1)
+	core.HoldJob(spec.ID)
+	core.AddJob(spec, nil, false, now)
+	core.AddRecordedJob(spec, 7, now)
+	core.Schedule(now)
+	if list := starts(core); len(list) > 0 {
+		t.Error("a job whose progress is not known starts")
+	}
+}
