--- a/dispatch/onlyonce_test.go
+++ b/dispatch/onlyonce_test.go
@@ -164,3 +164,22 @@
 		t.Error("a job whose progress is not known starts")
 	}
 }
+
+// TestEndOfALifeIsConcludedUnderASureLease: the next owner may have read how the runs there ended
+// before that life was over.
+func TestEndOfALifeIsConcludedUnderASureLease(t *testing.T) {
+	core, now, o := runningTask(t)
+	now.Steady = core.certainUntil
+	core.HoldDone(HoldOrder{Worker: o.Worker}, HoldReply{}, OutcomeOtherLife, now)
+	core.Tick(now)
+	if core.findTask(o.Task).attempt == nil {
+		t.Error("its run counts as over while the lease is not sure")
+	}
+	core.Renewed(now.Steady)
+	now.Steady += 2 * time.Second
+	core.Renewed(now.Steady)
+	core.Tick(now)
+	if a := core.findTask(o.Task).attempt; a != nil && a.run == o.Run {
+		t.Error("its run goes on though its worker's life is over")
+	}
+}
