--- a/node/wallclock_test.go
+++ b/node/wallclock_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // A clock that jumps and comes back is not followed, one that drifts or was set for good is.
@@ -45,3 +47,14 @@
 	}
 	return 0
 }
+
+// TestDecisionsHoldOffJumps: what the core is told of the time of day is what the wall clock
+// believes, not what the operating system says at that moment.
+func TestDecisionsHoldOffJumps(t *testing.T) {
+	n := &Node{steady: steadyClock(), log: &log.Logger{Writer: log.IOWriter{Writer: t.Output()}}}
+	const jump = time.Hour
+	n.wall.read(n.clock(), time.Now().Add(jump).UnixMilli())
+	if got := n.instant().UnixMS - time.Now().UnixMilli(); got < jump.Milliseconds()/2 {
+		t.Errorf("a jump back by %v is taken at once: %d ms ahead", jump, got)
+	}
+}
