Test that no job is idle while there is room

In calm plays of the simulation, with failing tasks, a worker that fails all, unwell workers and gangs: no job has nothing running for 3 s while less than half is in use.

--- a/dispatch/sim_calm_test.go
+++ b/dispatch/sim_calm_test.go
@@ -42,3 +42,74 @@
 		}
 	}
 }
+
+// simIdleLimit is the longest that a job may have nothing running while there is room.
+const simIdleLimit = 3 * time.Second
+
+// idleJobs follows since when each job has had nothing running.
+type idleJobs struct {
+	sim   *sim
+	since map[string]time.Duration
+}
+
+// look reports the jobs that have waited too long. Time in which half of the processors are taken
+// does not count.
+func (i *idleJobs) look(t *testing.T) {
+	t.Helper()
+	s := i.sim
+	running := map[string]bool{}
+	var taken, size int64
+	for _, w := range s.workers {
+		size += w.info.CPUMilli
+		for id := range w.running {
+			running[id.Job] = true
+			taken += amountOf(&s.specs[id.Job].Steps[id.Step]).cpu
+		}
+	}
+	for id, spec := range s.specs {
+		state, known := s.owner.core.Status(id)
+		due := time.Duration(spec.DueMS(0)) * time.Millisecond
+		if running[id] || !known || state.Final() || s.cancelled[id] > 0 || 2*taken > size {
+			delete(i.since, id)
+			continue
+		}
+		if _, waits := i.since[id]; !waits {
+			i.since[id] = max(s.now, due)
+		}
+		if waited := s.now - i.since[id]; waited > simIdleLimit {
+			t.Fatalf("%v: job %s has had nothing running for %v, %d of %d are taken", s.now, id, waited, taken, size)
+		}
+	}
+}
+
+// TestJobsWithRoomAreNotIdle: without faults but failing tasks, with a worker that fails all that it
+// starts, or with stops that take their time, a job does not wait while there is room.
+func TestJobsWithRoomAreNotIdle(t *testing.T) {
+	for name, setup := range map[string]func(s *sim){
+		"calm":       func(*sim) {},
+		"failures":   func(s *sim) { s.failShare = 0.05 },
+		"bad worker": func(s *sim) { s.failShare, s.workers[0].bad = 0.05, true },
+		"gangs":      func(s *sim) { s.gangJobs, s.slowStops, s.failShare = true, true, 0.05 },
+		"unwell":     func(s *sim) { s.refuseShare, s.noRoomShare = 0.05, 0.03 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				s := newSim(seed, 6)
+				setup(s)
+				idle := &idleJobs{s, map[string]time.Duration{}}
+				s.run(time.Second)
+				for id := 1; s.now < 30*time.Second; s.step() {
+					idle.look(t)
+					switch {
+					case s.rng.IntN(40) == 0:
+						s.submit(simpleJob(id, 1+s.rng.IntN(4), 1+s.rng.IntN(3)))
+						id++
+					case s.gangJobs && s.rng.IntN(80) == 0:
+						s.submitGang(id)
+						id++
+					}
+				}
+			}
+		})
+	}
+}
