Simulation: a gang of which a member fails does not end done

Members that failed and members that were done ended at the same moment, so that a gang failed only if all did.

--- a/dispatch/sim_gang_test.go
+++ b/dispatch/sim_gang_test.go
@@ -55,6 +55,9 @@
 	g.whole = true
 	for _, m := range g.members {
 		m.run.ends = s.now + work
+		if m.run.fails { // before any is done: a gang ends done together
+			m.run.ends = s.now + work/2
+		}
 	}
 }
 
