Simulation: a job that has succeeded has each of its tasks done

With jobs taken for done after their first step, go test ./dispatch passed on: the simulation asked for the state only.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -42,6 +42,9 @@
 		if !known || !want {
 			t.Errorf("job %s is %q (known %v)", id, state, known)
 		}
+		if task, missing := s.oracle.notDone(spec); missing && state == job.Succeeded {
+			t.Errorf("job %s is shown as succeeded, task %s has not ended done", id, task)
+		}
 	}
 	if t.Failed() {
 		for _, line := range s.trace[max(0, len(s.trace)-*simTrace):] {
--- a/dispatch/sim_calm_test.go
+++ b/dispatch/sim_calm_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"leverstile.dev/job"
 )
 
 // TestCalmGangsAreNeverAlone: without any fault, no member of a gang waits for the others in
@@ -113,3 +115,18 @@
 		})
 	}
 }
+
+// notDone returns a task of a job that has not ended done, if there is one.
+func (o *oracle) notDone(spec *job.Spec) (job.TaskID, bool) {
+	for occurrence := range spec.Times() {
+		for step := range spec.Steps {
+			for i := range spec.Steps[step].Count {
+				id := job.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: i}
+				if !o.everDone[id] {
+					return id, true
+				}
+			}
+		}
+	}
+	return job.TaskID{}, false
+}
