--- a/dispatch/sim_checkpoint_test.go
+++ b/dispatch/sim_checkpoint_test.go
@@ -197,7 +197,7 @@
 
 // config is what owners are told; the queue of fills is there for jobs with checkpoints.
 func (s *sim) config() *job.Config {
-	queues := []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: s.stretch}}
+	queues := s.simQueues()
 	if s.checkpointJobs {
 		queues = append(queues, job.Queue{Name: fillQueue, Service: "svc", Priority: 1, MaxAttempts: s.maxAttempts, Stretch: s.stretch})
 	}
--- a/dispatch/sim_gang_test.go
+++ b/dispatch/sim_gang_test.go
@@ -56,6 +56,9 @@
 	for _, m := range g.members {
 		m.run.ends = s.now + work
 		m.run.work.working, m.run.work.since = true, s.now
+		if m.run.fails { // before any is done: a gang ends done together
+			m.run.ends = s.now + work/2
+		}
 	}
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -73,6 +73,7 @@
 
 	moreFaults
 	checkpointFaults
+	shapes
 	adopted int
 	closed  int // entries found closed at takeovers
 	trace   []string
@@ -105,11 +106,13 @@
 	if s.rng.IntN(2) == 0 {
 		rate = 0.98
 	}
-	return &simWorker{
+	w := &simWorker{
 		sim: s, alive: true, rate: rate, offset: int64(s.rng.IntN(1_000_000)) + 1, born: s.now,
 		info:    WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d-%d", place, s.lives)), VM: fmt.Sprintf("m%d", place), Address: fmt.Sprintf("addr%d", place), Service: "svc", DataCentre: fmt.Sprintf("dc%d", place%simDataCentres), CPUMilli: 4000, MemoryMiB: 8000},
 		running: map[job.TaskID]*simRun{}, highest: map[job.TaskID]uint64{},
 	}
+	s.shapeWorker(&w.info, place)
+	return w
 }
 
 func (s *sim) instant() Instant { return Instant{Steady: s.now, UnixMS: s.now.Milliseconds()} }
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -221,6 +221,7 @@
 	r.begin(w.sim, o.Checkpoint)
 	w.sim.joinGang(w, r, work)
 	w.sim.oracle.started(w, r)
+	w.sim.oracle.checkAsked(w, o)
 	w.sim.crashUnder(w, r)
 	return Answer{Outcome: OutcomeOK, ClockMS: clock}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,6 +49,7 @@
 	// processed is the last end taken into account, seen the last that the
 	// worker may forget; ends lists those between.
 	processed, seen uint64
+	told            uint64 // the mark that the worker has answered to
 	ends            []pendingEnd
 	attempts        []*attempt // in the order of their orders
 	foreign         map[job.TaskID]foreignRun
@@ -164,6 +165,9 @@
 		used.accelerators+r.accelerators <= w.info.Accelerators
 }
 
+// unreached reports whether the worker left its newest polls unanswered.
+func (w *worker) unreached() bool { return w.holdFails >= suspectAfter }
+
 // noteClock takes in a clock reading; it reports false if it is older than one
 // that was seen before, because answers overtook each other.
 func (w *worker) noteClock(clock int64, now Instant) bool {
