Tests of a review: texts of earlier terms, of lapsed and of adopted runs (fail)

A reader who had not seen the work found that the mend takes any text told of an earlier term, also of a run that no owner can have ordered at that worker, and that it loses the text of a run that was taken for over.

--- a/dispatch/checkpoint_test.go
+++ b/dispatch/checkpoint_test.go
@@ -165,3 +165,76 @@
 	x.brings(0, first, "later")
 	x.brings(1, second, "text")
 }
+
+// An owner that had read all lists of a worker was told there of a run of an earlier term, of a
+// job that it had taken in as new: the start after the failure brought that text.
+func TestEarlierTermsCountAtTheFirstReadingOnly(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		run    uint64
+		unread bool
+		want   string
+	}{
+		{"an earlier term, lists read before", 2<<runBits | 7, false, ""},
+		{"an earlier term, lists not read yet", 2<<runBits | 7, true, "earlier"},
+		{"no term, lists not read yet", 7, true, ""},
+		{"a later term", 4<<runBits | 7, true, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core, now := idleCore(t, 2)
+			x := &checkpointCore{T: t, core: core, now: now, clock: 1000, ends: map[WorkerID]uint64{}, orders: map[job.TaskID]Order{}}
+			core.term = 3
+			spec := simpleJob(1, 1)
+			spec.Steps[0].Checkpoints = true
+			core.AddJob(spec, nil, false, now)
+			x.schedule()
+			first := x.order(0)
+			other := map[WorkerID]WorkerID{"w0": "w1", "w1": "w0"}[first.Worker]
+			core.workers[other].synced = !c.unread
+			x.list(other, nil, EndedTask{Task: first.Task, Run: c.run, Kind: EndLapsed, Checkpoint: "earlier"})
+			x.list(first.Worker, nil, endOf(first, EndFailed, ""))
+			x.schedule()
+			x.brings(0, first, c.want)
+		})
+	}
+}
+
+// A worker was cut off until its leases were over, the next start elsewhere was refused, and the
+// lapsed run's end, with more work, came only then: its work was done again.
+func TestLapsedRunsCheckpointCountsAfterARefusal(t *testing.T) {
+	x := newCheckpointCore(t, 1, nil)
+	first := x.order(0)
+	x.list(first.Worker, []RunningTask{rowOf(first, "at 1 s")})
+	x.core.lose(x.core.workers[first.Worker], "its leases are over", x.now)
+	x.schedule()
+	second := x.order(0)
+	if second.Worker == first.Worker {
+		t.Fatal("started there again")
+	}
+	x.core.OrderDone(second, Answer{Outcome: OutcomeUnwell, ClockMS: x.clock}, x.now)
+	x.list(first.Worker, nil, endOf(first, EndLapsed, "at 5 s"))
+	x.now.Steady += time.Second
+	x.schedule()
+	x.brings(0, second, "at 5 s")
+}
+
+// A run that was taken for over is listed again by its worker, whose lists count as unread, and is
+// adopted: what it saves from then on counts.
+func TestAdoptedRunsCheckpointCounts(t *testing.T) {
+	x := newCheckpointCore(t, 1, nil)
+	first := x.order(0)
+	x.list(first.Worker, []RunningTask{rowOf(first, "a")})
+	x.core.lose(x.core.workers[first.Worker], "its leases are over", x.now)
+	x.schedule()
+	second := x.order(0)
+	x.core.OrderDone(second, Answer{Outcome: OutcomeNoRoom, ClockMS: x.clock}, x.now)
+	x.list(first.Worker, []RunningTask{rowOf(first, "b")})
+	x.list(first.Worker, []RunningTask{rowOf(first, "c")})
+	if a := x.core.findTask(first.Task).attempt; a == nil || a.run != first.Run {
+		t.Fatal("not adopted")
+	}
+	x.list(first.Worker, nil, endOf(first, EndFailed, "d"))
+	x.now.Steady += time.Second
+	x.schedule()
+	x.brings(0, second, "d")
+}
