A checkpoint counts of known runs, and of earlier owners' while a worker is read first

Seen: in tests only. A start could bring a text told of a run of an earlier term that no owner can have ordered at that worker, or of a run without a term; and the work of a run that was taken for over was done again if the start after it was refused. Cause: the mend before accepted every earlier term at any time, and of this term only the newest start, which adoption did not note. Change: the newest two runs that the owner ordered count, at their workers, and adopted runs of earlier terms; other texts of earlier terms only while the worker's lists have not been read under this term. TestNewerRunsCheckpointStays and its twin for gangs play workers that were not read yet, as after the takeover that they tell of.

--- a/dispatch/checkpoint.go
+++ b/dispatch/checkpoint.go
@@ -32,7 +32,7 @@
 	return fmt.Sprintf("checkpoint %q of run %d, told by %s in %s", text, c.run, c.worker, from)
 }
 
-// startedRun names a start that this owner ordered.
+// startedRun names a run that this owner ordered, or adopted from an earlier one.
 type startedRun struct {
 	run    uint64
 	worker WorkerID
@@ -41,12 +41,12 @@
 // noteCheckpoint takes in a checkpoint that a worker told of a task, unless it does not
 // count; then it returns why. An older run's does not replace that of a newer one, since
 // ends may be told late and in any order.
-func (c *Core) noteCheckpoint(t *task, told checkpoint) (ignored string) {
+func (c *Core) noteCheckpoint(t *task, w *worker, told checkpoint) (ignored string) {
 	kept := t.keptCheckpoint()
 	switch {
 	case !t.step.spec.Checkpoints:
 		return "its step keeps none"
-	case !c.mayHaveSaved(t, told):
+	case !c.mayHaveSaved(t, w, told):
 		return "its run is not one that was ordered there"
 	case told.run < kept.run:
 		return "a newer run has saved one"
@@ -55,13 +55,28 @@
 	return ""
 }
 
-// mayHaveSaved reports whether a run at a worker may be one of the task's. Of this owner's
-// starts only the newest counts; which ones earlier owners ordered is not known.
-func (c *Core) mayHaveSaved(t *task, told checkpoint) bool {
-	if told.run>>runBits < c.term {
+// noteStarted notes a run that this owner ordered, or adopted from an earlier one.
+func (t *task) noteStarted(run uint64, w *worker) {
+	t.previousStart, t.lastStart = t.lastStart, startedRun{run, w.info.ID}
+}
+
+// mayHaveSaved reports whether a run at a worker may be one of the task's. Of the runs that
+// this owner knows, the newest two count: the end of one that was lost with its worker may be
+// told after the next start was refused. Which ones earlier owners ordered is not known: theirs
+// count while the worker's lists are read for the first time, and those that still run are
+// adopted then.
+func (c *Core) mayHaveSaved(t *task, w *worker, told checkpoint) bool {
+	known := startedRun{told.run, w.info.ID}
+	if t.lastStart == known || t.previousStart == known {
 		return true
 	}
-	return t.lastStart == startedRun{told.run, told.worker}
+	return c.ofEarlierTerm(told.run) && !w.synced
+}
+
+// ofEarlierTerm reports whether an earlier owner may have ordered a run.
+func (c *Core) ofEarlierTerm(run uint64) bool {
+	term := run >> runBits
+	return 0 < term && term < c.term
 }
 
 // keptCheckpoint returns where the task's checkpoint is kept. That of any member is good
--- a/dispatch/checkpoint_rapid_test.go
+++ b/dispatch/checkpoint_rapid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,8 @@
 	core *Core
 	now  Instant
 	spec *job.Spec
+	// unread holds the lives whose lists were not read yet.
+	unread map[WorkerID]bool
 	// workers are the lives that are there, lives how many there were.
 	workers []WorkerID
 	lives   int
@@ -23,6 +26,8 @@
 	// newest is the highest run that told a text of a task or gang, told the last that it told.
 	newest map[job.TaskID]uint64
 	told   map[job.TaskID]string
+	// started holds the runs of each task that the core ordered, in their order.
+	started map[job.TaskID][]startedRun
 	// sent holds answers that may come once more.
 	sent []checkpointReply
 }
@@ -40,21 +45,36 @@
 	return id
 }
 
-// drawRun draws a task, a run of it that may have saved a checkpoint, and its worker: a run of an
-// earlier term anywhere, or the newest start of this one.
+// drawRun draws a task, a run of it and its worker. The run is one that the core ordered there,
+// an earlier owner's, or one that nobody can have ordered there.
 func (m *checkpointModel) drawRun(t *rapid.T) (id job.TaskID, run uint64, worker WorkerID) {
 	id = job.TaskID{Job: m.spec.ID, Occurrence: rapid.IntRange(0, m.spec.Times()-1).Draw(t, "occurrence"), Step: rapid.IntRange(0, len(m.spec.Steps)-1).Draw(t, "step")}
 	id.Index = rapid.IntRange(0, m.spec.Steps[id.Step].Count-1).Draw(t, "index")
-	if a := m.core.findTask(id).attempt; a != nil && rapid.Bool().Draw(t, "newest start") {
-		return id, a.run, a.worker.info.ID
+	started := m.started[id]
+	if len(started) > 0 && rapid.Bool().Draw(t, "ordered") {
+		r := rapid.SampledFrom(started).Draw(t, "run")
+		if m.core.workers[r.worker] != nil {
+			return id, r.run, r.worker
+		}
 	}
-	term := rapid.Uint64Range(1, m.core.term-1).Draw(t, "term")
+	term := rapid.Uint64Range(0, m.core.term+1).Draw(t, "term")
 	return id, term<<runBits | rapid.Uint64Range(1, 5).Draw(t, "number"), rapid.SampledFrom(m.workers).Draw(t, "worker")
 }
 
-// tell notes a text, as of a run of the task, unless its step keeps none.
-func (m *checkpointModel) tell(id job.TaskID, run uint64, text string) {
-	if text == "" || !m.spec.Steps[id.Step].Checkpoints {
+// counts reports whether a run may have saved a text: it is one of the newest two that the
+// core ordered, at its worker, or an earlier owner's at a worker whose lists were not read yet.
+func (m *checkpointModel) counts(id job.TaskID, run uint64, worker WorkerID) bool {
+	started := m.started[id]
+	if slices.Contains(started[max(0, len(started)-2):], startedRun{run, worker}) {
+		return true
+	}
+	term := run >> runBits
+	return 0 < term && term < m.core.term && m.unread[worker]
+}
+
+// tell notes a text, as of a run of the task, unless it does not count.
+func (m *checkpointModel) tell(id job.TaskID, run uint64, worker WorkerID, text string) {
+	if text == "" || !m.spec.Steps[id.Step].Checkpoints || !m.counts(id, run, worker) {
 		return
 	}
 	id = m.of(id)
@@ -65,6 +85,7 @@
 }
 
 func (m *checkpointModel) answer(worker WorkerID, reply HoldReply) {
+	delete(m.unread, worker)
 	m.now.Steady += 10 * time.Millisecond
 	m.core.HoldDone(HoldOrder{Worker: worker}, reply, OutcomeOK, m.now)
 }
@@ -79,7 +100,7 @@
 		Number: m.ends[worker], Task: id, Run: run, Checkpoint: text,
 		Kind: rapid.SampledFrom([]EndKind{EndStopped, EndLapsed, EndFailed, EndBroken}).Draw(t, "kind"),
 	}}}
-	m.tell(id, run, text)
+	m.tell(id, run, worker, text)
 	m.send(worker, reply)
 }
 
@@ -93,7 +114,7 @@
 	text := m.drawText(t, id, run)
 	m.clock++
 	rows := append(m.running(worker, id), RunningTask{Task: id, Run: run, Checkpoint: text})
-	m.tell(id, run, text)
+	m.tell(id, run, worker, text)
 	m.send(worker, HoldReply{ClockMS: m.clock, Running: rows})
 }
 
@@ -139,7 +160,14 @@
 	}
 	m.core.SetWorkers(list, m.now)
 	m.core.RosterStored([]WorkerID{id})
-	m.answer(id, HoldReply{ClockMS: m.clock})
+	m.unread[id] = true
+}
+
+// read has a worker answer whose lists may not have been read, with nothing new.
+func (m *checkpointModel) read(t *rapid.T) {
+	worker := rapid.SampledFrom(m.workers).Draw(t, "read")
+	m.clock++
+	m.answer(worker, HoldReply{ClockMS: m.clock, Running: m.running(worker, job.TaskID{})})
 }
 
 // restart ends a worker's life, and another one begins.
@@ -159,6 +187,7 @@
 	m.core.Schedule(m.now)
 	for _, o := range starts(m.core) {
 		m.checkText(t, o.Task, o.Checkpoint)
+		m.started[o.Task] = append(m.started[o.Task], startedRun{o.Run, o.Worker})
 	}
 }
 
@@ -183,7 +212,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newCheckpointModel()
 		t.Repeat(map[string]func(*rapid.T){
-			"end": m.end, "list": m.list, "repeat": m.repeat, "schedule": m.schedule, "restart": m.restart, "": m.check,
+			"end": m.end, "list": m.list, "repeat": m.repeat, "read": m.read, "schedule": m.schedule, "restart": m.restart, "": m.check,
 		})
 	})
 }
@@ -191,7 +220,7 @@
 func newCheckpointModel() *checkpointModel {
 	const term = 4
 	now := Instant{Steady: time.Minute, UnixMS: 1_000_000}
-	m := &checkpointModel{core: sureCore(Params{}, term, now), now: now, clock: 1, ends: map[WorkerID]uint64{}, newest: map[job.TaskID]uint64{}, told: map[job.TaskID]string{}}
+	m := &checkpointModel{core: sureCore(Params{}, term, now), now: now, clock: 1, ends: map[WorkerID]uint64{}, newest: map[job.TaskID]uint64{}, told: map[job.TaskID]string{}, unread: map[WorkerID]bool{}, started: map[job.TaskID][]startedRun{}}
 	for range 3 {
 		m.workers = append(m.workers, "")
 		m.begin(len(m.workers) - 1)
--- a/dispatch/checkpoint_test.go
+++ b/dispatch/checkpoint_test.go
@@ -68,6 +68,13 @@
 	return RunningTask{Task: o.Task, Run: o.Run, Checkpoint: text}
 }
 
+// unread makes all workers such whose lists this owner has not read.
+func (x *checkpointCore) unread() {
+	for _, w := range x.core.workers {
+		w.synced = false
+	}
+}
+
 // brings fails the test unless the newest start of a task is a later one and brings a text.
 func (x *checkpointCore) brings(index int, before Order, want string) {
 	x.Helper()
@@ -119,6 +126,7 @@
 	core, now := idleCore(t, 2)
 	x := &checkpointCore{T: t, core: core, now: now, clock: 1000, ends: map[WorkerID]uint64{}, orders: map[job.TaskID]Order{}}
 	core.term = 3
+	x.unread()
 	spec := simpleJob(1, 1)
 	spec.Steps[0].Checkpoints = true
 	core.AddJob(spec, nil, false, now)
@@ -135,6 +143,7 @@
 	core, now := idleCore(t, 2)
 	x := &checkpointCore{T: t, core: core, now: now, clock: 1000, ends: map[WorkerID]uint64{}, orders: map[job.TaskID]Order{}}
 	core.term = 3
+	x.unread()
 	spec := simpleJob(1, 2)
 	spec.Steps[0].Checkpoints, spec.Steps[0].Gang = true, true
 	core.AddJob(spec, nil, false, now)
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -48,7 +48,7 @@
 		return
 	}
 	told := checkpoint{text: e.Checkpoint, run: e.Run, worker: w.info.ID, end: e.Number}
-	if ignored := c.noteCheckpoint(t, told); ignored != "" {
+	if ignored := c.noteCheckpoint(t, w, told); ignored != "" {
 		d := taskDecision("checkpoint_ignored", t, w, e.Run, ignored)
 		d.Detail = told.String()
 		c.trace(d)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -87,8 +87,9 @@
 	phase      phase
 	attempt    *attempt
 	checkpoint checkpoint // unless it is of a gang
-	// lastStart is the newest start that this owner ordered.
-	lastStart startedRun
+	// lastStart is the newest run that this owner ordered or adopted, previousStart the one
+	// before.
+	lastStart, previousStart startedRun
 	// notBefore delays a start after a failure.
 	notBefore time.Duration
 	// avoid is the worker where the last attempt failed.
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -112,6 +112,9 @@
 		a.paced = paceUnknown // the previous owner may have slowed it
 	}
 	t.attempt, t.phase = a, phaseRunning
+	if c.ofEarlierTerm(row.Run) {
+		t.noteStarted(row.Run, w)
+	}
 	t.step.job.active++
 	c.markBegun(t.step.job)
 	if t.step.perWork != nil {
@@ -136,7 +139,7 @@
 		a.started = now.Steady
 	}
 	if row.Checkpoint != "" {
-		c.noteCheckpoint(t, checkpoint{text: row.Checkpoint, run: row.Run, worker: a.worker.info.ID, clock: clock})
+		c.noteCheckpoint(t, a.worker, checkpoint{text: row.Checkpoint, run: row.Run, worker: a.worker.info.ID, clock: clock})
 	}
 	a.missed = false
 	a.atWork = row.Percent == fullPace
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -29,7 +29,7 @@
 		percent: fullPace, paced: fullPace, ticket: ticket,
 	}
 	t.attempt, t.phase, t.concluded = a, phaseStarting, false
-	t.lastStart = startedRun{run, w.info.ID}
+	t.noteStarted(run, w)
 	s.ready--
 	s.job.active++
 	if s.perWork != nil {
