Soak: jobs with checkpoints, gangs, times and lasting tasks; what starts bring is checked

Cause: all jobs of the soak were of one kind and no worker told a checkpoint.

Change: fills, urgent jobs that make them give way, gangs, repeated and lasting jobs; workers that drain and leave, and answers that others overtake. Checks: no start brings a checkpoint that is not its task's, that no worker has told, or for a step that saves none; members of a gang bring the same; a stopped task goes on from what its end told when its owner starts it again; a seed without any such start fails. Flags for the number of workers and entries, the pace of jobs, and -soak.race, which builds the processes with the race detector and reads their reports.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -32,6 +32,8 @@
 		w.checkOrder(task, list, tasks)
 		w.checkCrashes(task, list)
 	}
+	w.checkCheckpoints(runs)
+	w.checkContinued(tasks)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	told := map[string]bool{}
--- a/soak/customers_test.go
+++ b/soak/customers_test.go
@@ -1,49 +1,22 @@
 package soak
 
 import (
-	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
-// A job has four tasks and then two larger ones.
-const jobBody = `{"spec":%q,"steps":[{"count":4,"cpu":%d,"mem_mb":100},{"count":2,"cpu":%d,"mem_mb":100,"after_revision":[0]}]}`
-
-// Sizes of the tasks of the two steps, in thousandths of a core, and how many
-// tasks the first one has.
-const (
-	firstCPU   = 500
-	secondCPU  = 1000
-	taskMemory = 100
-	firstTasks = 4
-)
-
-func payloadOf(id string) string { return "payload of " + id }
-
-func jobOf(task string) string {
-	id, _, _ := strings.Cut(task, ".")
-	return id
-}
-
-func isSecond(task string) bool { return strings.HasPrefix(task[len(jobOf(task)):], ".0.1.") }
-
-// needsOf tells the workers what a task takes.
-func needsOf(task string) (cpu, memory int) {
-	if isSecond(task) {
-		return secondCPU, taskMemory
-	}
-	return firstCPU, taskMemory
-}
-
 var client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 
 // call makes a customer's call; 0 means no answer.
 func (w *world) call(p *process, method, id, body string) (int, string) {
-	req, err := http.NewRequest(method, "http://"+p.front+"/a/"+id, strings.NewReader(body))
+	path := catalogue[kindOf(id)].path
+	req, err := http.NewRequest(method, "http://"+p.front+"/"+path+"/"+id, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -67,7 +40,7 @@
 
 // submit hands in a job once and notes what the customer knows of it.
 func (w *world) submit(p *process, id string) {
-	status, _ := w.call(p, http.MethodPost, id, fmt.Sprintf(jobBody, payloadOf(id), firstCPU, secondCPU))
+	status, _ := w.call(p, http.MethodPost, id, bodyOf(id))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch status {
@@ -79,8 +52,11 @@
 	}
 }
 
+// firstJob is the number of the job that is handed in before all others.
+const firstJob = 0xffffff
+
 func (w *world) awaitServing() {
-	id := fmt.Sprintf("%016x", 0xffff)
+	id := idOf(plain, firstJob)
 	for end := time.Now().Add(settle); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		w.submit(w.procs[0], id)
 		w.mu.Lock()
@@ -97,33 +73,62 @@
 func (w *world) customers(rng *rand.Rand, end time.Time) {
 	var calls sync.WaitGroup
 	pause := 30 + rng.IntN(70)
-	for id := 0; time.Now().Before(end); id++ {
+	mix := w.rng(5)
+	for n := 0; time.Now().Before(end); n++ {
 		p := w.procs[rng.IntN(len(w.procs))]
-		name := fmt.Sprintf("%016x", id)
-		calls.Go(func() { w.submit(p, name) })
-		time.Sleep(time.Duration(pause/2+rng.IntN(pause)) * time.Millisecond)
+		id := idOf(pickKind(mix), n)
+		calls.Go(func() { w.submit(p, id) })
+		time.Sleep(time.Duration(float64(pause/2+rng.IntN(pause)) / *soakLoad * float64(time.Millisecond)))
 	}
 	calls.Wait()
 }
 
-// awaitJobs waits until all accepted jobs are shown as done, or as failed where a task
-// crashes its workers.
-func (w *world) awaitJobs() {
+func (w *world) acceptedJobs() []string {
 	w.mu.Lock()
-	ids := make([]string, 0, len(w.accepted))
-	for id := range w.accepted {
-		ids = append(ids, id)
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.accepted))
+}
+
+// cancelLasting cancels the jobs that would serve for ever.
+func (w *world) cancelLasting(ids []string) {
+	end := time.Now().Add(settle)
+	for n, id := range ids {
+		for kindOf(id) == lasting {
+			status, _ := w.call(w.procs[n%len(w.procs)], http.MethodDelete, id, "")
+			if status == http.StatusOK {
+				break
+			}
+			if time.Now().After(end) {
+				w.t.Errorf("job %s can't be cancelled: %d", id, status)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
 	}
-	w.mu.Unlock()
+}
+
+// wantedState is how a job that was accepted must end.
+func (w *world) wantedState(id string) string {
+	switch {
+	case w.hasCrasher(id):
+		return "failed"
+	case kindOf(id) == lasting:
+		return "cancelled"
+	default:
+		return "succeeded"
+	}
+}
+
+// awaitJobs waits until all accepted jobs are shown as done, as failed where a task
+// crashes its workers, or as cancelled.
+func (w *world) awaitJobs() {
+	ids := w.acceptedJobs()
+	w.cancelLasting(ids)
 	end := time.Now().Add(settle)
 	for n, id := range ids {
 		for {
 			status, text := w.call(w.procs[n%len(w.procs)], http.MethodGet, id, "")
-			want := "succeeded"
-			if w.hasCrasher(id) {
-				want = "failed"
-			}
-			if status == http.StatusOK && strings.Contains(text, want) {
+			if status == http.StatusOK && strings.Contains(text, w.wantedState(id)) {
 				break
 			}
 			if status == http.StatusGone {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -212,17 +212,26 @@
 	},
 }
 
+// drainEvery is how many faults of workers there are for one that drains and leaves.
+const drainEvery = 10
+
 // workerFault is one fault of a worker or of the path to it.
 func (w *world) workerFault(seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	i := rng.IntN(len(w.workers))
 	worker, path, name := w.workers[i], w.paths[i], w.workers[i].ID
 	kind, length := rng.IntN(20), between(rng, 300*time.Millisecond, 5*time.Second)
+	drains := rng.IntN(drainEvery) == 0
 	if !w.wards[i].TryLock() {
 		return
 	}
 	defer w.wards[i].Unlock()
 	switch {
+	case drains:
+		w.logFault(name, "drains", length)
+		worker.Drain(length)
+		time.Sleep(length)
+		worker.Crash(fmt.Sprintf("%s-%x", worker.ID, seed>>32), length/4)
 	case kind < 6:
 		m := []mode{delaying, silent, deafOne, resetting, losing, slow}[kind]
 		w.logFault(name, fmt.Sprint("path ", m), length)
@@ -276,6 +285,7 @@
 // calm ends all faults.
 func (w *world) calm() {
 	w.calmSince = time.Now()
+	w.calmed.Store(true)
 	w.store.SetFault(nil)
 	for _, p := range w.procs {
 		p.proxy.set(passing)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -36,6 +36,7 @@
 thaw_slack_ms = 300
 status_s = 600
 pace_ms = 100
+restore_ms = 100
 `
 
 // process is one leverstile node. A fault that signals it holds signals, one of its
@@ -109,7 +110,8 @@
 
 func (w *world) startOnce(p *process) {
 	p.cmd = exec.Command(w.binary, "node", "--metrics-port", "0", "--log-level", "debug")
-	p.cmd.Env = append(os.Environ(), "LEVERSTILE_BOOT="+filepath.Join(p.dir, "node.toml"), "LEVERSTILE_TEST_SUSPENDED="+p.suspendedFile())
+	p.cmd.Env = append(os.Environ(), "LEVERSTILE_BOOT="+filepath.Join(p.dir, "node.toml"), "LEVERSTILE_TEST_SUSPENDED="+p.suspendedFile(),
+		"GORACE=log_path="+filepath.Join(p.dir, racesName))
 	p.cmd.Stdout, p.cmd.Stderr = w.log, w.log
 	if err := p.cmd.Start(); err != nil {
 		w.t.Errorf("%s: %v", p.name, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,7 +24,12 @@
 	soakFirst = flag.Uint64("soak.first", 1, "first seed")
 	soakFor   = flag.Duration("soak.for", 8*time.Second, "length of the faults of one seed")
 	soakLag   = flag.Duration("soak.lag", 0, "most that workers read their clocks later than their lists")
-	soakLogs  = flag.String("soak.logs", "", "directory for the logs of seeds that fail")
+	soakLoad  = flag.Float64("soak.load", 1, "factor of the pace of customers' jobs")
+	soakRace  = flag.Bool("soak.race", false, "look for data races in the processes")
+	// Sizes of the world; 0 leaves them to the seed.
+	soakWorkers = flag.Int("soak.workers", 0, "number of workers")
+	soakEntries = flag.Int("soak.entries", 0, "number of entries")
+	soakLogs    = flag.String("soak.logs", "", "directory for the logs of seeds that fail")
 )
 
 // failedSeeds are kept as regression cases, with a line on the cause.
@@ -40,8 +46,11 @@
 // settle bounds the wait for the end of all jobs once the faults are over.
 const settle = 90 * time.Second
 
-const config = `{"version":%d,"routes":[{"name":"q","host":"h.example","path_prefix":"/a/","timeout_ms":3000,"target_latency_ms":4000,
-"priority":0,"service":"svc","max_attempts":1000,"stretch":6}],"services":[{"name":"svc","admission_check":%v}],"limits":{"max_body_bytes":100000}}`
+const config = `{"version":%d,"routes":[
+{"name":"q","host":"h.example","path_prefix":"/a/","timeout_ms":3000,"target_latency_ms":4000,"priority":0,"service":"svc","max_attempts":1000,"stretch":6},
+{"name":"fill","host":"h.example","path_prefix":"/b/","timeout_ms":3000,"target_latency_ms":4000,"priority":2,"service":"svc","max_attempts":1000,"stretch":6},
+{"name":"other","host":"h.example","path_prefix":"/c/","timeout_ms":3000,"target_latency_ms":4000,"priority":1,"service":"svc","max_attempts":1000,"stretch":6}],
+"services":[{"name":"svc","admission_check":%v}],"limits":{"max_body_bytes":100000}}`
 
 // Sizes of a seed's world, from the least to the most.
 const (
@@ -55,6 +64,11 @@
 	// crashEvery is how many jobs there are for one with a task that crashes its workers.
 	crashEvery = 40
 	slowClock  = 0.98
+	// lateShare is the part of the answers of some workers that others overtake, for a
+	// time between the two bounds.
+	lateShare              = 0.1
+	leastLate, longestLate = 10 * time.Millisecond, 800 * time.Millisecond
+	restore                = 100 * time.Millisecond
 )
 
 // world is one seed's run. Its lock guards the maps; wards and paths are those of
@@ -75,6 +89,7 @@
 	violations int
 	// calmSince is when the last fault was over.
 	calmSince time.Time
+	calmed    atomic.Bool
 
 	mu       sync.Mutex
 	accepted map[string]bool
@@ -83,7 +98,11 @@
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "leverstile")
-	build := exec.Command("go", "build", "-tags", "suspendable", "-o", binary, "leverstile.dev/cmd/leverstile")
+	args := []string{"build", "-tags", "suspendable", "-o", binary, "leverstile.dev/cmd/leverstile"}
+	if *soakRace {
+		args = slices.Insert(args, 1, "-race")
+	}
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
@@ -112,12 +131,12 @@
 	w.log = log
 	rng := w.rng(0)
 	w.maxLease = []time.Duration{6 * time.Second, 10 * time.Second}[rng.IntN(2)]
-	w.wards = make([]sync.Mutex, leastWorkers+rng.IntN(mostWorkers-leastWorkers+1))
+	w.wards = make([]sync.Mutex, sizeOr(leastWorkers+rng.IntN(mostWorkers-leastWorkers+1), *soakWorkers))
 	for i := range w.wards {
 		w.addWorker(i, rng)
 	}
 	defer w.close()
-	for i := range leastEntries + rng.IntN(mostEntries-leastEntries+1) {
+	for i := range sizeOr(leastEntries+rng.IntN(mostEntries-leastEntries+1), *soakEntries) {
 		w.procs = append(w.procs, w.newProcess(i))
 	}
 	w.awaitServing()
@@ -125,6 +144,7 @@
 	w.calm()
 	w.awaitJobs()
 	w.check()
+	w.checkRaces()
 	if t.Failed() {
 		t.Logf("logs of the processes: %s", log.Name())
 		return
@@ -132,6 +152,14 @@
 	_ = os.Remove(log.Name())
 }
 
+// sizeOr returns the size of a flag, or if there is none that of the seed.
+func sizeOr(seeds, flag int) int {
+	if flag > 0 {
+		return flag
+	}
+	return seeds
+}
+
 // addWorker starts a worker behind a proxy. Some have a slow clock.
 func (w *world) addWorker(i int, rng *rand.Rand) {
 	rate := 1.0
@@ -143,12 +171,27 @@
 		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
 		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag,
 		Unguarded: w.unguarded(), Crashes: w.crashes, Away: func() time.Duration { return rand.N(longestAway) },
-		Wrap: w.wrapWorker,
+		Checkpoints: checkpoints, Restore: restore, GangSize: gangSize, Lasting: lasts, Progress: true, Reading: readingOf,
+		Delay: w.delayOf(i), Wrap: w.wrapWorker,
 	})
 	worker.FailIf(func(task string, start int) bool { return start == 1 && strings.HasSuffix(task, "3") })
 	w.workers = append(w.workers, worker)
 }
 
+// delayOf returns for how long a worker's answers are held back: those of every other one
+// come in order.
+func (w *world) delayOf(worker int) func(path string) time.Duration {
+	if worker%2 == 0 {
+		return nil
+	}
+	return func(path string) time.Duration {
+		if w.calmed.Load() || rand.Float64() >= lateShare || path != "/hold" && path != "/run-start" {
+			return 0
+		}
+		return leastLate + rand.N(longestLate-leastLate)
+	}
+}
+
 // unguarded reports whether the workers of this seed start also what does not fit.
 func (w *world) unguarded() bool { return w.seed%2 == 0 }
 
@@ -159,6 +202,9 @@
 
 // hasCrasher reports whether a job has such a task.
 func (w *world) hasCrasher(id string) bool {
+	if kindOf(id) != plain {
+		return false
+	}
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, w.seed, id)
 	return h.Sum32()%crashEvery == 0
@@ -177,7 +223,7 @@
 func (w *world) workOf(task string) time.Duration {
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, w.seed, task)
-	return leastWork + time.Duration(h.Sum32())%(mostWork-leastWork)
+	return stepOf(task).length * (leastWork + time.Duration(h.Sum32())%(mostWork-leastWork))
 }
 
 func (w *world) close() {
