Test: a start that is carried out between a takeover's first list and the next one

A worker whose term check and whose list are not one step may carry out a start of the previous owner after it has answered the new one's first poll. The task is then started elsewhere.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// startsAfterGaps plays owners that are replaced while they still give orders, at workers
+// that carry out a start a moment after they have checked its term.
+func startsAfterGaps(s *sim) {
+	s.startGapShare = 0.5
+	s.extra = func(s *sim) {
+		o := s.owner
+		o.cutStore = true
+		s.later(4*time.Second, func() { o.cutStore = false })
+	}
+}
+
 func handovers(s *sim) {
 	s.delayShare, s.quietHandover = 0.02, true
 	s.extra = func(s *sim) {
--- a/dispatch/sim_faults_test.go
+++ b/dispatch/sim_faults_test.go
@@ -26,6 +26,9 @@
 	delayShare float64
 	// notSentShare of the orders find no turn to be sent in time.
 	notSentShare float64
+	// startGapShare of the starts are carried out a moment after the worker has checked
+	// their terms; see startAfterGap.
+	startGapShare float64
 	// longPolls: workers hold the answers to polls until a task ends.
 	longPolls bool
 	// lateAnswerShare of the answers take up to lateAnswer.
@@ -80,7 +83,7 @@
 	quietHandover bool
 
 	// Counts of what was played.
-	refused, copied, handovers, restarts, listedLate, rereads, crashed int
+	refused, copied, handovers, restarts, listedLate, rereads, crashed, startedLate int
 }
 
 // oldEntry is the entry of an ended life, listed from one moment to another.
@@ -359,7 +362,7 @@
 
 // calmMore ends the faults that are switched on.
 func (s *sim) calmMore() {
-	s.refuseShare, s.noRoomShare, s.breakShare, s.delayShare, s.lateAnswerShare, s.notSentShare = 0, 0, 0, 0, 0, 0
+	s.refuseShare, s.noRoomShare, s.breakShare, s.delayShare, s.lateAnswerShare, s.notSentShare, s.startGapShare = 0, 0, 0, 0, 0, 0, 0
 	s.extra = nil
 	for _, w := range s.workers {
 		w.unwellUntil, w.unlisted = 0, 0
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -150,6 +150,9 @@
 	w.term = max(w.term, o.Term)
 	switch o.Kind {
 	case OrderStart:
+		if w.sim.chance(w.sim.startGapShare) {
+			return w.startAfterGap(o)
+		}
 		return w.startRun(o)
 	case OrderStop:
 		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
@@ -182,6 +185,24 @@
 // simStopTime is the longest that a stop takes.
 const simStopTime = 900 * time.Millisecond
 
+// simStartGap is the longest that a worker takes between a start's check and the start.
+const simStartGap = 30 * time.Millisecond
+
+// startAfterGap carries out a start whose term was checked, a moment later. Calls that come
+// meanwhile are served, and the answer gets lost.
+func (w *simWorker) startAfterGap(o Order) Answer {
+	w.sim.later(w.sim.within(simStartGap), func() {
+		w.advance()
+		if w.alive {
+			if o.Term < w.term {
+				w.sim.startedLate++
+			}
+			w.startRun(o)
+		}
+	})
+	return Answer{Outcome: OutcomeUnknown}
+}
+
 func (w *simWorker) startRun(o Order) Answer {
 	w.lease = max(w.lease, min(o.DeadlineMS, w.clock()+w.sim.params.MaxTaskLease.Milliseconds()))
 	clock := w.clock()
