A silent end of a suspect's worker counts for the most that a task is fed

Cause: an end that looks like silence counted for nothing. The young runs there are now treated as those that may have been lost with an owner: a suspect's start is an unsure crash, which counts for the limit of five and proves nothing; another task's does so once it crashes a worker. A run that outlives its start ends that.

Two ways were tried on the code's own tests. Counting every young run of a silent worker as an unsure crash gave six crashes to a task whose workers were only cut off and started again (TestEndsThatAreNoCrashes fails). The way kept passes it. A task all of whose crashes look like silence, or that works for more than 5 s before it crashes its worker, is still not found.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -106,7 +106,7 @@
 	// many more of its runs may have been crashes; see lostLife.
 	crashes, unsettled int
 	crashVersion       uint64
-	lostWithOwner      bool // see noteLostWithOwner
+	mayHaveCrashed     bool // see noteLostWithOwner and noteSilentEnd
 	// crashInherited is set if the previous owner's roster told of its last start.
 	crashInherited bool
 }
--- a/dispatch/lostlife.go
+++ b/dispatch/lostlife.go
@@ -153,9 +153,27 @@
 	switch {
 	case t.suspect() != t || t.step.gangRun != 0 || t.crashInherited || !c.lostUnheard.has(t):
 	case t.crashes > 0:
-		c.countUnsure(t)
+		c.countUnsure(t, c.term<<runBits, reasonLostWithOwner)
 		c.giveUpIfCrasher(t, false, now)
 	default:
-		t.lostWithOwner = true
+		t.mayHaveCrashed = true
+	}
+}
+
+// noteSilentEnd notes the young runs of a worker that was silent before its life ended: it
+// may have crashed and been cut off at the same moment. Of a suspect, that start counts for
+// the most that a task is fed, but proves nothing; of another task it does once it crashes a
+// worker. Tasks that only were at workers that were cut off are not suspected.
+func (c *Core) noteSilentEnd(l lostLife, now Instant) {
+	for _, r := range l.runs {
+		t := c.suspectNamed(r.Task)
+		switch {
+		case t == nil || r.Older:
+		case t.crashes > 0:
+			c.countUnsure(t, r.Run, "it was started shortly before its worker fell silent")
+			c.giveUpIfCrasher(t, false, now)
+		default:
+			t.mayHaveCrashed = true
+		}
 	}
 }
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -55,8 +55,11 @@
 		l, _ = c.dropUnsettled(w.info.VM)
 	}
 	c.lose(w, reason, now)
-	if l.end == endCrashed {
+	switch l.end {
+	case endCrashed:
 		c.countCrashes(w.info.VM, l, now)
+	case endSilent:
+		c.noteSilentEnd(l, now)
 	}
 	c.resolve(w.info.ID, reason, now)
 	c.forget(w, reason)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -131,9 +131,9 @@
 		return
 	}
 	j := t.step.job
-	if t.lostWithOwner {
-		t.lostWithOwner = false
-		c.countUnsure(t)
+	if t.mayHaveCrashed {
+		t.mayHaveCrashed = false
+		c.countUnsure(t, c.term<<runBits, "it may have been started where a worker was lost before")
 	}
 	c.touch(j)
 	n := j.progress.CrashCount(t.id())
@@ -158,15 +158,18 @@
 	c.setFinal(j, job.Failed, fmt.Sprintf("task %s: %d workers in a row crashed when it was started", t.id(), n.Sure), now)
 }
 
-// countUnsure counts a start of a suspect that the previous owner may have given.
-func (c *Core) countUnsure(t *task) {
+// reasonLostWithOwner tells of a start that the previous owner may have given.
+const reasonLostWithOwner = "it may have been started when the previous owner was lost"
+
+// countUnsure counts a start of a suspect under which a worker may have crashed.
+func (c *Core) countUnsure(t *task, run uint64, reason string) {
 	j := t.step.job
-	if !j.progress.CountCrash(t.id(), job.Crash{Run: c.term << runBits, Unsure: true}) {
+	if !j.progress.CountCrash(t.id(), job.Crash{Run: run, Unsure: true}) {
 		return
 	}
 	c.touch(j)
 	c.setCrashes(t, j.progress.CrashCount(t.id()).All)
-	c.tellTask("task_suspected", t, nil, 0, "it may have been started when the previous owner was lost")
+	c.tellTask("task_suspected", t, nil, 0, reason)
 }
 
 // cleared ends the suspicion of a task: a run has outlived its start, or told its end.
@@ -178,7 +181,7 @@
 		return
 	}
 	progress.ClearCrashes(t.id())
-	t.lostWithOwner = false
+	t.mayHaveCrashed = false
 	c.touch(t.step.job)
 	c.setCrashes(t, 0)
 	c.tellTask("task_cleared", t, nil, run, reason)
@@ -186,8 +189,13 @@
 
 // noteOutlived clears a suspect whose run still works youngAtCrash after its start.
 func (c *Core) noteOutlived(a *attempt, now Instant) {
-	if a.task.suspect().crashes > 0 && now.Steady-a.started >= youngAtCrash {
-		c.cleared(a.task, a.run, "its run has outlived its start")
+	if now.Steady-a.started < youngAtCrash {
+		return
+	}
+	t := a.task.suspect()
+	t.mayHaveCrashed = false
+	if t.crashes > 0 {
+		c.cleared(t, a.run, "its run has outlived its start")
 	}
 }
 
