A job has begun once a worker has begun one of its tasks

Cause: a job was marked as begun, and its record as running, when its first start was ordered. Starts that are refused, not sent or not answered left it so, and the next owner read it from the store. Now the answer to a start, a list or an end marks it. A start that was carried out without an answer is told by the next list; until then its job counts as waiting, which is the side that customers allow.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -36,6 +36,7 @@
 		t.noteCheckpoint(checkpoint{text: e.Checkpoint, run: e.Run, worker: w.info.ID, end: e.Number})
 	}
 	c.tellTask("run_"+string(e.Kind), t, w, e.Run, "")
+	c.markBegun(t.step.job)
 	c.countEnd(w, t, a, e, now)
 	if a != nil {
 		c.release(a, now)
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -113,7 +113,6 @@
 	}
 	t.attempt, t.phase = a, phaseRunning
 	t.step.job.active++
-	c.markBegun(t.step.job)
 	if t.step.perWork != nil {
 		t.step.perWork[w]++
 	}
@@ -128,6 +127,7 @@
 // confirm takes in what a row tells of an attempt.
 func (c *Core) confirm(a *attempt, row *RunningTask, clock int64, now Instant) {
 	t := a.task
+	c.markBegun(t.step.job)
 	if a.ackClock == 0 {
 		a.ackClock = clock
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -37,7 +37,6 @@
 	w.add(a)
 	w.placedAt = now.Steady
 	c.stats.Starts++
-	c.markBegun(s.job)
 	c.sendStart(a, checkpoint)
 }
 
@@ -122,6 +121,7 @@
 	switch ans.Outcome {
 	case OutcomeOK:
 		a.ackClock, a.missed = max(a.ackClock, ans.ClockMS), false
+		c.markBegun(a.task.step.job)
 		if a.task.phase == phaseStarting {
 			a.task.phase = phaseRunning
 			a.started = now.Steady
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -11,7 +11,8 @@
 	}
 }
 
-// markBegun notes that a task of the job was started.
+// markBegun notes that a worker has begun a task of the job. A start that was only ordered
+// may come to nothing, also after a takeover: customers ask how many jobs have not begun.
 func (c *Core) markBegun(j *jobState) {
 	if j.begun {
 		return
