--- /dev/null
+++ b/dispatch/lostowner_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// TestOneOwnerLostCostsNoStartTooMany: whichever of a task's crashes an owner's end follows,
+// and however soon, also if the store took nothing since the crash, the task is started as
+// often as users allow. Others crash at each of its crashes, so that none is a proof.
+//
+// Users would see two runs too many of a task that crashes its workers, and ten tasks beside
+// it lost each time, if an owner's end made the next one forget what was not written yet.
+func TestOneOwnerLostCostsNoStartTooMany(t *testing.T) {
+	for crash := 1; crash < mostStartsOfACrasher; crash++ {
+		for _, after := range []time.Duration{0, 40, 100, 200, 400, 1000, 2000, 2900, 3000, 3100, 3300, 4000} {
+			for _, down := range []bool{false, true} {
+				after := after * time.Millisecond
+				t.Run(fmt.Sprintf("crash %d, %v later, store down %v", crash, after, down), func(t *testing.T) {
+					lostOwnerRun(t, crash, after, down)
+				})
+			}
+		}
+	}
+}
+
+// lostOwnerRun plays an owner that is lost some time after one of a task's crashes.
+func lostOwnerRun(t *testing.T, crash int, after time.Duration, storeDown bool) {
+	t.Helper()
+	f := newCrashFleet(t, 24)
+	bad, good := simpleJob(1, 1), simpleJob(2, 24)
+	f.crasher = crashesOf(bad)
+	f.core.AddJob(good, nil, false, f.now)
+	f.pass(8 * time.Second)
+	f.core.AddJob(bad, nil, false, f.now)
+	for seen := 0; f.now.Steady < 120*time.Second && f.state(bad) != job.Failed; {
+		f.pass(20 * time.Millisecond)
+		n := f.crashed()
+		if n == seen {
+			continue
+		}
+		seen = n
+		f.endAnyOther()
+		if n == crash {
+			f.storeDown = storeDown
+			f.pass(after)
+			f.takeOver(bad, good)
+			f.storeDown = false
+		}
+	}
+	f.checkGivenUp(bad, good)
+}
+
+// endAnyOther crashes a worker that is up.
+func (f *crashFleet) endAnyOther() {
+	for _, vm := range f.vms {
+		if _, down := f.down[vm]; !down {
+			f.end(vm, crashDown)
+			return
+		}
+	}
+}
