--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	soakFirst = flag.Uint64("soak.first", 1, "first seed")
 	soakFor   = flag.Duration("soak.for", 8*time.Second, "length of the faults of one seed")
 	soakLag   = flag.Duration("soak.lag", 0, "most that workers read their clocks later than their lists")
+	soakGap   = flag.Duration("soak.gap", 0, "most that workers take from the check of a start's term to the start")
 	soakLogs  = flag.String("soak.logs", "", "directory for the logs of seeds that fail")
 )
 
@@ -141,7 +142,7 @@
 	worker := wiretest.StartWorker(w.store, wiretest.WorkerOptions{
 		ID: fmt.Sprintf("i-%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%3),
 		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
-		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag,
+		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag, StartGap: *soakGap,
 		Unguarded: w.unguarded(), Crashes: w.crashes, Away: func() time.Duration { return rand.N(longestAway) },
 		Wrap: w.wrapWorker,
 	})
