--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// startsAfterGaps plays owners that are replaced while they still give orders, at workers
+// that carry out a start a moment after they have checked its term.
+func startsAfterGaps(s *sim) {
+	s.startGapShare = 0.5
+	s.extra = func(s *sim) {
+		o := s.owner
+		o.cutStore = true
+		s.later(4*time.Second, func() { o.cutStore = false })
+	}
+}
+
 func handovers(s *sim) {
 	s.delayShare, s.quietHandover = 0.02, true
 	s.extra = func(s *sim) {
@@ -147,6 +158,10 @@
 			name: "the owner's next life takes over at once", setup: quickRestarts, played: func(s *sim) int { return s.restarts },
 			without: "the roster is kept", unguard: func(s *sim) { s.dropRoster = true },
 		},
+		{
+			name: "starts are carried out after their check", setup: startsAfterGaps, played: func(s *sim) int { return s.gaps },
+			without: "the first list of a takeover is asked for with a wait", unguard: func(s *sim) { s.hastyLists = true },
+		},
 		{
 			name: "owners hand over", setup: handovers, played: func(s *sim) int { return s.handovers },
 			without: "an owner stops before it ends its lease", unguard: func(s *sim) { s.quietHandover, s.extra = false, (*sim).handOver },
--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -49,9 +49,12 @@
 	check("handed in", "q", 3)
 	check("handed in", "other", 0)
 	core.Schedule(now)
-	if n := len(starts(core)); n != 1 {
-		t.Fatalf("%d starts, want 1", n)
+	ordered := starts(core)
+	if len(ordered) != 1 {
+		t.Fatalf("%d starts, want 1", len(ordered))
 	}
+	check("one ordered", "q", 3)
+	core.OrderDone(ordered[0], Answer{Outcome: OutcomeOK, ClockMS: 1000}, now)
 	check("one begun", "q", 2)
 	for i := range 3 {
 		if !core.jobs[simpleJob(i).ID].begun {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	soakFor   = flag.Duration("soak.for", 8*time.Second, "length of the faults of one seed")
 	soakLag   = flag.Duration("soak.lag", 0, "most that workers read their clocks later than their lists")
 	soakLoad  = flag.Float64("soak.load", 1, "factor of the pace of customers' jobs")
+	soakGap   = flag.Duration("soak.gap", 0, "most that workers take from the check of a start's term to the start")
 	soakRace  = flag.Bool("soak.race", false, "look for data races in the processes")
 	// Sizes of the world; 0 leaves them to the seed.
 	soakWorkers = flag.Int("soak.workers", 0, "number of workers")
@@ -170,7 +171,7 @@
 	worker := wiretest.StartWorker(w.store, wiretest.WorkerOptions{
 		ID: fmt.Sprintf("i-%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%3),
 		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
-		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag,
+		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag, StartGap: *soakGap,
 		Unguarded: w.unguarded(), Crashes: w.crashes, Away: func() time.Duration { return rand.N(longestAway) },
 		Checkpoints: checkpoints, Restore: restore, GangSize: gangSize, Lasting: lasts, Progress: true, Reading: readingOf,
 		Delay: w.delayOf(i), Wrap: w.wrapWorker,
