An end of a run that was never ordered says nothing of its task

A worker that listed the end of a run that nobody had ordered could mark a task as done, so that its job was shown as succeeded with work undone, or use up its attempts. Cause: an end was matched with its task by name alone. Change: an end of a run of this owner's term that is newer than any start of the task that it ordered is ignored, with a line, and may be forgotten. Runs of other terms may be true and count as before.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -24,8 +24,11 @@
 func (c *Core) takeEnd(w *worker, e *EndedTask, now Instant) {
 	t := c.findTask(e.Task)
 	if t == nil {
-		w.ends = append(w.ends, pendingEnd{number: e.Number, task: e.Task})
-		c.trace(Decision{Event: "end_ignored", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Reason: "job is over or unknown"})
+		c.ignoreEnd(w, e, "job is over or unknown")
+		return
+	}
+	if c.neverOrdered(t, e.Run) {
+		c.ignoreEnd(w, e, "its run was never ordered")
 		return
 	}
 	a := t.attempt
@@ -42,6 +45,19 @@
 	w.ends = append(w.ends, pendingEnd{number: e.Number, task: e.Task, job: t.step.job, version: t.step.job.version})
 }
 
+// ignoreEnd lets a worker forget an end that says nothing of a task.
+func (c *Core) ignoreEnd(w *worker, e *EndedTask, reason string) {
+	w.ends = append(w.ends, pendingEnd{number: e.Number, task: e.Task})
+	c.trace(Decision{Event: "end_ignored", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Reason: reason})
+}
+
+// neverOrdered reports whether a run is of this owner's term, and newer than any start of
+// the task that it ordered. Runs of other terms may be true: of earlier owners, or of one that
+// has replaced this one.
+func (c *Core) neverOrdered(t *task, run uint64) bool {
+	return run>>runBits == c.term && run > t.lastStart.run
+}
+
 // noteEndCheckpoint takes in the checkpoint that an end tells, also of an older run than the
 // one that is expected.
 func (c *Core) noteEndCheckpoint(t *task, w *worker, e *EndedTask) {
