Sight: which life of a worker's id answers

Cause: a worker may start again under its id and tells when it was born, at the top level of its entry and of its lists; nothing read that, so no log line could tell two lives apart.

No decision changed.

Tests of dispatch, node and platform pass.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -140,6 +140,8 @@
 	// Crashes counts workers that crashed with tasks, CrashersGivenUp the jobs that
 	// failed since a task of theirs crashed its workers.
 	Crashes, CrashersGivenUp uint64
+	// Restarts counts polls that another life answered under the worker's id.
+	Restarts uint64
 }
 
 // Decision is one decision or change of belief, for the log.
@@ -149,6 +151,8 @@
 	Task   job.TaskID
 	Run    uint64
 	Worker WorkerID
+	// Born is that of the worker's life which the decision is about, if it tells.
+	Born   int64
 	Reason string
 	// Detail holds the figures that decided, where there are any.
 	Detail string
@@ -275,7 +279,7 @@
 func taskDecision(event string, t *task, w *worker, run uint64, reason string) Decision {
 	d := Decision{Event: event, Job: t.step.job.spec.ID, Task: t.id(), Run: run, Reason: reason}
 	if w != nil {
-		d.Worker = w.info.ID
+		d.Worker, d.Born = w.info.ID, w.born
 	}
 	return d
 }
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
 
 // HoldPlan says what to do next for a worker: send Order if Send is set, and
 // come back after Pause otherwise.
@@ -102,6 +107,7 @@
 	if w.unreached() {
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
+	c.noteBorn(w, reply)
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
 	w.told = max(w.told, order.Seen)
 	w.noteAnswered(now)
@@ -122,6 +128,29 @@
 	return 0
 }
 
+// noteBorn logs which life of a worker answers.
+func (c *Core) noteBorn(w *worker, reply HoldReply) {
+	if reply.Born == 0 || reply.Born == w.born {
+		return
+	}
+	event := "worker_life"
+	if w.born != 0 {
+		event = "worker_restarted"
+		c.stats.Restarts++
+	}
+	detail := fmt.Sprintf("after %d, listed %d; clock %d after %d, ends from %d after %d", w.born, w.info.Born, reply.ClockMS, w.clock, firstEnd(reply), w.processed)
+	w.born = reply.Born
+	c.trace(Decision{Event: event, Worker: w.info.ID, Born: w.born, Detail: detail})
+}
+
+// firstEnd returns the least number of an end in an answer, 0 if there is none.
+func firstEnd(reply HoldReply) uint64 {
+	if len(reply.Ended) == 0 {
+		return 0
+	}
+	return slices.MinFunc(reply.Ended, func(a, b EndedTask) int { return cmp.Compare(a.Number, b.Number) }).Number
+}
+
 // sync takes in that the worker's lists were read under this term. While an answer
 // is full, the end of a task may not have had room in it: what it lacks is not known
 // until one is not, and what runs keeps its lease.
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -16,6 +16,9 @@
 // WorkerInfo is what the platform lists of a worker.
 type WorkerInfo struct {
 	ID WorkerID
+	// Born is when this life began, in Unix milliseconds by the worker's own clock; 0 if
+	// it does not tell.
+	Born int64
 	// VM is the machine that the worker is a life of.
 	VM         string
 	Address    string
@@ -66,6 +69,8 @@
 // HoldReply is a worker's answer to a HoldOrder.
 type HoldReply struct {
 	ClockMS int64
+	// Born is WorkerInfo.Born of the life that answered.
+	Born    int64
 	Running []RunningTask
 	Ended   []EndedTask
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,8 @@
 // worker is what the owner knows of one life of a worker.
 type worker struct {
 	info WorkerInfo
+	// born is that of the life which answered the newest poll.
+	born int64
 	// listed is set while the platform lists the worker.
 	listed bool
 	// synced is set once the worker has accepted the owner's term and its
--- a/node/node.go
+++ b/node/node.go
@@ -161,6 +161,9 @@
 	if d.Worker != "" {
 		e = e.Str("worker", string(d.Worker))
 	}
+	if d.Born != 0 {
+		e = e.Int64("born", d.Born)
+	}
 	if d.Reason != "" {
 		e = e.Str("reason", d.Reason)
 	}
