--- a/dispatch/sim_faults_test.go
+++ b/dispatch/sim_faults_test.go
@@ -115,7 +115,13 @@
 		return true
 	}
 	if s.chance(s.delayShare) {
-		s.later(s.within(startWindow+200*time.Millisecond), func() { do(w) })
+		delay := s.within(startWindow + 200*time.Millisecond)
+		s.later(delay, func() {
+			if delay < callTimeout { // its connection may still be opened
+				w = s.reached(w)
+			}
+			do(w)
+		})
 		s.later(callTimeout, lost)
 		return true
 	}
@@ -127,7 +133,7 @@
 	carriedOut := s.rng.IntN(2) == 0
 	s.later(travel, func() {
 		if carriedOut {
-			do(w)
+			do(s.reached(w))
 		}
 		if !s.hiddenCopies {
 			s.later(s.within(20*time.Millisecond), lost)
@@ -139,7 +145,7 @@
 				s.later(callTimeout, lost)
 				return
 			}
-			do(w)
+			do(s.reached(w))
 			s.later(s.answerTime(), answered)
 		})
 	})
@@ -237,6 +243,9 @@
 	}
 	for _, e := range s.entries {
 		if s.now >= e.from && s.now < e.until {
+			if s.sameID { // there is one entry of an id
+				list = slices.DeleteFunc(list, func(info WorkerInfo) bool { return info.ID == e.info.ID })
+			}
 			list = append(list, e.info)
 			s.listedLate++
 		}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -72,6 +72,7 @@
 	strict bool
 
 	moreFaults
+	sameIDFaults
 	checkpointFaults
 	shapes
 	adopted int
@@ -112,6 +113,10 @@
 		running: map[job.TaskID]*simRun{}, highest: map[job.TaskID]uint64{},
 	}
 	s.shapeWorker(&w.info, place)
+	if s.sameID {
+		w.shareID()
+		s.restartsPlayed++
+	}
 	return w
 }
 
@@ -156,7 +161,7 @@
 	case w == nil || w.unreached(term) || roll < s.lossShare:
 		s.later(callTimeout, lost)
 	case roll < 2*s.lossShare:
-		s.later(travel, func() { do(w) })
+		s.later(travel, func() { do(s.reached(w)) })
 		s.later(callTimeout, lost)
 	case roll < 3*s.lossShare:
 		s.later(time.Duration(2+s.rng.IntN(10))*time.Second, func() { do(w) })
@@ -167,7 +172,7 @@
 				s.later(callTimeout, lost)
 				return
 			}
-			do(w)
+			do(s.reached(w))
 			s.later(s.answerTime(), answered)
 		})
 	}
@@ -524,5 +529,5 @@
 		r.gang.left(s, EndLapsed)
 	}
 	w.running = map[job.TaskID]*simRun{}
-	s.later(time.Duration(200+s.rng.IntN(4000))*time.Millisecond, func() { s.workers[i] = s.newWorker(i) })
+	s.later(s.away(), func() { s.workers[i] = s.newWorker(i) })
 }
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -129,7 +129,7 @@
 
 // lists returns what the worker tells of itself.
 func (w *simWorker) lists() HoldReply {
-	reply := HoldReply{ClockMS: w.clock(), Ended: append([]EndedTask(nil), w.ended...)}
+	reply := HoldReply{ClockMS: w.clock(), Born: w.info.Born, Ended: append([]EndedTask(nil), w.ended...)}
 	for _, r := range w.sorted() {
 		row := RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now), Checkpoint: r.saved(w.sim, false)}
 		row.Reading, row.HasReading = w.reading(r)
--- /dev/null
+++ b/node/restart_test.go
@@ -0,0 +1,65 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leverstile.dev/platform/wiretest"
+)
+
+// startSameID starts a worker whose lives all have its id.
+func (c *cell) startSameID(name string, o wiretest.WorkerOptions) *wiretest.Worker {
+	o.ID, o.Service, o.SameID, o.Progress = name, "svc", true, true
+	w := wiretest.StartWorker(c.store, o)
+	w.OnRun(c.note)
+	c.workers = append(c.workers, w)
+	return w
+}
+
+// TestEndsAfterARestartUnderTheSameID.
+//
+// What users saw: tasks ran twice, one after the other. The first run had ended done, and
+// that end had been acknowledged.
+//
+// What happened: a worker crashed, started again under its id, and got tasks at once. Their
+// ends are not known to be taken in, and the tasks start again.
+func TestEndsAfterARestartUnderTheSameID(t *testing.T) {
+	const before, after = 12, 4
+	c := newCell(t, 1, 0)
+	w := c.startSameID("i-a", wiretest.WorkerOptions{Work: func(string) time.Duration { return 60 * time.Millisecond }})
+	c.submit(0, id(1), fmt.Sprintf(`{"spec":"s","steps":[{"count":%d,"cpu":500,"mem_mb":100}]}`, before))
+	c.awaitState(0, id(1), "succeeded")
+	w.Crash("", 0)
+	c.submit(0, id(2), fmt.Sprintf(`{"spec":"s","steps":[{"count":%d,"cpu":500,"mem_mb":100}]}`, after))
+	c.awaitState(0, id(2), "succeeded")
+	c.checkRuns()
+	for _, r := range w.Records() {
+		if n := w.Starts()[r.Task]; n != 1 {
+			t.Errorf("%d starts of a task that did not fail: %s", n, r)
+		}
+	}
+}
+
+// TestLastingTaskAfterARestartUnderTheSameID.
+//
+// What users saw: tasks that are to run until they are cancelled did not run any more, with
+// room for them.
+//
+// What happened: their worker crashed and started again under its id. Nobody starts them
+// again.
+func TestLastingTaskAfterARestartUnderTheSameID(t *testing.T) {
+	clocks := []int64{400_000, 3}
+	c := newCell(t, 1, 0)
+	w := c.startSameID("i-a", wiretest.WorkerOptions{
+		Work:       func(string) time.Duration { return time.Hour },
+		Lasting:    func(string) bool { return true },
+		ClockStart: func(life int) int64 { return clocks[min(life, len(clocks))-1] },
+	})
+	c.submit(0, id(1), `{"spec":"s","steps":[{"count":3,"cpu":500,"mem_mb":100,"long_running":true}]}`)
+	c.await("tasks that run", func() bool { return w.Running() == 3 })
+	time.Sleep(300 * time.Millisecond) // they are in the worker's lists
+	w.Crash("", 0)
+	c.await("tasks that run again", func() bool { return w.Running() == 3 })
+	c.checkRuns()
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,7 @@
 	// Sizes of the world; 0 leaves them to the seed.
 	soakWorkers = flag.Int("soak.workers", 0, "number of workers")
 	soakEntries = flag.Int("soak.entries", 0, "number of entries")
+	soakSameID  = flag.Bool("soak.sameid", false, "workers restart under the ids that they had, with all seeds")
 	soakLogs    = flag.String("soak.logs", "", "directory for the logs of seeds that fail")
 )
 
@@ -168,7 +169,9 @@
 	if rng.IntN(3) == 0 {
 		rate = slowClock
 	}
+	clocks := w.rng(clockStream + uint64(i))
 	worker := wiretest.StartWorker(w.store, wiretest.WorkerOptions{
+		SameID: w.sameID(), ClockStart: func(life int) int64 { return clockOf(clocks, life) }, TimeOfDay: func() int64 { return timeOfDay(clocks) },
 		ID: fmt.Sprintf("i-%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%3),
 		CPU: 5000 + 1000*rng.IntN(9), MemoryMB: 8000, Needs: needsOf, Work: w.workOf, MaxLease: w.maxLease,
 		StopTime: func() time.Duration { return rand.N(longestStop) }, ClockRate: rate, ClockLag: *soakLag, StartGap: *soakGap,
@@ -181,6 +184,37 @@
 	w.workers = append(w.workers, worker)
 }
 
+// Figures of the clocks of workers that restart under the same id.
+const (
+	// clockStream is the first of the seed's sources for them.
+	clockStream = 1000
+	// mostAhead is the most that the clock of a life shows at its beginning, milliseconds.
+	mostAhead = 500_000
+	// mostJumpBack is how far the time of day may jump back between two lives.
+	mostJumpBack = time.Hour
+)
+
+// sameID reports whether the workers of this seed restart under the ids that they had.
+func (w *world) sameID() bool { return *soakSameID || slices.Contains([]uint64{1, 3, 5}, w.seed%7) }
+
+// clockOf is what the clock of a life shows when it begins: that of a later one often
+// little.
+func clockOf(rng *rand.Rand, life int) int64 {
+	if life > 1 && rng.IntN(2) == 0 {
+		return 1
+	}
+	return 1 + rng.Int64N(mostAhead)
+}
+
+// timeOfDay is a worker's time of day in Unix milliseconds, which jumps back now and then.
+func timeOfDay(rng *rand.Rand) int64 {
+	now := time.Now()
+	if rng.IntN(4) == 0 {
+		now = now.Add(-time.Duration(rng.Int64N(int64(mostJumpBack))))
+	}
+	return now.UnixMilli()
+}
+
 // delayOf returns for how long a worker's answers are held back: those of every other one
 // come in order.
 func (w *world) delayOf(worker int) func(path string) time.Duration {
