A worker that restarts under its id is another life

What callers saw: lasting tasks that never ran again after their worker had crashed.

Cause: an id named one life of a worker. Since workers may start again under the id that they had, what was learnt of one life was applied to the next: its clock was taken for one that must not go back, so its lists were never read; its ends, counted from 1, for ends taken in before.

Change: WorkerID names a life, by the worker's id and when it was born. An answer that tells another birth proves the life before over, like one of another id; the next life is taken in at once and read anew. Calls name the id only, so a start that was ordered of one life and that no list of it has shown may be carried out by the next: such a run goes on there, and is started again only once that life's lists lack it. Roster and records of waves store id and birth apart, so that entries of earlier versions read them. Births are only compared for being equal, since the time of day may jump back. Workers that tell no birth are served as before.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -81,6 +81,8 @@
 	// order holds all workers, members those of each service, by id.
 	order   []*worker
 	members map[string][]*worker
+	// names holds the lives of each worker's id.
+	names map[string]*namesakes
 	// over holds lives that have ended and may still be listed.
 	over map[WorkerID]bool
 	// unresolved are workers of the previous owner that have not answered
@@ -151,8 +153,6 @@
 	Task   job.TaskID
 	Run    uint64
 	Worker WorkerID
-	// Born is that of the worker's life which the decision is about, if it tells.
-	Born   int64
 	Reason string
 	// Detail holds the figures that decided, where there are any.
 	Detail string
@@ -197,7 +197,7 @@
 		params: params, term: term,
 		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
-		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
+		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, names: map[string]*namesakes{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, kept: map[string]*keptRoom{}, perfByKey: map[perfKey]*runTimes{},
 	}
@@ -279,7 +279,7 @@
 func taskDecision(event string, t *task, w *worker, run uint64, reason string) Decision {
 	d := Decision{Event: event, Job: t.step.job.spec.ID, Task: t.id(), Run: run, Reason: reason}
 	if w != nil {
-		d.Worker, d.Born = w.info.ID, w.born
+		d.Worker = w.info.ID
 	}
 	return d
 }
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -31,10 +31,7 @@
 		c.ignoreEnd(w, e, "its run was never ordered")
 		return
 	}
-	a := t.attempt
-	if a != nil && (a.worker != w || a.run != e.Run) {
-		a = nil
-	}
+	a := t.attemptAt(w, e.Run)
 	c.noteEndCheckpoint(t, w, e)
 	c.tellTask("run_"+string(e.Kind), t, w, e.Run, "")
 	c.markBegun(t.step.job)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -134,6 +134,7 @@
 	placedAt time.Duration
 	started  time.Duration
 	stopping bool
+	listed   bool          // by the worker's life
 	atWork   bool          // past its start in the newest list
 	stopAt   time.Duration // when the last stop was sent
 	// percent is the pace wanted, paced the one the worker was told.
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -92,11 +92,8 @@
 	if t == nil {
 		return nil
 	}
-	if a := t.attempt; a != nil {
-		if a.worker == w && a.run == row.Run {
-			return a
-		}
-		return nil
+	if t.attempt != nil {
+		return t.attemptAt(w, row.Run)
 	}
 	// A gang's members share a run; a lone survivor of an older run is stopped.
 	adoptable := !w.synced && t.phase != phaseDone && !t.step.job.progress.State.Final() &&
@@ -123,7 +120,7 @@
 		t.step.gangRun = row.Run
 	}
 	w.add(a)
-	c.tellTask("run_adopted", t, w, row.Run, "listed at takeover")
+	c.tellTask("run_adopted", t, w, row.Run, "listed in the first answer")
 	return a
 }
 
@@ -141,7 +138,7 @@
 	if row.Checkpoint != "" {
 		c.noteCheckpoint(t, a.worker, checkpoint{text: row.Checkpoint, run: row.Run, worker: a.worker.info.ID, clock: clock})
 	}
-	a.missed = false
+	a.missed, a.listed = false, true
 	a.atWork = row.Percent == fullPace
 	c.noteOutlived(a, now)
 	c.noteProgress(a, row.Percent, now)
@@ -160,6 +157,9 @@
 	if a.ackClock > 0 && reply.ClockMS <= a.ackClock {
 		return // the list is older than the run
 	}
+	if a.worker.follows && !a.worker.synced {
+		return // an order to the life before may still arrive
+	}
 	if reply.full() {
 		return // its end may not have had room in the answer
 	}
--- /dev/null
+++ b/dispatch/lives.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// bornSeparator can't be part of a worker's id, which is sent as a header.
+const bornSeparator = " "
+
+// LifeID names the life of a worker that began at a Unix millisecond; 0 is not known.
+func LifeID(name string, born int64) WorkerID {
+	if born == 0 {
+		return WorkerID(name)
+	}
+	return WorkerID(name + bornSeparator + strconv.FormatInt(born, 10))
+}
+
+// split returns the worker's id and when its life was born.
+func (id WorkerID) split() (name string, born int64) {
+	name, text, ok := strings.Cut(string(id), bornSeparator)
+	if !ok {
+		return name, 0
+	}
+	born, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return string(id), 0
+	}
+	return name, born
+}
+
+// Name returns the worker's id, which its next life may have too.
+func (id WorkerID) Name() string {
+	name, _ := id.split()
+	return name
+}
+
+// Born returns when the life was born, in Unix milliseconds by the worker's own clock; 0 if
+// that is not known. Of two lives the later one may tell the earlier time.
+func (id WorkerID) Born() int64 {
+	_, born := id.split()
+	return born
+}
+
+// mayBe reports whether two names may be of one life: of one that is not known to be born,
+// any of its name.
+func (id WorkerID) mayBe(other WorkerID) bool {
+	if id == other {
+		return true
+	}
+	return id.Name() == other.Name() && (id.Born() == 0 || other.Born() == 0)
+}
+
+// namesakes are the lives of one worker's id that the owner knows.
+type namesakes struct{ lives []*worker }
+
+// joinName takes in a life among those of its name.
+func (c *Core) joinName(w *worker) {
+	name := w.info.ID.Name()
+	n := c.names[name]
+	if n == nil {
+		n = &namesakes{}
+		c.names[name] = n
+	}
+	w.follows = len(n.lives) > 0
+	n.lives = append(n.lives, w)
+}
+
+// leaveName is the opposite of joinName.
+func (c *Core) leaveName(w *worker) {
+	name := w.info.ID.Name()
+	n := c.names[name]
+	n.lives = slices.DeleteFunc(n.lives, func(o *worker) bool { return o == w })
+	if len(n.lives) == 0 {
+		delete(c.names, name)
+	}
+}
+
+// otherLives returns the other lives that are known of a worker's id and of its VM.
+func (c *Core) otherLives(w *worker) []*worker {
+	var list []*worker
+	for _, known := range [][]*worker{c.names[w.info.ID.Name()].lives, c.lives[w.info.VM]} {
+		for _, other := range known {
+			if other != w && !slices.Contains(list, other) {
+				list = append(list, other)
+			}
+		}
+	}
+	return list
+}
+
+// namesake returns the life that has followed one under its id, as far as is known.
+func (c *Core) namesake(w *worker) *worker {
+	lives := c.names[w.info.ID.Name()].lives
+	for i := len(lives) - 1; i >= 0; i-- {
+		if lives[i] != w {
+			return lives[i]
+		}
+	}
+	return nil
+}
+
+// restarted takes in that a poll was answered by another life than the one it was sent to,
+// under the same id.
+func (c *Core) restarted(w *worker, reply HoldReply, now Instant) {
+	id := LifeID(w.info.ID.Name(), reply.Born)
+	c.stats.Restarts++
+	c.trace(Decision{
+		Event: "worker_restarted", Worker: id, Reason: "before: " + string(w.info.ID),
+		Detail: fmt.Sprintf("clock %d after %d, %d ends listed, %d taken in before", reply.ClockMS, w.clock, len(reply.Ended), w.processed),
+	})
+	c.addNextLife(w, id, now)
+	c.lifeOver(w, "another life answers under its id", now)
+}
+
+// addNextLife takes in the life that has followed one under its id, unless it is known, or
+// known to be over too.
+func (c *Core) addNextLife(w *worker, id WorkerID, now Instant) {
+	if c.over[id] || c.workers[id] != nil {
+		return
+	}
+	info := w.info
+	info.ID, info.Draining, info.Leaving = id, false, 0
+	c.addWorker(info, now)
+	c.roster.want(info) // what the entry of the life before stands for may run here
+}
+
+// inherit hands on what may be carried out by the next life of a worker's id: calls name the
+// id only. Runs that the life before has listed ended with it, if that was another one.
+func (c *Core) inherit(w, next *worker) {
+	for _, a := range slices.Clone(w.attempts) {
+		if !a.listed || w.info.ID.Born() == 0 {
+			a.moveTo(next)
+		}
+	}
+	c.inheritUnresolved(w.info.ID, next)
+}
+
+// attemptAt returns a task's attempt if it is this run, at this worker. One that was ordered
+// of another life of the worker's id is this life's.
+func (t *task) attemptAt(w *worker, run uint64) *attempt {
+	a := t.attempt
+	switch {
+	case a == nil || a.run != run:
+		return nil
+	case a.worker == w:
+		return a
+	case a.worker.info.ID.Name() == w.info.ID.Name():
+		a.moveTo(w)
+		return a
+	default:
+		return nil
+	}
+}
+
+// moveTo makes an attempt one of the next life's. Whether it runs there is told by the
+// lists that are read under that life's own terms.
+func (a *attempt) moveTo(next *worker) {
+	w, s := a.worker, a.task.step
+	w.remove(a)
+	if s.perWork != nil {
+		s.perWork[w]--
+		s.perWork[next]++
+	}
+	a.worker, a.deadline, a.ackClock, a.missed, a.listed = next, 0, 0, false, false
+	if a.task.lastStart.run == a.run {
+		a.task.lastStart.worker = next.info.ID
+	}
+	next.add(a)
+}
+
+// inheritUnresolved hands on that the previous owner may have ordered tasks of a life, unless
+// the next one's lists were read already.
+func (c *Core) inheritUnresolved(from WorkerID, next *worker) {
+	u, ok := c.unresolved[from]
+	if !ok || next.synced {
+		return
+	}
+	known, ok := c.unresolved[next.info.ID]
+	if !ok {
+		known = unresolvedWorker{tasks: map[string]bool{}}
+	}
+	if u.open && known.open {
+		c.openUnresolved--
+	}
+	known.open = known.open || u.open
+	known.until = max(known.until, u.until)
+	for id := range u.tasks {
+		known.tasks[id] = true
+	}
+	delete(c.unresolved, from)
+	c.unresolved[next.info.ID] = known
+}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -1,11 +1,6 @@
 package dispatch
 
-import (
-	"cmp"
-	"fmt"
-	"slices"
-	"time"
-)
+import "time"
 
 // HoldPlan says what to do next for a worker: send Order if Send is set, and
 // come back after Pause otherwise.
@@ -104,10 +99,13 @@
 	default:
 		return c.holdFailed(w, outcome, now)
 	}
+	if reply.Born != 0 && reply.Born != w.info.ID.Born() {
+		c.restarted(w, reply, now)
+		return 0
+	}
 	if w.unreached() {
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
-	c.noteBorn(w, reply)
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
 	w.told = max(w.told, order.Seen)
 	w.noteAnswered(now)
@@ -128,29 +126,6 @@
 	return 0
 }
 
-// noteBorn logs which life of a worker answers.
-func (c *Core) noteBorn(w *worker, reply HoldReply) {
-	if reply.Born == 0 || reply.Born == w.born {
-		return
-	}
-	event := "worker_life"
-	if w.born != 0 {
-		event = "worker_restarted"
-		c.stats.Restarts++
-	}
-	detail := fmt.Sprintf("after %d, listed %d; clock %d after %d, ends from %d after %d", w.born, w.info.Born, reply.ClockMS, w.clock, firstEnd(reply), w.processed)
-	w.born = reply.Born
-	c.trace(Decision{Event: event, Worker: w.info.ID, Born: w.born, Detail: detail})
-}
-
-// firstEnd returns the least number of an end in an answer, 0 if there is none.
-func firstEnd(reply HoldReply) uint64 {
-	if len(reply.Ended) == 0 {
-		return 0
-	}
-	return slices.MinFunc(reply.Ended, func(a, b EndedTask) int { return cmp.Compare(a.Number, b.Number) }).Number
-}
-
 // sync takes in that the worker's lists were read under this term. While an answer
 // is full, the end of a task may not have had room in it: what it lacks is not known
 // until one is not, and what runs keeps its lease.
@@ -168,14 +143,14 @@
 	c.resolve(w.info.ID, "lists read", now)
 }
 
-// mayBeStarting reports whether a list of a worker of the previous owner may lack a run
-// of that owner: the worker may check the start's term before a poll tells it the new one,
+// mayBeStarting reports whether a list of a worker of the previous owner, or of one that has
+// restarted under its id, may lack a run that was ordered before: the worker may check the start's term before a poll tells it the new one,
 // and carry the start out after it has gathered its list. So its first list is asked for
 // with a wait of startGap. A list that is answered sooner, since there are ends, counts for
 // what it tells, and the next one decides.
 func (c *Core) mayBeStarting(w *worker) bool {
 	_, waits := c.unresolved[w.info.ID]
-	return waits && (w.fencedAt == 0 || w.holdSent < w.fencedAt+startGap)
+	return (waits || w.follows) && (w.fencedAt == 0 || w.holdSent < w.fencedAt+startGap)
 }
 
 // heldFor reports whether a worker gathered its lists so long after a poll had reached it:
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -10,15 +10,12 @@
 	"leverstile.dev/job"
 )
 
-// WorkerID names one life of a worker. A restarted worker has another id.
+// WorkerID names one life of a worker: its id, and when it was born if it tells; see LifeID.
 type WorkerID string
 
 // WorkerInfo is what the platform lists of a worker.
 type WorkerInfo struct {
 	ID WorkerID
-	// Born is when this life began, in Unix milliseconds by the worker's own clock; 0 if
-	// it does not tell.
-	Born int64
 	// VM is the machine that the worker is a life of.
 	VM         string
 	Address    string
@@ -69,7 +66,8 @@
 // HoldReply is a worker's answer to a HoldOrder.
 type HoldReply struct {
 	ClockMS int64
-	// Born is WorkerInfo.Born of the life that answered.
+	// Born is when the life that answers began, in Unix milliseconds by its own clock; 0
+	// if it does not tell.
 	Born    int64
 	Running []RunningTask
 	Ended   []EndedTask
--- /dev/null
+++ b/dispatch/restart_test.go
@@ -0,0 +1,304 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Lives of one worker: the second one's clock is behind and it was born earlier, as when the
+// time of day jumped back.
+const (
+	bornFirst  = 1_764_748_800_000
+	bornSecond = bornFirst - 3_600_000
+	clockFirst = 400_000
+)
+
+// restartCore is a core with a worker "w" that restarts under its id, and tells so.
+type restartCore struct {
+	t     *testing.T
+	core  *Core
+	now   Instant
+	life  WorkerID
+	clock int64
+}
+
+func newRestartCore(t *testing.T) *restartCore {
+	t.Helper()
+	x := &restartCore{t: t, now: Instant{Steady: time.Second}, life: LifeID("w", bornFirst), clock: clockFirst}
+	x.core = sureCore(Params{RecoveryWait: 10 * time.Second}, 1, x.now)
+	x.listWorkers()
+	x.pollAll(nil)
+	return x
+}
+
+// listWorkers has the platform list the life that is there, and the roster written.
+func (x *restartCore) listWorkers() {
+	x.t.Helper()
+	x.core.SetWorkers([]WorkerInfo{lifeInfo(string(x.life), "m")}, x.now)
+	x.core.Tick(x.now) // opens its entry in the roster
+	_, ids, err := x.core.Roster()
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.core.RosterStored(ids)
+}
+
+// restart lets the next life of the worker begin.
+func (x *restartCore) restart() { x.life, x.clock = LifeID("w", bornSecond), 3 }
+
+// pass lets time pass.
+func (x *restartCore) pass(d time.Duration) {
+	x.now.Steady += d
+	x.clock += d.Milliseconds()
+}
+
+// pollAll has each known life polled, and answered with these lists by the one that is there.
+func (x *restartCore) pollAll(running []RunningTask, ended ...EndedTask) (orders []HoldOrder) {
+	x.t.Helper()
+	for _, id := range x.core.Workers() {
+		x.pass(max(startGap, idlePause))
+		plan := x.core.PlanHold(id, x.now)
+		if !plan.Send {
+			continue
+		}
+		orders = append(orders, plan.Order)
+		x.pass(startGap)
+		x.core.HoldDone(plan.Order, HoldReply{ClockMS: x.clock, Born: x.life.Born(), Running: running, Ended: ended}, OutcomeOK, x.now)
+	}
+	return orders
+}
+
+// submit takes in a job of n tasks, and returns the starts that follow.
+func (x *restartCore) submit(id, n int, lasting bool) []Order {
+	spec := simpleJob(id, n)
+	spec.Steps[0].Lasting = lasting
+	x.core.AddJob(spec, nil, false, x.now)
+	return x.startsNow()
+}
+
+func (x *restartCore) startsNow() []Order {
+	x.core.Tick(x.now)
+	return slices.DeleteFunc(x.core.TakeOrders(), func(o Order) bool { return o.Kind != OrderStart })
+}
+
+func (x *restartCore) answer(orders []Order) {
+	for _, o := range orders {
+		x.core.OrderDone(o, Answer{Outcome: OutcomeOK, ClockMS: x.clock}, x.now)
+	}
+}
+
+// persist has the store take what waits.
+func (x *restartCore) persist() {
+	x.t.Helper()
+	records, err := x.core.Records(100)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.core.Persisted(records)
+}
+
+func rowsOf(orders []Order) (rows []RunningTask) {
+	for _, o := range orders {
+		rows = append(rows, RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
+	}
+	return rows
+}
+
+func endsOf(orders []Order) (ends []EndedTask) {
+	for i, o := range orders {
+		ends = append(ends, EndedTask{Number: uint64(i) + 1, Task: o.Task, Run: o.Run, Kind: EndDone})
+	}
+	return ends
+}
+
+// doneBefore has the first life end n tasks, and the owner acknowledge these ends.
+func (x *restartCore) doneBefore(n int) {
+	x.t.Helper()
+	starts := x.submit(1, n, false)
+	if len(starts) != n {
+		x.t.Fatalf("%d starts, want %d", len(starts), n)
+	}
+	x.answer(starts)
+	x.pollAll(rowsOf(starts))
+	x.pollAll(nil, endsOf(starts)...)
+	x.persist()
+	x.pollAll(nil)
+}
+
+// TestTasksOfTheLifeBeforeStartAgain: what ran at a worker that has restarted under its id
+// is started again, whatever the clocks of its lives show. Lists of the next life were taken
+// for overtaken answers of the one before as long as its clock was behind.
+func TestTasksOfTheLifeBeforeStartAgain(t *testing.T) {
+	x := newRestartCore(t)
+	starts := x.submit(1, 3, true)
+	x.answer(starts)
+	for x.now.Steady < 2*youngAtCrash { // none of them crashes its worker by its start
+		x.pollAll(rowsOf(starts))
+	}
+	x.restart()
+	x.pollAll(nil)
+	x.pollAll(nil)
+	x.listWorkers()
+	if again := x.startsNow(); len(again) != len(starts) {
+		t.Fatalf("%d of %d tasks start again", len(again), len(starts))
+	}
+}
+
+// TestEndsOfTheNextLifeCount: a life counts its ends from 1. They were taken for ends of the
+// life before that had been taken in, and the tasks started again.
+func TestEndsOfTheNextLifeCount(t *testing.T) {
+	x := newRestartCore(t)
+	x.doneBefore(6)
+	x.restart()
+	starts := x.submit(2, 3, false) // ordered of the life before
+	x.answer(starts)
+	x.pollAll(nil, endsOf(starts)...)
+	x.pollAll(nil, endsOf(starts)...)
+	x.listWorkers()
+	if again := x.startsNow(); len(again) > 0 {
+		t.Errorf("%d tasks that are done start again", len(again))
+	}
+	x.persist()
+	if state, _ := x.core.Status(starts[0].Task.Job); state != job.Succeeded {
+		t.Errorf("the job is %v", state)
+	}
+}
+
+// TestStartCarriedOutByTheNextLifeIsNotRepeated: a start that was ordered of the life before
+// and carried out by the next one runs there. It is neither stopped nor started elsewhere, and
+// a run that the next life does not list is started again.
+func TestStartCarriedOutByTheNextLifeIsNotRepeated(t *testing.T) {
+	for _, listedFirst := range []bool{false, true} { // the next life: by the platform, before it answers
+		x := newRestartCore(t)
+		x.doneBefore(2)
+		starts := x.submit(2, 2, false)
+		x.restart()
+		if listedFirst {
+			x.listWorkers()
+		}
+		x.answer(starts[:1])
+		running := starts[:1]
+		var orders []Order
+		for range 8 {
+			x.pollAll(rowsOf(running))
+			x.persist() // the next owner is to know of the crash
+			x.listWorkers()
+			more := x.core.TakeOrders()
+			orders = append(orders, more...)
+			running = append(running, more...)
+		}
+		if len(orders) != 1 || orders[0].Kind != OrderStart || orders[0].Task != starts[1].Task {
+			t.Errorf("listed first %v: orders %v, want one start of %v", listedFirst, orders, starts[1].Task)
+		}
+	}
+}
+
+// TestLateEntryOfTheLifeBefore: an entry that a life wrote before it ended may be carried out
+// after that of the next one. It ends nothing.
+func TestLateEntryOfTheLifeBefore(t *testing.T) {
+	x := newRestartCore(t)
+	x.restart()
+	x.listWorkers()
+	x.pollAll(nil)
+	x.pollAll(nil)
+	starts := x.submit(1, 2, true)
+	x.answer(starts)
+	x.pollAll(rowsOf(starts))
+	old := lifeInfo(string(LifeID("w", bornFirst)), "m")
+	for range 3 {
+		x.core.SetWorkers([]WorkerInfo{old}, x.now)
+		x.pollAll(rowsOf(starts))
+	}
+	x.listWorkers()
+	x.pollAll(rowsOf(starts))
+	x.core.Tick(x.now)
+	if orders := x.core.TakeOrders(); len(orders) > 0 {
+		t.Errorf("orders after it: %v", orders)
+	}
+}
+
+// TestNextOwnerMeetsTheNextLife: what the previous owner may have ordered of a life is read
+// from the next one, whether or not the roster or the list knows of that.
+func TestNextOwnerMeetsTheNextLife(t *testing.T) {
+	for _, inRoster := range []WorkerID{LifeID("w", bornFirst), LifeID("w", bornSecond), "w"} {
+		for _, inList := range []WorkerID{LifeID("w", bornFirst), LifeID("w", bornSecond), ""} {
+			x := &restartCore{t: t, now: Instant{Steady: time.Second}, life: LifeID("w", bornSecond), clock: 50}
+			x.core = sureCore(Params{RecoveryWait: 10 * time.Second}, 2, x.now)
+			x.core.Recover([]RosterEntry{{ID: inRoster, Address: "w", VM: "m"}}, x.now)
+			var list []WorkerInfo
+			if inList != "" {
+				list = []WorkerInfo{lifeInfo(string(inList), "m")}
+			}
+			x.core.SetWorkers(list, x.now)
+			spec := simpleJob(1, 2)
+			x.core.AddJob(spec, nil, true, x.now)
+			run := RunningTask{Task: job.TaskID{Job: spec.ID, Index: 0}, Run: 1<<runBits | 5, Percent: 10}
+			for range 4 {
+				if starts := x.startsNow(); slices.ContainsFunc(starts, func(o Order) bool { return o.Task == run.Task }) {
+					t.Fatalf("roster %q, list %q: a task that runs is started again", inRoster, inList)
+				}
+				x.pollAll([]RunningTask{run})
+			}
+			if n := x.core.Recovering(); n > 0 {
+				t.Errorf("roster %q, list %q: waits for %d workers", inRoster, inList, n)
+			}
+			x.listWorkers()
+			x.pollAll([]RunningTask{run})
+			if starts := x.startsNow(); len(starts) != 1 || starts[0].Task == run.Task {
+				t.Errorf("roster %q, list %q: starts %v, want that of the other task", inRoster, inList, starts)
+			}
+		}
+	}
+}
+
+// TestRosterTellsLives: the roster names a life by the worker's id, as one does that knows of
+// no others, and by when it was born.
+func TestRosterTellsLives(t *testing.T) {
+	x := newRestartCore(t)
+	value, _, err := x.core.Roster()
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := DecodeRoster(value)
+	if err != nil || len(list) != 1 || list[0].ID != x.life {
+		t.Errorf("%s: %+v, %v", value, list, err)
+	}
+}
+
+// TestCrashOfARestartedWorkerCounts: the next life under the same id proves a crash like one
+// with another id, and the same life none.
+func TestCrashOfARestartedWorkerCounts(t *testing.T) {
+	x := newRestartCore(t)
+	starts := x.submit(1, 1, false)
+	x.answer(starts)
+	x.restart()
+	x.pollAll(nil)
+	x.pollAll(nil)
+	if x.core.Stats().Crashes != 1 || x.core.Suspects() != 1 {
+		t.Errorf("%d crashes, %d suspects", x.core.Stats().Crashes, x.core.Suspects())
+	}
+}
+
+// TestWorkerThatFirstTellsWhenItWasBorn: a life that was known by its id alone, as by an entry
+// that does not tell, is the one that answers. Its runs go on and it has not crashed.
+func TestWorkerThatFirstTellsWhenItWasBorn(t *testing.T) {
+	x := newRestartCore(t)
+	x.life = "w"
+	x.core = sureCore(Params{RecoveryWait: 10 * time.Second}, 1, x.now)
+	x.listWorkers()
+	x.pollAll(nil)
+	starts := x.submit(1, 2, true)
+	x.answer(starts)
+	x.pollAll(rowsOf(starts))
+	x.life = LifeID("w", bornFirst)
+	for range 4 {
+		x.pollAll(rowsOf(starts))
+		x.listWorkers()
+	}
+	if orders := x.core.TakeOrders(); len(orders) > 0 || x.core.Stats().Crashes > 0 {
+		t.Errorf("orders %v, %d crashes", orders, x.core.Stats().Crashes)
+	}
+}
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -7,7 +7,9 @@
 
 // RosterEntry is a worker that the owner may have sent orders to.
 type RosterEntry struct {
+	// ID names the life. It is stored as the worker's id and Born, when the life was born.
 	ID      WorkerID `json:"id"`
+	Born    int64    `json:"born,omitempty"`
 	Address string   `json:"address"`
 	VM      string   `json:"vm,omitempty"`
 	// Closed is set while the owner sends the worker no starts: beside Tasks,
@@ -112,6 +114,8 @@
 		if !e.Closed {
 			open = append(open, id)
 		}
+		name, born := e.ID.split()
+		e.ID, e.Born = WorkerID(name), born
 		list = append(list, e)
 	}
 	c.roster.written = true
@@ -139,5 +143,8 @@
 		return nil, nil
 	}
 	err := json.Unmarshal(value, &list)
+	for i, e := range list {
+		list[i].ID = LifeID(string(e.ID), e.Born)
+	}
 	return list, err
 }
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -49,11 +49,19 @@
 		return
 	}
 	l := c.lifeOf(w, now)
+	next := c.namesake(w)
+	if next != nil && w.info.ID.Born() == 0 {
+		c.inherit(w, next) // it may be the same life, of which more is known
+		l = lostLife{}
+	}
 	if len(w.attempts) > 0 {
 		c.tellEnded(w, l.end, w.youngRuns(), now)
 	} else if lost, ok := c.lostLives[w.info.VM]; ok && lost.id == w.info.ID {
 		l, _ = c.dropUnsettled(w.info.VM)
 	}
+	if next != nil {
+		c.inherit(w, next)
+	}
 	c.lose(w, reason, now)
 	switch l.end {
 	case endCrashed:
@@ -66,23 +74,25 @@
 	c.over[w.info.ID] = true
 }
 
-// endOtherLives concludes that lives of a worker's VM that were known before its
+// endOtherLives concludes that lives of a worker's VM or id that were known before its
 // newest poll was sent, and did not answer since, are over: a VM runs one life
 // at a time, and lives do not come back. A life that was heard of later may have
 // followed this one while its answer was on the way.
 func (c *Core) endOtherLives(w *worker, now Instant) {
-	if len(c.lives[w.info.VM]) < 2 {
+	if len(c.lives[w.info.VM]) < 2 && len(c.names[w.info.ID.Name()].lives) < 2 {
 		return
 	}
-	for _, other := range slices.Clone(c.lives[w.info.VM]) {
-		if other != w && other.knownAt < w.holdSent && other.lastAnswer < w.holdSent {
-			c.lifeOver(other, "another life of its VM answers", now)
+	for _, other := range c.otherLives(w) {
+		if other.knownAt >= w.holdSent || other.lastAnswer >= w.holdSent {
+			continue
 		}
+		c.lifeOver(other, "another life of its VM answers", now)
 	}
 }
 
 func (c *Core) forget(w *worker, reason string) {
 	delete(c.workers, w.info.ID)
+	c.leaveName(w)
 	c.leave(w)
 	w.listed = false // for what still refers to it
 	c.lives[w.info.VM] = slices.DeleteFunc(c.lives[w.info.VM], func(o *worker) bool { return o == w })
--- a/dispatch/sim_faults_test.go
+++ b/dispatch/sim_faults_test.go
@@ -244,7 +244,7 @@
 	for _, e := range s.entries {
 		if s.now >= e.from && s.now < e.until {
 			if s.sameID { // there is one entry of an id
-				list = slices.DeleteFunc(list, func(info WorkerInfo) bool { return info.ID == e.info.ID })
+				list = slices.DeleteFunc(list, func(info WorkerInfo) bool { return info.ID.Name() == e.info.ID.Name() })
 			}
 			list = append(list, e.info)
 			s.listedLate++
--- a/dispatch/sim_restart_test.go
+++ b/dispatch/sim_restart_test.go
@@ -65,11 +65,11 @@
 // shareID gives a new life the id of its place. Its clock starts anew: near 0, or anywhere.
 func (w *simWorker) shareID() {
 	s := w.sim
-	w.info.ID = WorkerID(fmt.Sprintf("w-%s", w.info.VM))
-	w.info.Born = simEpoch + s.now.Milliseconds() + int64(s.lives)
+	born := simEpoch + s.now.Milliseconds() + int64(s.lives)
 	if s.rng.IntN(4) == 0 {
-		w.info.Born -= s.within(mostJumpBack).Milliseconds()
+		born -= s.within(mostJumpBack).Milliseconds()
 	}
+	w.info.ID = LifeID(fmt.Sprintf("w-%s", w.info.VM), born)
 	if s.now > 0 && s.rng.IntN(2) == 0 {
 		w.offset = 1
 	}
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -107,7 +107,7 @@
 // hold carries out a HoldOrder.
 func (w *simWorker) hold(h HoldOrder) (HoldReply, Outcome) {
 	w.advance()
-	if !w.alive || h.Worker != w.info.ID {
+	if !w.alive || h.Worker.Name() != w.info.ID.Name() {
 		return HoldReply{}, w.wrongLife()
 	}
 	if h.Term < w.term && !w.sim.noFence {
@@ -129,7 +129,7 @@
 
 // lists returns what the worker tells of itself.
 func (w *simWorker) lists() HoldReply {
-	reply := HoldReply{ClockMS: w.clock(), Born: w.info.Born, Ended: append([]EndedTask(nil), w.ended...)}
+	reply := HoldReply{ClockMS: w.clock(), Born: w.info.ID.Born(), Ended: append([]EndedTask(nil), w.ended...)}
 	for _, r := range w.sorted() {
 		row := RunningTask{Task: r.task, Run: r.run, Percent: r.percent(w.sim.now), Checkpoint: r.saved(w.sim, false)}
 		row.Reading, row.HasReading = w.reading(r)
@@ -145,7 +145,7 @@
 // order carries out an Order.
 func (w *simWorker) order(o Order) Answer {
 	w.advance()
-	if !w.alive || o.Worker != w.info.ID {
+	if !w.alive || o.Worker.Name() != w.info.ID.Name() {
 		return Answer{Outcome: w.wrongLife()}
 	}
 	if o.Kind == OrderStart && w.refuses() {
--- a/dispatch/upkeep_record.go
+++ b/dispatch/upkeep_record.go
@@ -14,9 +14,11 @@
 }
 
 type vmRecord struct {
-	Life  WorkerID `json:"life"`
-	Begun bool     `json:"begun,omitempty"`
-	Void  bool     `json:"void,omitempty"`
+	// Life and Born name the worker's life that is to end by it.
+	Life  string `json:"life"`
+	Born  int64  `json:"born,omitempty"`
+	Begun bool   `json:"begun,omitempty"`
+	Void  bool   `json:"void,omitempty"`
 }
 
 // WaveRecord is a wave's state to be written.
@@ -44,7 +46,8 @@
 	r := waveRecord{SeenMS: s.seenMS, VMs: map[string]vmRecord{}, Succeeded: s.succeeded}
 	for _, u := range s.vms {
 		if u.intended || u.void {
-			r.VMs[u.vm] = vmRecord{u.life, u.begun, u.void}
+			name, born := u.life.split()
+			r.VMs[u.vm] = vmRecord{name, born, u.begun, u.void}
 		}
 	}
 	return r
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,8 +37,6 @@
 // worker is what the owner knows of one life of a worker.
 type worker struct {
 	info WorkerInfo
-	// born is that of the life which answered the newest poll.
-	born int64
 	// listed is set while the platform lists the worker.
 	listed bool
 	// synced is set once the worker has accepted the owner's term and its
@@ -47,6 +45,8 @@
 	// partlyRead is set while its first answers under this term are full, or may lack a
 	// run; see mayBeStarting.
 	partlyRead bool
+	// follows is set if another life of its id was known before; see inherit.
+	follows bool
 	// fencedAt is when it first answered a poll under this term; starts of earlier ones
 	// that come later are refused.
 	fencedAt time.Duration
--- a/node/contact.go
+++ b/node/contact.go
@@ -50,6 +50,7 @@
 			}
 		})
 		if plan.Gone {
+			o.syncPollers() // its next life may be known
 			return
 		}
 		if !plan.Send {
--- a/node/node.go
+++ b/node/node.go
@@ -159,10 +159,10 @@
 		e = e.Uint64("run", d.Run)
 	}
 	if d.Worker != "" {
-		e = e.Str("worker", string(d.Worker))
+		e = e.Str("worker", d.Worker.Name())
 	}
-	if d.Born != 0 {
-		e = e.Int64("born", d.Born)
+	if born := d.Worker.Born(); born != 0 {
+		e = e.Int64("born", born)
 	}
 	if d.Reason != "" {
 		e = e.Str("reason", d.Reason)
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -46,8 +46,13 @@
 // What users saw: tasks that are to run until they are cancelled did not run any more, with
 // room for them.
 //
-// What happened: their worker crashed and started again under its id. Nobody starts them
-// again.
+// What happened: their worker crashed and started again under its id. An id named one life,
+// so the owner took the answers of the next life for those of the one before. Its clock was
+// behind, so its lists counted as overtaken by newer answers and were not read: the tasks
+// counted as running for good.
+//
+// The evidence: with a clock that starts ahead of the one before, the tasks start again at
+// once; with one that starts behind, never. No log line told that a life had ended.
 func TestLastingTaskAfterARestartUnderTheSameID(t *testing.T) {
 	clocks := []int64{400_000, 3}
 	c := newCell(t, 1, 0)
