Ends are acknowledged of the life that listed them

What callers saw: tasks that ran twice, one run after the other, after an end that had been acknowledged.

Cause: ends are acknowledged by number, in polls that name the worker's id only. A poll that was meant for one life let the next one forget its own ends, which nobody had read; their tasks were started again. It needs no late call: every poll repeated the newest acknowledgement.

A life that may have been sent one all the same (the poll was answered by it or by nobody) gets no tasks: leverstile_workers_barred{reason="ends_doubted"}, and a log line.

--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -26,6 +26,8 @@
 	barrierSilent
 	// barrierAvoided: its tasks fail one after the other, or it refuses work.
 	barrierAvoided
+	// barrierEndsDoubted: its ends may be forgotten before they are read; see doubtEnds.
+	barrierEndsDoubted
 	// barrierStale: its clock was read too long ago for a deadline; see leastAt.
 	barrierStale
 	// barrierOldRoom: it does not guard its room, which may have shrunk since the list
@@ -38,7 +40,7 @@
 
 // String returns the name, as logged and as told by Explain.
 func (b barrier) String() string {
-	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "stale", "old_room", "unrecorded"}[b]
+	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "ends_doubted", "stale", "old_room", "unrecorded"}[b]
 }
 
 // barrierOf returns the first reason why a worker gets no new tasks.
@@ -60,6 +62,8 @@
 		return barrierSilent
 	case now.Steady < w.avoidUntil:
 		return barrierAvoided
+	case w.endsDoubted:
+		return barrierEndsDoubted
 	case w.leastAt(c.validUntil) <= w.clockNow(now):
 		return barrierStale
 	case c.unguarded[w.info.Service] && c.params.RoomNotice > 0 && now.Steady-c.listedAt > c.params.RoomNotice:
--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -135,6 +135,9 @@
 			a.moveTo(next)
 		}
 	}
+	if w.info.ID.Born() != 0 {
+		c.doubtEnds(w, next)
+	}
 	c.inheritUnresolved(w.info.ID, next)
 }
 
@@ -155,6 +158,20 @@
 	}
 }
 
+// doubtEnds keeps new tasks off a life that may have been sent an acknowledgement meant for the
+// one before. It may forget as many of its own ends before they are read: of a run that it no
+// longer lists nobody could tell whether it is done.
+func (c *Core) doubtEnds(w, next *worker) {
+	if w.ackUnanswered == 0 || next.endsDoubted {
+		return
+	}
+	next.endsDoubted = true
+	c.trace(Decision{
+		Event: "ends_doubted", Worker: next.info.ID, Reason: "an acknowledgement meant for the life before was not answered by it",
+		Detail: fmt.Sprintf("of ends up to %d", w.ackUnanswered),
+	})
+}
+
 // moveTo makes an attempt one of the next life's. Whether it runs there is told by the
 // lists that are read under that life's own terms.
 func (a *attempt) moveTo(next *worker) {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // HoldPlan says what to do next for a worker: send Order if Send is set, and
 // come back after Pause otherwise.
@@ -38,12 +41,13 @@
 	if idle && now.Steady-w.clockAt < idleRead {
 		return HoldPlan{Pause: idlePause}
 	}
-	h := HoldOrder{Worker: id, Address: w.info.Address, Term: c.term, Seen: w.seen}
+	h := HoldOrder{Worker: id, Address: w.info.Address, Term: c.term, Seen: w.acknowledges(now)}
+	w.ackUnanswered = max(w.ackUnanswered, h.Seen)
 	// A poll without an answer may still extend the leases. While a worker is
 	// silent it is only asked, so that its leases come to an end.
 	if (w.synced || w.partlyRead) && w.holdFails == 0 {
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
-		if !idle {
+		if !idle && !w.mustAcknowledge() {
 			h.Wait = w.pollWait(c.overload.load)
 		}
 	}
@@ -107,7 +111,7 @@
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
-	w.told = max(w.told, order.Seen)
+	w.told, w.ackUnanswered = max(w.told, order.Seen), 0
 	w.noteAnswered(now)
 	c.endOtherLives(w, now)
 	c.settleLost(w, now)
@@ -120,12 +124,36 @@
 		c.sync(w, order, reply, now)
 	}
 	w.advanceSeen()
-	if len(w.ends) > 0 || !fresh {
+	if len(w.ends) > 0 || !fresh || w.mustAcknowledge() && w.acknowledges(now) == 0 {
 		return holdGapUnsaved
 	}
 	return 0
 }
 
+// acknowledges returns the number of the last end that the next poll lets the worker forget.
+//
+// The next life of a worker's id would take an acknowledgement for one of its own ends, and
+// nobody reads those again. So a worker that may restart under its id gets each only once, in a
+// poll that follows an answer too closely for a restart, and none while a start may have been
+// carried out by the next life. See Core.doubtEnds for what is left.
+func (w *worker) acknowledges(now Instant) uint64 {
+	switch {
+	case w.info.ID.Born() == 0:
+		return w.seen
+	case !w.mustAcknowledge() || w.holdFails > 0 || now.Steady-w.lastAnswer > ackFresh:
+		return 0
+	case slices.ContainsFunc(w.attempts, func(a *attempt) bool { return !a.listed }):
+		return 0
+	default:
+		return w.seen
+	}
+}
+
+// mustAcknowledge reports whether a worker that may restart under its id has ends to forget.
+// It is told so in a poll of its own, which is answered at once: one that waits is often under
+// way when the worker crashes.
+func (w *worker) mustAcknowledge() bool { return w.info.ID.Born() != 0 && w.told < w.seen }
+
 // sync takes in that the worker's lists were read under this term. While an answer
 // is full, the end of a task may not have had room in it: what it lacks is not known
 // until one is not, and what runs keeps its lease.
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -22,8 +22,14 @@
 // What users saw: tasks ran twice, one after the other. The first run had ended done, and
 // that end had been acknowledged.
 //
-// What happened: a worker crashed, started again under its id, and got tasks at once. Their
-// ends are not known to be taken in, and the tasks start again.
+// What happened: a worker crashed, started again under its id, and got tasks at once: to its
+// owner it was the life that had answered before. The next life counts its ends from 1, so the
+// owner took them for ends that it knew, and its next poll, which acknowledged the ends of the
+// life before, let the worker forget them. The runs were then no longer listed, nor their ends,
+// and the tasks were started again.
+//
+// The evidence: each task is started anew until the next life has told more ends than the one
+// before, here four times; every run has ended done and is noted as acknowledged.
 func TestEndsAfterARestartUnderTheSameID(t *testing.T) {
 	const before, after = 12, 4
 	c := newCell(t, 1, 0)
