Leases of a life that was not heard of are waited for

A task ran at two workers at once.

Cause: a silent worker's runs count as over once the leases given by its clock are. A start that was ordered of one life and carried out by the next has its deadline read on another clock: it is cut to the longest lease only, which ends later.

Change: runs that no list of the known life has shown wait until the longest lease after the last call with a deadline; others end with their life. A life that never answered has crashed under no task, and the life that answers last is the one that inherits.

--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -117,10 +117,13 @@
 
 // namesake returns the life that has followed one under its id, as far as is known.
 func (c *Core) namesake(w *worker) *worker {
-	lives := c.names[w.info.ID.Name()].lives
-	for i := len(lives) - 1; i >= 0; i-- {
-		if lives[i] != w {
-			return lives[i]
+	n := c.names[w.info.ID.Name()]
+	if next := c.workers[n.newest]; next != nil && next != w {
+		return next
+	}
+	for _, next := range slices.Backward(n.lives) {
+		if next != w {
+			return next
 		}
 	}
 	return nil
@@ -136,6 +139,7 @@
 		Detail: fmt.Sprintf("clock %d after %d, %d ends listed, %d taken in before", reply.ClockMS, w.clock, len(reply.Ended), w.processed),
 	})
 	c.addNextLife(w, id, now)
+	c.names[id.Name()].newest = id
 	c.lifeOver(w, "another life answers under its id", now)
 }
 
@@ -162,6 +166,7 @@
 	if w.info.ID.Born() != 0 {
 		c.doubtEnds(w, next)
 	}
+	next.leaseSent = max(next.leaseSent, w.leaseSent)
 	c.inheritUnresolved(w.info.ID, next)
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -147,6 +147,7 @@
 		return // the next list after the deadline tells
 	}
 	a.tries++
+	a.worker.leaseSent = now.Steady
 	c.out = append(c.out, o)
 }
 
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -143,7 +143,7 @@
 	switch {
 	case w.info.ID.Born() == 0:
 		return w.seen
-	case !w.mustAcknowledge() || w.holdFails > 0 || now.Steady-w.lastAnswer > ackFresh:
+	case !w.mustAcknowledge() || w.holdFails > 0 || now.Steady-w.lastAnswer > lifeFresh:
 		return 0
 	case slices.ContainsFunc(w.attempts, func(a *attempt) bool { return !a.listed }):
 		return 0
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -423,3 +423,40 @@
 		}
 	}
 }
+
+// TestLeasesOfALifeThatWasNotHeardOf: a start that was ordered of a life may be carried out by
+// the next one, where its deadline, read on another clock, is cut to the longest lease only. So
+// while the worker is silent, the task waits for longer than the leases of the life that was
+// known; what that life has listed has ended with these.
+func TestLeasesOfALifeThatWasNotHeardOf(t *testing.T) {
+	x := newRestartCore(t)
+	listed := x.submit(1, 1, false)
+	x.answer(listed)
+	x.pollAll(rowsOf(listed))
+	unlisted := x.submit(2, 1, false)
+	sent := x.now.Steady
+	x.answer(unlisted)
+	x.restart()
+	released := map[job.TaskID]time.Duration{}
+	for x.now.Steady < sent+20*time.Second {
+		x.pass(200 * time.Millisecond)
+		if plan := x.core.PlanHold(x.core.Workers()[0], x.now); plan.Send {
+			x.core.HoldDone(plan.Order, HoldReply{}, OutcomeUnknown, x.now)
+		}
+		x.core.Tick(x.now)
+		for _, o := range slices.Concat(listed, unlisted) {
+			if task := x.core.findTask(o.Task); task.attempt == nil && released[o.Task] == 0 {
+				released[o.Task] = x.now.Steady - sent
+			}
+		}
+	}
+	// The longest lease on a slow clock: of the first answer, and of the last call with a
+	// deadline, which may be carried out late.
+	longest := time.Duration(float64(x.core.params.MaxTaskLease) / clockRate)
+	if at := released[listed[0].Task]; at == 0 || at > longest+300*time.Millisecond {
+		t.Errorf("a run that had been listed is given up after %v, the longest lease is %v", at, longest)
+	}
+	if at := released[unlisted[0].Task]; at < longest+lateCall || at > longest+lateCall+time.Second {
+		t.Errorf("a run that had not been listed is given up after %v, the longest lease is %v", at, longest)
+	}
+}
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 )
 
 // tickWorker gives up on a worker that is silent for longer than its leases.
@@ -17,10 +18,8 @@
 	}
 	// An owner that may have been replaced must not conclude anything from
 	// time alone: the next one may know how these runs ended.
-	if len(w.attempts) > 0 && w.clock > 0 && c.certain(now) && w.surelyPast(w.lastDeadline, now) && c.silent(w, now) {
-		l := c.lifeOf(w, now)
-		c.lose(w, "its leases are over", now)
-		c.keepUnsettled(w.info.VM, l)
+	if len(w.attempts) > 0 && c.certain(now) && c.silent(w, now) {
+		c.concludeSilence(w, now)
 	}
 	if !w.listed && len(w.attempts) == 0 && len(w.ends) == 0 && w.unreached() {
 		if _, wait := c.unresolved[w.info.ID]; !wait {
@@ -29,9 +28,43 @@
 	}
 }
 
+// concludeSilence releases the attempts at a silent worker whose leases are over.
+func (c *Core) concludeSilence(w *worker, now Instant) {
+	known := w.clock > 0 && w.surelyPast(w.lastDeadline, now)
+	next := c.nextLifeLapsed(w, now)
+	over := slices.DeleteFunc(slices.Clone(w.attempts), func(a *attempt) bool {
+		if a.mayBeOfNextLife() {
+			return !next || !known && w.clock > 0
+		}
+		return !known
+	})
+	if len(over) == 0 {
+		return
+	}
+	l := c.lifeOf(w, now)
+	c.loseAll(w, over, "its leases are over", now)
+	c.keepUnsettled(w.info.VM, l)
+}
+
+// mayBeOfNextLife reports whether a run may have been begun by a life of its worker's id that
+// the owner has not heard of.
+func (a *attempt) mayBeOfNextLife() bool { return a.worker.info.ID.Born() != 0 && !a.listed }
+
+// nextLifeLapsed reports whether all leases are over that the next life of a worker's id can
+// have taken from calls meant for this one: their deadlines are far ahead on its clock, so that
+// they last for as long as a worker accepts.
+func (c *Core) nextLifeLapsed(w *worker, now Instant) bool {
+	longest := time.Duration(float64(c.params.MaxTaskLease)/clockRate) + clockMargin
+	return now.Steady > w.leaseSent+lateCall+longest
+}
+
 // lose releases all attempts at a worker: none of them can be running.
 func (c *Core) lose(w *worker, reason string, now Instant) {
-	for _, a := range slices.Clone(w.attempts) {
+	c.loseAll(w, slices.Clone(w.attempts), reason, now)
+}
+
+func (c *Core) loseAll(w *worker, over []*attempt, reason string, now Instant) {
+	for _, a := range over {
 		c.stats.Lost++
 		c.tellGivenUp("run_lost", a, reason, fmt.Sprintf("lease to %d of worker's clock %d", w.lastDeadline, w.clockNow(now)), now.Steady-w.lastAnswer)
 		a.task.concluded = true
@@ -48,25 +81,17 @@
 		w.overReason = reason
 		return
 	}
-	l := c.lifeOf(w, now)
 	next := c.namesake(w)
-	if next != nil && w.info.ID.Born() == 0 {
-		c.inherit(w, next) // it may be the same life, of which more is known
-		l = lostLife{}
-	}
-	if len(w.attempts) > 0 {
-		c.tellEnded(w, l.end, w.youngRuns(), now)
-	} else if lost, ok := c.lostLives[w.info.VM]; ok && lost.id == w.info.ID {
-		l, _ = c.dropUnsettled(w.info.VM)
-	}
+	l, hadRuns := c.lostWith(w, next, now)
 	if next != nil {
 		c.inherit(w, next)
 	}
 	c.lose(w, reason, now)
-	switch l.end {
-	case endCrashed:
+	switch {
+	case !hadRuns:
+	case l.end == endCrashed:
 		c.countCrashes(w.info.VM, l, now)
-	case endSilent:
+	case l.end == endSilent:
 		c.noteSilentEnd(l, now)
 	}
 	c.resolve(w.info.ID, reason, now)
@@ -74,6 +99,23 @@
 	c.over[w.info.ID] = true
 }
 
+// lostWith returns what is remembered of a life that is over, if it had runs.
+func (c *Core) lostWith(w, next *worker, now Instant) (l lostLife, hadRuns bool) {
+	lost, unsettled := c.lostLives[w.info.VM]
+	switch {
+	case next != nil && w.info.ID.Born() == 0:
+		return lostLife{}, false // it may be the life that answers now, of which more is known
+	case len(w.attempts) > 0 && w.heardAt > 0:
+		l = c.lifeOf(w, now)
+		c.tellEnded(w, l.end, w.youngRuns(), now)
+		return l, true
+	case len(w.attempts) == 0 && unsettled && lost.id == w.info.ID:
+		return c.dropUnsettled(w.info.VM)
+	default:
+		return lostLife{}, false
+	}
+}
+
 // endOtherLives concludes that lives of a worker's VM or id that were known before its
 // newest poll was sent, and did not answer since, are over: a VM runs one life
 // at a time, and lives do not come back. A life that was heard of later may have
--- a/dispatch/sim_crash_test.go
+++ b/dispatch/sim_crash_test.go
@@ -111,6 +111,7 @@
 			s.onCrashed[id]++
 		}
 	}
+	s.noteEndedUnread(w)
 }
 
 // mostCrashed returns how many workers have crashed with one task of a job, at the most.
--- a/dispatch/sim_restart_test.go
+++ b/dispatch/sim_restart_test.go
@@ -14,6 +14,10 @@
 	sameID bool
 	// restartsPlayed counts the lives that followed another one under its id.
 	restartsPlayed int
+	// unguardLives takes a safeguard away before an owner acts, and unguardPoll changes
+	// what is polled; nil changes nothing.
+	unguardLives func(o *Core)
+	unguardPoll  func(o *Core, h *HoldOrder)
 }
 
 // Figures of restarts under the same id.
@@ -26,14 +30,30 @@
 	simEpoch = 1_700_000_000_000
 )
 
+// noteEndedUnread counts a crash also for tasks that had ended at the worker while nobody had
+// read that: to their owner they were still there.
+func (s *sim) noteEndedUnread(w *simWorker) {
+	if !s.sameID {
+		return
+	}
+	for _, e := range w.ended {
+		if w.running[e.Task] == nil {
+			s.onCrashed[e.Task]++
+		}
+	}
+}
+
 // restartsUnderOneID plays workers that crash and come back under their ids, many at a
 // time and some at once.
 func restartsUnderOneID(s *sim) {
 	s.useSameIDs()
 	s.delayShare = 0.02
 	s.extra = func(s *sim) {
+		if s.rng.IntN(3) > 0 {
+			return
+		}
 		for i := range s.workers {
-			if s.rng.IntN(5) == 0 {
+			if s.rng.IntN(3) == 0 {
 				s.crash(i)
 			}
 		}
@@ -57,8 +77,46 @@
 	}
 }
 
+// restartsAmidLateCalls plays them while many calls are carried out seconds later.
+func restartsAmidLateCalls(s *sim) {
+	s.useSameIDs()
+	s.lasting = true
+	s.extra = func(s *sim) {
+		s.lossShare = 0.12
+		s.crash(s.rng.IntN(len(s.workers)))
+	}
+}
+
+// restartsUnderOldOwners plays them while owners are replaced that still give orders.
+func restartsUnderOldOwners(s *sim) {
+	s.useSameIDs()
+	s.extra = func(s *sim) {
+		if o := s.owner; s.rng.IntN(3) == 0 {
+			o.cutStore = true
+			s.later(6*time.Second, func() { o.cutStore = false })
+			s.later(simTTL, func() { s.crash(s.rng.IntN(len(s.workers))) })
+		}
+		s.crash(s.rng.IntN(len(s.workers)))
+	}
+}
+
+// restartsBehindCuts plays workers that restart and are cut off soon.
+func restartsBehindCuts(s *sim) {
+	s.useSameIDs()
+	s.extra = func(s *sim) {
+		i := s.rng.IntN(len(s.workers))
+		s.crash(i)
+		s.later(s.within(quickRestart), func() {
+			w := s.workers[i]
+			w.cut = true
+			s.later(9*time.Second, func() { w.cut = false })
+		})
+	}
+}
+
 func (s *sim) useSameIDs() {
 	s.sameID = true
+	s.deadRefuse = true                // no life of another id answers between two of one
 	s.onCrashed = map[job.TaskID]int{} // a job may be given up whose tasks ran at many of them
 	s.settleMore = 30 * time.Second
 	for _, w := range s.workers {
@@ -102,7 +160,9 @@
 // TestRestartsUnderTheSameID: no task runs twice and none is lost, whenever workers restart
 // under the ids that they had.
 func TestRestartsUnderTheSameID(t *testing.T) {
-	for name, setup := range map[string]func(*sim){"crashes": restartsUnderOneID, "all": restartsOfAll} {
+	for name, setup := range map[string]func(*sim){
+		"crashes": restartsUnderOneID, "all": restartsOfAll, "late calls": restartsAmidLateCalls, "old owners": restartsUnderOldOwners, "cuts": restartsBehindCuts,
+	} {
 		t.Run(name, func(t *testing.T) {
 			played := 0
 			for n := range max(restartSeeds, *moreSeeds) {
@@ -121,3 +181,55 @@
 		})
 	}
 }
+
+// TestRestartMutations removes one safeguard of restarts under the same id at a time: the oracle
+// must find each.
+func TestRestartMutations(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it is played without -short")
+	}
+	for _, m := range []struct {
+		name   string
+		setup  func(s *sim)
+		mutate func(s *sim)
+	}{
+		{"the token does not rise with lives", restartsAmidLateCalls, func(s *sim) {
+			s.unguardLives = func(c *Core) {
+				for _, n := range c.names {
+					n.generation = 0
+				}
+			}
+		}},
+		{"every poll acknowledges", restartsUnderOneID, func(s *sim) {
+			s.unguardPoll = func(c *Core, h *HoldOrder) { h.Seen = c.workers[h.Worker].seen }
+		}},
+		{"what the life before was ordered is taken for lost with it", restartsOfAll, func(s *sim) {
+			s.unguardLives = func(c *Core) {
+				for _, w := range c.workers {
+					for _, a := range w.attempts {
+						a.listed = true
+					}
+				}
+			}
+		}},
+		{"what the previous owner left at a life is not handed on to the next", restartsOfAll, func(s *sim) {
+			s.unguardLives = func(c *Core) {
+				for id := range c.unresolved {
+					if len(c.names[id.Name()].lives) > 1 {
+						c.resolve(id, "another life answers", s.instant())
+					}
+				}
+			}
+		}},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			for seed := range uint64(mutationSeeds) {
+				if s := faultsRun(seed, func(s *sim) { m.setup(s); m.mutate(s) }); len(s.oracle.broken) > 0 {
+					t.Logf("seed %d: %s", seed, s.oracle.broken[0])
+					return
+				}
+			}
+			t.Errorf("not found in %d seeds", mutationSeeds)
+		})
+	}
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -370,6 +370,9 @@
 	if o.dead || o.paused || o.core.Deposed() {
 		return
 	}
+	if s.unguardLives != nil {
+		s.unguardLives(o.core)
+	}
 	for _, id := range o.core.Workers() {
 		if !o.polling[id] {
 			s.poll(o, id)
@@ -438,6 +441,9 @@
 		pause := s.holdDone(o.core, plan.Order, reply, outcome)
 		s.later(pause+time.Duration(s.rng.IntN(300))*time.Millisecond, func() { o.polling[id] = false })
 	}
+	if s.unguardPoll != nil {
+		s.unguardPoll(o.core, &plan.Order)
+	}
 	asked := plan.Order
 	if s.hastyLists {
 		asked.Wait = 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -27,12 +27,14 @@
 	// holdRetryMin and holdRetryMax bound the back-off of failed polls.
 	holdRetryMin = 100 * time.Millisecond
 	holdRetryMax = 800 * time.Millisecond
-	// ackFresh is the age of a worker's newest answer up to which ends are acknowledged
-	// to one that may restart under its id; a restart takes longer.
-	ackFresh = 200 * time.Millisecond
+	// lifeFresh is the age of a worker's newest answer up to which the life that gave it is
+	// there: a restart takes longer.
+	lifeFresh = 200 * time.Millisecond
 	// startGap is the longest that a worker takes from the check of a start's term to the
 	// start itself, with a margin for one that lacks processor time.
 	startGap = 50 * time.Millisecond
+	// lateCall is how long after it was sent a call may still be carried out.
+	lateCall = time.Second
 	// suspectAfter unanswered calls in a row, no new task goes to a worker.
 	suspectAfter = 2
 )
@@ -58,51 +60,54 @@
 	clockAt time.Duration
 	// lastDeadline is the latest deadline that any order may have given.
 	lastDeadline int64
+	// leaseSent is when the newest call with a deadline was sent.
+	leaseSent time.Duration
+	// ackUnanswered is the highest acknowledgement that was sent since the newest answer;
+	// endsDoubted is set if the life before had one, see doubtEnds.
+	ackUnanswered uint64
+	endsDoubted   bool
 	// processed is the last end taken into account, seen the last that the
 	// worker may forget; ends lists those between.
 	processed, seen uint64
 	told            uint64 // the mark that the worker has answered to
-	// ackUnanswered is the highest acknowledgement that was sent since the newest answer.
-	ackUnanswered uint64
-	endsDoubted   bool // see Core.doubtEnds
-	ends          []pendingEnd
-	attempts      []*attempt // in the order of their orders
-	foreign       map[job.TaskID]foreignRun
-	used          resources
-	lasting       resources // declared, of lasting tasks
-	shortTasks    int
-	kept          bool // left to short tasks; see keptRoom
-	unanswered    int
-	holdFails     int
-	knownAt       time.Duration // when it was first heard of
-	lastAnswer    time.Duration // to a poll
-	heardAt       time.Duration // when it last answered any call
-	loss          contactLoss
-	placedAt      time.Duration // when a run was last ordered there
-	suspectUntil  time.Duration // until then a suspect counts as just started there
-	holdSent      time.Duration // when the newest poll was sent
-	failedSent    time.Duration // when the newest poll without an answer was sent
-	strikes       int
-	failStreak    int
-	avoidUntil    time.Duration
-	fullUntil     time.Duration // until then it gets no tasks: it had no room, or a suspect is on trial
-	overReason    string        // why its life is over, while that is put off
-	leavesAt      time.Duration // a draining worker's last moment, at the latest
-	load          workerLoad
-	sample        sample
-	reserved      time.Duration // until then room that was made is not made again
-	openness      float64       // see rateOpenness
-	cordoned      bool          // its VM waits for upkeep: no new tasks
-	takenDown     bool          // its VM's upkeep has ended this life
-	slowUntil     time.Duration // until then short tasks go elsewhere if they can
-	coldUntil     time.Duration // see WorkerInfo.Cold
-	slowStrikes   int
-	slowness      float64 // logarithm of run times over the usual ones, smoothed
-	speedMeasures int
-	over          time.Duration // for how long a task was over its target, by the newest list
-	squeeze       float64       // further scale of paces, from 0 to 1
-	recorded      bool          // the stored roster names it
-	gates         gates
+	ends            []pendingEnd
+	attempts        []*attempt // in the order of their orders
+	foreign         map[job.TaskID]foreignRun
+	used            resources
+	lasting         resources // declared, of lasting tasks
+	shortTasks      int
+	kept            bool // left to short tasks; see keptRoom
+	unanswered      int
+	holdFails       int
+	knownAt         time.Duration // when it was first heard of
+	lastAnswer      time.Duration // to a poll
+	heardAt         time.Duration // when it last answered any call
+	loss            contactLoss
+	placedAt        time.Duration // when a run was last ordered there
+	suspectUntil    time.Duration // until then a suspect counts as just started there
+	holdSent        time.Duration // when the newest poll was sent
+	failedSent      time.Duration // when the newest poll without an answer was sent
+	strikes         int
+	failStreak      int
+	avoidUntil      time.Duration
+	fullUntil       time.Duration // until then it gets no tasks: it had no room, or a suspect is on trial
+	overReason      string        // why its life is over, while that is put off
+	leavesAt        time.Duration // a draining worker's last moment, at the latest
+	load            workerLoad
+	sample          sample
+	reserved        time.Duration // until then room that was made is not made again
+	openness        float64       // see rateOpenness
+	cordoned        bool          // its VM waits for upkeep: no new tasks
+	takenDown       bool          // its VM's upkeep has ended this life
+	slowUntil       time.Duration // until then short tasks go elsewhere if they can
+	coldUntil       time.Duration // see WorkerInfo.Cold
+	slowStrikes     int
+	slowness        float64 // logarithm of run times over the usual ones, smoothed
+	speedMeasures   int
+	over            time.Duration // for how long a task was over its target, by the newest list
+	squeeze         float64       // further scale of paces, from 0 to 1
+	recorded        bool          // the stored roster names it
+	gates           gates
 }
 
 // resources is an amount that tasks take of a worker.
@@ -213,7 +218,7 @@
 	if deadline <= clock {
 		return 0
 	}
-	w.lastDeadline = max(w.lastDeadline, deadline)
+	w.lastDeadline, w.leaseSent = max(w.lastDeadline, deadline), now.Steady
 	return deadline
 }
 
