An owner that may be replaced trusts in fresh answers of a life only

What callers saw: nothing yet; found by the simulation. A task ran at two workers at once.

Cause: a new owner fences each worker by its term before it relies on what the worker lists. A worker that restarts under its id has forgotten the term: an owner that was cut off the store went on to start tasks there for up to 12 s, which the new one had started elsewhere.

Change: once its lease is no longer sure, an owner starts nothing at a worker that tells its birth, unless the answer to a poll that was sent within 200 ms was read: a restart takes longer. While the store takes no writes, workers whose ends wait for it are polled every 60 ms, so they stay in use. leverstile_workers_barred{reason="life_doubted"} counts the others.

Test: TestOwnerThatMayBeReplacedTrustsInFreshAnswersOnly (failed before).

--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -28,6 +28,8 @@
 	barrierAvoided
 	// barrierEndsDoubted: its ends may be forgotten before they are read; see doubtEnds.
 	barrierEndsDoubted
+	// barrierLifeDoubted: another owner may be there; see lifeDoubted.
+	barrierLifeDoubted
 	// barrierStale: its clock was read too long ago for a deadline; see leastAt.
 	barrierStale
 	// barrierOldRoom: it does not guard its room, which may have shrunk since the list
@@ -40,7 +42,7 @@
 
 // String returns the name, as logged and as told by Explain.
 func (b barrier) String() string {
-	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "ends_doubted", "stale", "old_room", "unrecorded"}[b]
+	return [...]string{"none", "unlisted", "over", "draining", "evacuated", "upkeep", "unread", "silent", "avoided", "ends_doubted", "life_doubted", "stale", "old_room", "unrecorded"}[b]
 }
 
 // barrierOf returns the first reason why a worker gets no new tasks.
@@ -64,6 +66,8 @@
 		return barrierAvoided
 	case w.endsDoubted:
 		return barrierEndsDoubted
+	case c.lifeDoubted(w, now):
+		return barrierLifeDoubted
 	case w.leastAt(c.validUntil) <= w.clockNow(now):
 		return barrierStale
 	case c.unguarded[w.info.Service] && c.params.RoomNotice > 0 && now.Steady-c.listedAt > c.params.RoomNotice:
--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -201,6 +201,14 @@
 	})
 }
 
+// lifeDoubted reports whether a worker may have restarted under its id since it answered, and
+// another owner may be there. The next life knows of no terms: it would carry out a start of
+// this owner though the other one has read the life before. An answer may be read long after it
+// was given, so what counts is when its poll was sent.
+func (c *Core) lifeDoubted(w *worker, now Instant) bool {
+	return !c.certain(now) && w.info.ID.Born() != 0 && now.Steady-w.answeredSent > lifeFresh
+}
+
 // moveTo makes an attempt one of the next life's. Whether it runs there is told by the
 // lists that are read under that life's own terms.
 func (a *attempt) moveTo(next *worker) {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -114,6 +114,7 @@
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
+	w.answeredSent = w.holdSent
 	w.told, w.ackUnanswered = max(w.told, order.Seen), 0
 	w.noteAnswered(now)
 	c.endOtherLives(w, now)
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -460,3 +460,31 @@
 		t.Errorf("a run that had not been listed is given up after %v, the longest lease is %v", at, longest)
 	}
 }
+
+// TestOwnerThatMayBeReplacedTrustsInFreshAnswersOnly: once another owner may be there, a life
+// that has restarted since its newest answer would carry out a start of this one, of which the
+// other one knows nothing.
+func TestOwnerThatMayBeReplacedTrustsInFreshAnswersOnly(t *testing.T) {
+	for _, id := range []WorkerID{LifeID("w", bornFirst), "w"} {
+		x := newRestartCore(t)
+		x.life = id
+		x.core = sureCore(Params{}, 1, x.now)
+		x.listWorkers()
+		x.pollAll(nil)
+		x.core.AddJob(simpleJob(1, 1), nil, false, x.now)
+		x.core.certainUntil = x.now.Steady
+		x.pass(time.Second)
+		starts := x.startsNow()
+		if restarts := id.Born() != 0; restarts != (len(starts) == 0) {
+			t.Errorf("worker %q: %d starts a second after its answer", id, len(starts))
+		}
+		if id.Born() == 0 {
+			continue
+		}
+		x.core.workers[id].foreign[job.TaskID{Job: "x"}] = foreignRun{} // so that it is polled
+		x.pollAll(nil)
+		if starts := x.startsNow(); len(starts) != 1 {
+			t.Errorf("worker %q: %d starts after a fresh answer, want 1", id, len(starts))
+		}
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -86,6 +86,7 @@
 	placedAt        time.Duration // when a run was last ordered there
 	suspectUntil    time.Duration // until then a suspect counts as just started there
 	holdSent        time.Duration // when the newest poll was sent
+	answeredSent    time.Duration // when the newest poll with an answer was sent
 	failedSent      time.Duration // when the newest poll without an answer was sent
 	strikes         int
 	failStreak      int
