--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -69,7 +69,11 @@
 // heard of under the worker's id, since calls name the id only: once a life has answered a
 // call, it refuses those that were sent before that life was known.
 func (c *Core) tokenOf(w *worker) uint64 {
-	return c.term + min(c.names[w.info.ID.Name()].generation, TokensPerTerm-1)
+	n := c.names[w.info.ID.Name()]
+	if n == nil {
+		return c.term // it was forgotten meanwhile
+	}
+	return c.term + min(n.generation, TokensPerTerm-1)
 }
 
 // joinName takes in a life among those of its name.
