--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -176,10 +176,10 @@
 }
 
 // mayBeStarting reports whether a list of a worker of the previous owner, or of one that has
-// restarted under its id, may lack a run that was ordered before: the worker may check the start's term before a poll tells it the new one,
-// and carry the start out after it has gathered its list. So its first list is asked for
-// with a wait of startGap. A list that is answered sooner, since there are ends, counts for
-// what it tells, and the next one decides.
+// restarted under its id, may lack a run that was ordered before: the worker may check the
+// start's token before a poll tells it the new one, and carry the start out after it has
+// gathered its list. So its first list is asked for with a wait of startGap. A list that is
+// answered sooner, since there are ends, counts for what it tells, and the next one decides.
 func (c *Core) mayBeStarting(w *worker) bool {
 	_, waits := c.unresolved[w.info.ID]
 	return (waits || w.follows) && (w.fencedAt == 0 || w.holdSent < w.fencedAt+startGap)
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -43,7 +43,9 @@
 	}
 	l := c.lifeOf(w, now)
 	c.loseAll(w, over, "its leases are over", now)
-	c.keepUnsettled(w.info.VM, l)
+	if c.lostLives[w.info.VM].id != w.info.ID { // else it holds these runs already
+		c.keepUnsettled(w.info.VM, l)
+	}
 }
 
 // mayBeOfNextLife reports whether a run may have been begun by a life of its worker's id that
@@ -63,6 +65,7 @@
 	c.loseAll(w, slices.Clone(w.attempts), reason, now)
 }
 
+// loseAll is lose for some of a worker's attempts.
 func (c *Core) loseAll(w *worker, over []*attempt, reason string, now Instant) {
 	for _, a := range over {
 		c.stats.Lost++
