Owners lost in a row cost a start too many: a small test (fails)

Each owner knew that a worker was lost unheard, and none handed it on. The test plays this without processes: six starts, five allowed.

--- a/dispatch/lostowner_test.go
+++ b/dispatch/lostowner_test.go
@@ -63,3 +63,46 @@
 		}
 	}
 }
+
+// TestOwnersLostInARowCostNoStartTooMany: as with one owner that is lost, however many are lost
+// one after the other.
+//
+// What callers saw: a task that crashes its workers was started three times after the third
+// crash, two are allowed. Its first crash came 0.1 s before its owner was killed. The next owner
+// saw that the worker's life was over, while it still waited for another worker with all tasks;
+// it was killed then, and the one after it counted from nothing: what an owner knows of workers
+// that were lost unheard is not handed on.
+func TestOwnersLostInARowCostNoStartTooMany(t *testing.T) {
+	for _, between := range []time.Duration{1700 * time.Millisecond, 3 * time.Second} {
+		f := newCrashFleet(t, 24)
+		f.crashDown = 500 * time.Millisecond
+		bad, good := simpleJob(1, 1), simpleJob(2, 24)
+		f.crasher = crashesOf(bad)
+		f.core.AddJob(good, nil, false, f.now)
+		f.pass(8 * time.Second)
+		f.core.AddJob(bad, nil, false, f.now)
+		for f.crashed() == 0 {
+			f.pass(20 * time.Millisecond)
+		}
+		f.storeDown = true
+		f.pass(100 * time.Millisecond)
+		f.takeOver(bad, good)
+		f.storeDown = false
+		silent := f.vms[len(f.vms)-1]
+		f.cut[silent] = true
+		f.pass(between)
+		f.cut[silent] = false
+		f.takeOver(bad, good)
+		f.crashDown = crashDown
+		other := len(f.vms) // in racks where the task does not start
+		for seen := f.crashed(); f.now.Steady < 120*time.Second && f.state(bad) != job.Failed; {
+			f.pass(20 * time.Millisecond)
+			if n := f.crashed(); n != seen {
+				seen = n
+				other -= crashRack
+				f.end(f.vms[other], crashDown) // so that no crash is a proof
+			}
+		}
+		f.checkGivenUp(bad, good)
+	}
+}
