--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -39,6 +39,8 @@
 	ended     map[WorkerID][]EndedTask
 	// crashDown is how long a VM has no worker after a crash.
 	crashDown time.Duration
+	// sameID: all lives of a VM have one id, and tell when they were born.
+	sameID bool
 }
 
 const (
@@ -49,9 +51,14 @@
 )
 
 func newCrashFleet(t *testing.T, vms int) *crashFleet {
+	t.Helper()
+	return newCrashFleetOf(t, vms, false)
+}
+
+func newCrashFleetOf(t *testing.T, vms int, sameID bool) *crashFleet {
 	t.Helper()
 	f := &crashFleet{
-		t: t, now: Instant{Steady: time.Second}, life: map[string]WorkerID{}, down: map[string]time.Duration{},
+		sameID: sameID, t: t, now: Instant{Steady: time.Second}, life: map[string]WorkerID{}, down: map[string]time.Duration{},
 		cut: map[string]bool{}, draining: map[string]bool{}, starts: map[job.TaskID][]uint64{}, running: map[WorkerID]map[job.TaskID]uint64{},
 		crashes: map[job.TaskID]int{}, crasher: func(job.TaskID) bool { return false }, stored: map[string][]byte{},
 		ended: map[WorkerID][]EndedTask{}, crashDown: crashDown,
@@ -103,6 +110,9 @@
 func (f *crashFleet) born(vm string) {
 	f.lives++
 	id := WorkerID(fmt.Sprintf("%s-%d", vm, f.lives))
+	if f.sameID {
+		id = LifeID(vm, int64(f.lives))
+	}
 	f.life[vm] = id
 	f.running[id] = map[job.TaskID]uint64{}
 }
@@ -139,7 +149,7 @@
 		return OutcomeUnknown
 	case f.down[vm] > f.now.Steady:
 		return OutcomeBroken
-	case f.life[vm] != id:
+	case f.life[vm] != id && !f.sameID:
 		return OutcomeOtherLife
 	default:
 		return OutcomeOK
@@ -178,7 +188,8 @@
 		outcome := f.reach(plan.Order.Address, id)
 		reply := HoldReply{}
 		if outcome == OutcomeOK {
-			reply.ClockMS = f.now.Steady.Milliseconds()
+			id = f.life[plan.Order.Address]
+			reply.ClockMS, reply.Born = f.now.Steady.Milliseconds(), id.Born()
 			for task, run := range f.running[id] {
 				reply.Running = append(reply.Running, RunningTask{Task: task, Run: run, Percent: fullPace})
 			}
@@ -214,7 +225,7 @@
 }
 
 func (f *crashFleet) carryOut(o Order) {
-	runs := f.running[o.Worker]
+	runs := f.running[f.life[o.Address]]
 	switch o.Kind {
 	case OrderStart:
 		runs[o.Task] = o.Run
--- a/dispatch/lostowner_test.go
+++ b/dispatch/lostowner_test.go
@@ -20,7 +20,23 @@
 			for _, down := range []bool{false, true} {
 				after := after * time.Millisecond
 				t.Run(fmt.Sprintf("crash %d, %v later, store down %v", crash, after, down), func(t *testing.T) {
-					lostOwnerRun(t, crash, after, down)
+					lostOwnerRun(t, newCrashFleet(t, 24), crash, after, down)
+				})
+			}
+		}
+	}
+}
+
+// TestLostOwnerAndWorkersUnderTheSameID: the same, where workers restart under their ids. What
+// the previous owner may have ordered of a life is waited for at the next one; that the life
+// before was lost unheard was forgotten with it, and a task was started six times.
+func TestLostOwnerAndWorkersUnderTheSameID(t *testing.T) {
+	for crash := 1; crash < mostStartsOfACrasher; crash++ {
+		for _, after := range []time.Duration{0, 100, 1000, 3100} {
+			for _, down := range []bool{false, true} {
+				after := after * time.Millisecond
+				t.Run(fmt.Sprintf("crash %d, %v later, store down %v", crash, after, down), func(t *testing.T) {
+					lostOwnerRun(t, newCrashFleetOf(t, 24, true), crash, after, down)
 				})
 			}
 		}
@@ -28,9 +44,8 @@
 }
 
 // lostOwnerRun plays an owner that is lost some time after one of a task's crashes.
-func lostOwnerRun(t *testing.T, crash int, after time.Duration, storeDown bool) {
+func lostOwnerRun(t *testing.T, f *crashFleet, crash int, after time.Duration, storeDown bool) {
 	t.Helper()
-	f := newCrashFleet(t, 24)
 	bad, good := simpleJob(1, 1), simpleJob(2, 24)
 	f.crasher = crashesOf(bad)
 	f.core.AddJob(good, nil, false, f.now)
