Tasks of a life that was lost unheard may have crashed it, also if the next life has its id

What callers saw: tasks that crash their workers were started once more than allowed.

Cause: what the previous owner may have ordered of a life goes over to the next life under its id, so that the wait ends with that life's answer; a worker that ends a wait by an answer counts as heard. That the life before was lost unheard, which marks tasks that nobody tells of, went with it.

Change: it is noted where the wait goes over.

--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -171,7 +171,7 @@
 		c.doubtEnds(w, next)
 	}
 	next.leaseSent = max(next.leaseSent, w.leaseSent)
-	c.inheritUnresolved(w.info.ID, next)
+	c.inheritUnresolved(w, next)
 }
 
 // attemptAt returns a task's attempt if it is this run, at this worker. One that was ordered
@@ -230,12 +230,17 @@
 }
 
 // inheritUnresolved hands on that the previous owner may have ordered tasks of a life, unless
-// the next one's lists were read already.
-func (c *Core) inheritUnresolved(from WorkerID, next *worker) {
+// the next one's lists were read already. If the life was lost unheard, these tasks may have
+// crashed it.
+func (c *Core) inheritUnresolved(w, next *worker) {
+	from := w.info.ID
 	u, ok := c.unresolved[from]
 	if !ok || next.synced {
 		return
 	}
+	if w.heardAt == 0 && from.Born() != 0 {
+		c.lostUnheard.add(u)
+	}
 	known, ok := c.unresolved[next.info.ID]
 	if !ok {
 		known = unresolvedWorker{tasks: map[string]bool{}}
