Election: an entry reads the owner's key alone, and few stand at once

Cause: each change of the owner had every entry read all of the owner's records, the list of workers among them (0.6 MB at 6,002 workers), and every strong entry stand for election at the same moment. Change: an entry reads the owner's key when it starts and takes changes from its watch; only one that stands reads the term. Entries wait for a delay of their own before they stand, drawn so that twice as many stand with each 10 ms, and give up once they hear of an owner. First records: lead and term by their revisions, so two reads need not be one. Test: TestAChangeOfTheOwnerCostsTheStoreTheSame. TestElectedAgainInOneProcess ended leases before there was an owner, now that the first one stands some 0.1 s after the start: it waits for one; what it checks is the same.

--- a/node/again_test.go
+++ b/node/again_test.go
@@ -20,6 +20,7 @@
 			c.submit(0, id(next), twoSteps)
 			next++
 		}
+		c.owner() // jobs are accepted without one
 		c.store.EndLeases()
 		c.await(fmt.Sprintf("term %d", want), func() bool {
 			_, term := c.term()
--- /dev/null
+++ b/node/campaign_test.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"leverstile.dev/kv"
+	"leverstile.dev/standin"
+)
+
+// countedStore is a store in memory that counts what is asked of it. Each call takes
+// countedLatency.
+type countedStore struct {
+	*standin.KVStore
+	writes, bytes atomic.Int64
+}
+
+const countedLatency = 4 * time.Millisecond
+
+func (s *countedStore) Range(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	time.Sleep(countedLatency)
+	pairs, rev, err := s.KVStore.Range(ctx, prefix)
+	for _, p := range pairs {
+		s.bytes.Add(int64(len(p.Key) + len(p.Value)))
+	}
+	return pairs, rev, err
+}
+
+func (s *countedStore) Get(ctx context.Context, key string) (*kv.Pair, error) {
+	pairs, _, err := s.Range(ctx, key)
+	for i := range pairs {
+		if pairs[i].Key == key {
+			return &pairs[i], err
+		}
+	}
+	return nil, err
+}
+
+func (s *countedStore) Do(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	s.writes.Add(1)
+	time.Sleep(countedLatency)
+	return s.KVStore.Do(ctx, txn)
+}
+
+func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	s.writes.Add(1)
+	time.Sleep(countedLatency)
+	return s.KVStore.Grant(ctx, ttl)
+}
+
+func (s *countedStore) Revoke(ctx context.Context, id int64) error {
+	s.writes.Add(1)
+	time.Sleep(countedLatency)
+	return s.KVStore.Revoke(ctx, id)
+}
+
+// lead returns the owner's key as it stands.
+func (s *countedStore) lead() (kv.Pair, bool) {
+	pairs, _, _ := s.KVStore.Range(context.Background(), leadKey)
+	if len(pairs) == 0 {
+		return kv.Pair{}, false
+	}
+	return pairs[0], true
+}
+
+// noCalls are Workers without calls.
+type noCalls struct{ Workers }
+
+func (noCalls) Abort() {}
+
+// startElection has an entry take part in the election until ctx ends. It owns the cell
+// without loading anything: it has no configuration.
+func startElection(ctx context.Context, running *sync.WaitGroup, store Store, name string) {
+	n := &Node{
+		opts: Options{Entry: name, PeerAddress: name, FreezeSlack: time.Hour}, steady: steadyClock(), workers: noCalls{},
+		log: &log.Logger{Level: log.PanicLevel}, drained: make(chan struct{}),
+	}
+	n.store = &storeHealth{Store: store, clock: n.clock, changed: func(bool, error) {}}
+	running.Go(func() { _ = n.RunElection(ctx) })
+}
+
+// What a change of the owner may cost the store, however many entries there are.
+const (
+	// changeWrites is the most writes: of eight entries that stand for election, with a
+	// lease to be granted, a write of the key, and a lease to be given back each.
+	changeWrites = 8 * 3
+	// changeBytes is the most bytes that are read for each entry.
+	changeBytes = 1000
+)
+
+// TestAChangeOfTheOwnerCostsTheStoreTheSame: the next owner is found with as many writes
+// at 6 entries as at 6,000, and no entry but the next owner reads what grows with the
+// workers.
+//
+// Users would see a cell without an owner for as long as all entries stand for election
+// over and over: at 587 entries the answers filled the store's link, and no call for a
+// lease was answered in time.
+func TestAChangeOfTheOwnerCostsTheStoreTheSame(t *testing.T) {
+	for _, entries := range []int{6, 60, 600, 6000} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { changeOwners(t, entries) })
+		})
+	}
+}
+
+func changeOwners(t *testing.T, entries int) {
+	const changes, settle = 4, 2 * time.Second
+	store := &countedStore{KVStore: standin.NewKVStore(time.Now)}
+	_, err := store.KVStore.Do(context.Background(), kv.Txn{Then: []kv.Op{kv.Put(rosterKey, []byte(strings.Repeat("x", 600_000)), 0)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range entries {
+		startElection(ctx, &running, store, fmt.Sprintf("entry-%d", i))
+	}
+	time.Sleep(settle)
+	store.writes.Store(0)
+	store.bytes.Store(0)
+	for i := range changes {
+		before, ok := store.lead()
+		if !ok {
+			t.Fatalf("no owner before change %d", i)
+		}
+		store.ExpireLease(before.Lease)
+		time.Sleep(settle)
+		if after, ok := store.lead(); !ok || after.ModRevision == before.ModRevision {
+			t.Fatalf("no next owner after change %d", i)
+		}
+	}
+	if n := store.writes.Load(); n > changes*changeWrites {
+		t.Errorf("%d writes for each change of the owner, want at most %d", n/changes, changeWrites)
+	}
+	if n := store.bytes.Load() / int64(changes*entries); n > changeBytes {
+		t.Errorf("%d bytes read for each entry and change, want at most %d", n, changeBytes)
+	}
+	stop()
+	running.Wait()
+}
+
+// electionTakes is how long a won election takes until others hear of it: three calls to
+// the store of 7 ms each.
+const electionTakes = 21 * time.Millisecond
+
+// TestCampaignDelays: somebody stands within all slots, and few stand within the time in
+// which the first one wins.
+func TestCampaignDelays(t *testing.T) {
+	for _, entries := range []int{1, 6, 60, 600, 1200} {
+		early := 0
+		const campaigns = 50
+		for revision := range int64(campaigns) {
+			delays := make([]time.Duration, entries)
+			first := time.Hour
+			for i := range delays {
+				delays[i] = campaignDelay(Options{Entry: fmt.Sprintf("entry-%d", i)}, revision)
+				first = min(first, delays[i])
+			}
+			if first <= 0 || first > campaignSlots*campaignSlot {
+				t.Fatalf("%d entries: the first stands after %v", entries, first)
+			}
+			for _, d := range delays {
+				if d <= first+electionTakes {
+					early++
+				}
+			}
+		}
+		if mean := float64(early) / campaigns; mean > 8 {
+			t.Errorf("%d entries: %.1f stand before the first one has won", entries, mean)
+		}
+	}
+}
--- a/node/election.go
+++ b/node/election.go
@@ -25,12 +25,6 @@
 	// (9 s), so that running tasks keep their leases. Another owner is kept
 	// apart by the term, which workers check.
 	ownerHorizon = 12 * time.Second
-	// amplyStrong is the part of a core from which a VM stands for election at
-	// once: an owner of 490 workers used 0.51 at its peak, 0.02 on average.
-	amplyStrong = 0.4
-	// handicapPerCore is the wait of weaker VMs for what they lack: 0.3 s at
-	// 0.3 of a core, 0.6 s at 0.2. An election takes under 0.1 s.
-	handicapPerCore = 3 * time.Second
 	// electionRetry bounds the back-off of failed elections.
 	electionRetryMin = 50 * time.Millisecond
 	electionRetryMax = 800 * time.Millisecond
@@ -51,13 +45,12 @@
 	session string
 }
 
-// ownState is what is read of the ownership keys.
-type ownState struct {
-	lead     *leadRecord
-	leadRev  int64
-	term     uint64
-	termRev  int64
-	revision int64
+// leadState is what is known of the owner's key.
+type leadState struct {
+	lead *leadRecord // nil if nobody owns the cell
+	// modRevision is that of the key, 0 if it isn't there; revision is the store's,
+	// from which the key is watched.
+	modRevision, revision int64
 }
 
 // run takes part in the election until ctx ends.
@@ -79,25 +72,13 @@
 	return nil
 }
 
-// round reads who owns the cell, and waits for that to change or takes over.
+// round takes over once it is this entry's turn, and owns the cell until the ownership
+// ends.
 func (e *election) round(ctx context.Context) error {
-	s, err := e.read(ctx)
+	s, err := e.awaitTurn(ctx)
 	if err != nil {
 		return err
 	}
-	if s.lead != nil && s.lead.Entry != e.node.opts.Entry {
-		e.node.setOwner(s.lead)
-		return e.awaitChange(ctx, s)
-	}
-	if e.node.draining.Load() {
-		e.node.setOwner(nil)
-		return e.awaitChange(ctx, s)
-	}
-	if s.lead == nil && !sleep(ctx, e.handicap()) {
-		return nil
-	}
-	// Nobody owns the cell, or an earlier life of this process does: a VM
-	// runs one process, so that life is over.
 	won, err := e.acquire(ctx, s)
 	if err != nil || won == nil {
 		return err
@@ -108,38 +89,57 @@
 	return err
 }
 
-// handicap is how long a VM waits before it stands for election: a weak one
-// leaves stronger ones the first move, and takes over if there are none.
-func (e *election) handicap() time.Duration {
-	share := e.node.opts.ProcessorShare
-	if share <= 0 || share >= amplyStrong {
-		return 0
+// awaitTurn follows who owns the cell until this entry may take over: nobody has owned
+// it for the entry's delay, or an earlier life of the entry does. A VM runs one process,
+// so that life is over.
+func (e *election) awaitTurn(ctx context.Context) (leadState, error) {
+	s, err := e.readLead(ctx)
+	for err == nil {
+		others := s.lead != nil && s.lead.Entry != e.node.opts.Entry
+		switch {
+		case others || e.node.draining.Load():
+			e.node.setOwner(s.lead)
+			s, _, err = e.awaitChange(ctx, s, 0)
+		case s.lead != nil:
+			return s, nil
+		default:
+			var changed bool
+			s, changed, err = e.awaitChange(ctx, s, campaignDelay(e.node.opts, s.revision))
+			if err == nil && !changed {
+				return s, nil
+			}
+		}
 	}
-	return time.Duration((amplyStrong - share) * float64(handicapPerCore))
+	return s, err
 }
 
-func (e *election) read(ctx context.Context) (ownState, error) {
-	pairs, revision, err := e.node.store.Range(ctx, ownPrefix)
+// readLead reads the owner's key alone: all entries do so when they start, and the
+// records beside it grow with the number of workers.
+func (e *election) readLead(ctx context.Context) (leadState, error) {
+	pairs, revision, err := e.node.store.Range(ctx, leadKey)
 	if err != nil {
-		return ownState{}, errors.Trace(err)
+		return leadState{}, errors.Trace(err)
 	}
-	s := ownState{revision: revision}
+	s := leadState{revision: revision}
 	for _, p := range pairs {
-		switch p.Key {
-		case leadKey:
-			s.leadRev = p.ModRevision
-			s.lead = e.node.decodeLead(p)
-		case termKey:
-			s.termRev = p.ModRevision
-			if s.term, err = strconv.ParseUint(string(p.Value), 10, 64); err != nil {
-				// Without it a new owner could give orders under an old term.
-				return s, errors.Annotate(err, termKey)
-			}
+		if p.Key == leadKey {
+			s.modRevision, s.lead = p.ModRevision, e.node.decodeLead(p)
 		}
 	}
 	return s, nil
 }
 
+// readTerm reads the highest term so far, and the revision of its key.
+func (e *election) readTerm(ctx context.Context) (term uint64, modRevision int64, err error) {
+	p, err := e.node.store.Get(ctx, termKey)
+	if err != nil || p == nil {
+		return 0, 0, errors.Trace(err)
+	}
+	// Without it a new owner could give orders under an old term.
+	term, err = strconv.ParseUint(string(p.Value), 10, 64)
+	return term, p.ModRevision, errors.Annotate(err, termKey)
+}
+
 // decodeLead reads who owns the cell. A damaged record under a lease is of some
 // owner that will go with it; one without a lease is nobody's.
 func (n *Node) decodeLead(p kv.Pair) *leadRecord {
@@ -155,21 +155,52 @@
 	return &leadRecord{}
 }
 
-// awaitChange returns once the owner's key has changed or the watch broke off.
-func (e *election) awaitChange(ctx context.Context, s ownState) error {
-	ctx, cancel := context.WithCancel(ctx)
+// awaitChange follows the owner's key until it changes, for most at the longest where
+// that is not 0. It returns what the key holds then.
+func (e *election) awaitChange(ctx context.Context, s leadState, most time.Duration) (after leadState, changed bool, err error) {
+	wctx, cancel := withMost(ctx, most)
 	defer cancel()
-	changed := false
-	err := e.node.store.Watch(ctx, leadKey, s.revision, func(_ int64, events []kv.Event) {
-		if len(events) > 0 {
+	err = e.node.store.Watch(wctx, leadKey, s.revision, func(at int64, events []kv.Event) {
+		s.revision = at
+		if e.takeLead(&s, events) {
 			changed = true
 			cancel()
 		}
 	})
-	if changed || errors.Is(err, kv.ErrCompacted) {
-		return nil
+	switch {
+	case changed || wctx.Err() != nil && ctx.Err() == nil:
+		return s, changed, nil
+	case errors.Is(err, kv.ErrCompacted):
+		s, err = e.readLead(ctx)
+		return s, true, err
+	default:
+		return s, false, errors.Trace(err)
 	}
-	return errors.Trace(err)
+}
+
+// withMost is context.WithTimeout, without a timeout if most is 0.
+func withMost(ctx context.Context, most time.Duration) (context.Context, context.CancelFunc) {
+	if most == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, most)
+}
+
+// takeLead takes in changes of the owner's key, and reports whether there were any.
+func (e *election) takeLead(s *leadState, events []kv.Event) bool {
+	changed := false
+	for _, ev := range events {
+		if ev.Pair.Key != leadKey {
+			continue
+		}
+		changed = true
+		if ev.Deleted {
+			s.lead, s.modRevision = nil, 0
+		} else {
+			s.lead, s.modRevision = e.node.decodeLead(ev.Pair), ev.Pair.ModRevision
+		}
+	}
+	return changed
 }
 
 // ownership is a term that was won.
@@ -184,14 +215,18 @@
 
 // acquire tries to become the owner. It returns nil without an error if
 // another entry was faster.
-func (e *election) acquire(ctx context.Context, s ownState) (*ownership, error) {
+func (e *election) acquire(ctx context.Context, s leadState) (*ownership, error) {
+	term, termRev, err := e.readTerm(ctx)
+	if err != nil {
+		return nil, err
+	}
 	sent := e.node.clock()
 	lease, err := e.node.store.Grant(ctx, max(ownerTTL, e.node.opts.MinLeaseTTL))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	won := &ownership{
-		lead:    leadRecord{Entry: e.node.opts.Entry, Address: e.node.opts.PeerAddress, Term: s.term + 1, Session: e.session},
+		lead:    leadRecord{Entry: e.node.opts.Entry, Address: e.node.opts.PeerAddress, Term: term + 1, Session: e.session},
 		lease:   lease,
 		renewed: sent,
 	}
@@ -201,8 +236,8 @@
 	}
 	res, err := e.node.store.Do(ctx, kv.Txn{
 		If: []kv.Compare{
-			{Key: leadKey, Missing: s.leadRev == 0, ModRevision: s.leadRev},
-			{Key: termKey, Missing: s.termRev == 0, ModRevision: s.termRev},
+			{Key: leadKey, Missing: s.modRevision == 0, ModRevision: s.modRevision},
+			{Key: termKey, Missing: termRev == 0, ModRevision: termRev},
 		},
 		Then: []kv.Op{
 			kv.Put(leadKey, value, lease),
