Takeover: parts of the state that were read are kept when another part fails

Change: each part is read to its end and kept; the next try reads what is missing, and evacuations and workers anew.

--- a/node/load.go
+++ b/node/load.go
@@ -26,8 +26,9 @@
 // intake is watched.
 func (o *owner) load() (int64, error) {
 	wait := backoff{least: loadRetryMin, most: loadRetryMax}
+	s := &storedState{}
 	for {
-		rev, err := o.loadOnce()
+		rev, err := o.loadOnce(s)
 		if err == nil {
 			return rev, nil
 		}
@@ -38,76 +39,86 @@
 	}
 }
 
-func (o *owner) loadOnce() (int64, error) {
+// loadOnce reads what s lacks and builds the core from it.
+func (o *owner) loadOnce(s *storedState) (int64, error) {
 	n := o.node
 	began := n.clock()
 	config := n.config.Load()
 	if config == nil {
 		return 0, errors.New("no configuration yet")
 	}
-	s, err := n.readState(o.ctx)
-	if err != nil {
+	if err := n.readState(o.ctx, s); err != nil {
 		return 0, err
 	}
 	core := dispatch.New(n.opts.Params, o.own.lead.Term, n.logDecision)
 	now := n.instant()
-	n.takeOver(core, s.own, now)
-	o.noteWaveRecords(s.own)
+	n.takeOver(core, s.own.pairs, now)
+	o.noteWaveRecords(s.own.pairs)
 	core.SetConfig(config)
 	n.evacuations.note(s.evacuations)
 	core.SetEvacuated(n.evacuations.evacuated())
 	n.noteUnusable(s.workers.Unusable)
 	core.SetWorkers(s.workers.Workers, now)
-	n.loadJobs(core, s.progress, s.intake, now)
+	n.loadJobs(core, s.progress.pairs, s.intake.pairs, now)
 	o.mu.Lock()
 	o.core = core
 	core.Renewed(o.own.renewed)
 	o.mu.Unlock()
-	n.log.Info().Str("event", "owner_loaded").Int("intake", len(s.intake)).Int("workers", len(s.workers.Workers)).
+	n.log.Info().Str("event", "owner_loaded").Int("intake", len(s.intake.pairs)).Int("workers", len(s.workers.Workers)).
 		Int("unresolved", core.Recovering()).Dur("took", n.clock()-began).Msg("")
-	return s.revision, nil
+	return s.intake.revision, nil
 }
 
 // storedState is what a new owner reads: the records of its predecessors, the
 // progress of jobs, jobs and cancellations with the revision from which they are
 // watched, evacuated data centres, and the workers.
 type storedState struct {
-	own, progress, intake []kv.Pair
-	revision              int64
+	own, progress, intake rangeRead
 	evacuations           []evacuation
 	workers               dispatch.WorkerList
 }
 
-// readState reads all parts at once. Their order does not matter: only the owner
-// writes the first two, and its predecessors no longer can.
-func (n *Node) readState(ctx context.Context) (*storedState, error) {
-	s := &storedState{}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) {
-		s.own, _, err = n.store.Range(ctx, ownPrefix)
-		return err
-	})
-	group.Go(func() (err error) {
-		s.progress, _, err = n.store.Range(ctx, progressPrefix)
-		return err
-	})
-	group.Go(func() (err error) {
-		s.intake, s.revision, err = n.store.Range(ctx, intakePrefix)
-		return err
-	})
+// rangeRead is a range of the store that is read once.
+type rangeRead struct {
+	done     bool
+	pairs    []kv.Pair
+	revision int64
+}
+
+func (r *rangeRead) read(ctx context.Context, store kv.Store, prefix string) (err error) {
+	if r.done {
+		return nil
+	}
+	r.pairs, r.revision, err = store.Range(ctx, prefix)
+	r.done = err == nil
+	return err
+}
+
+// readState reads all parts at once, and those again that could not be read before.
+// Their order does not matter: only the owner writes the first two, and its predecessors
+// no longer can; changes of the third are watched. Evacuations and workers are read anew
+// each time.
+func (n *Node) readState(ctx context.Context, s *storedState) error {
+	var group errgroup.Group // a part that fails leaves the others be
+	group.Go(func() error { return s.own.read(ctx, n.store, ownPrefix) })
+	group.Go(func() error { return s.progress.read(ctx, n.store, progressPrefix) })
+	group.Go(func() error { return s.intake.read(ctx, n.store, intakePrefix) })
 	group.Go(func() error {
 		if n.opts.EvacuationPrefix == "" {
 			return nil
 		}
 		pairs, revision, err := n.store.Range(ctx, n.opts.EvacuationPrefix)
+		if err != nil {
+			return err
+		}
 		s.evacuations = n.evacuationsListed(pairs, revision)
-		return err
+		return nil
 	})
 	group.Go(func() (err error) {
 		s.workers, err = n.lister.ListWorkers(ctx)
 		return err
 	})
-	return s, group.Wait()
+	return group.Wait()
 }
 
 // takeOver reads what the previous owner left beside the jobs.
