The roster is stored in parts of 50 workers

Cause: the workers that may have orders stood in one value, written whole at each change of one worker. It grows with the fleet, is read back by the next owner in one page, and the store takes values of up to 1 MB: with ids and addresses of some 100 bytes a worker none of it is stored beyond some 10,000 workers, and without it nothing is started. Change: an entry stays in its part, parts have a key each, and a write holds the parts that changed, eight at most. The old key tells that the roster is in parts; an entry of the version before reads it as damaged, and waits until all leases are over, as does this one for a roster in one value. The tests of dispatch take the roster by parts now; what they check is the same. The simulation writes two parts at a time.

--- a/dispatch/attempts_test.go
+++ b/dispatch/attempts_test.go
@@ -70,7 +70,7 @@
 	spec.Steps[0].Gang = true
 	core.AddJob(spec, nil, true, now)
 	core.SetWorkers([]WorkerInfo{lifeInfo("w0", "m0")}, now)
-	core.RosterStored([]WorkerID{"w0"})
+	storeOpen(core, "w0")
 	var rows []RunningTask
 	for i := range 2 {
 		rows = append(rows, RunningTask{Task: job.TaskID{Job: spec.ID, Index: i}, Run: 1<<runBits | 1, Percent: 10})
@@ -112,7 +112,7 @@
 	core.Recover([]RosterEntry{{ID: "w0", Address: "w0", VM: "m0"}, {ID: "gone", Address: "gone", VM: "m1", Closed: true, Tasks: []string{last.String()}}}, now)
 	core.AddJob(spec, nil, true, now)
 	core.SetWorkers([]WorkerInfo{lifeInfo("w0", "m0")}, now)
-	core.RosterStored([]WorkerID{"w0"})
+	storeOpen(core, "w0")
 	core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
 	core.Tick(now)
 	if list := starts(core); len(list) > 0 {
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -20,11 +20,7 @@
 	}
 	now := Instant{Steady: time.Second}
 	core.SetWorkers(list, now)
-	_, ids, err := core.Roster()
-	if err != nil {
-		b.Fatal(err)
-	}
-	core.RosterStored(ids)
+	storeRoster(b, core)
 	for i, info := range list {
 		core.HoldDone(HoldOrder{Worker: info.ID}, HoldReply{ClockMS: 1000}, OutcomeOK, now)
 		spec := lastingJob(i, 4)
@@ -194,11 +190,7 @@
 			list = append(list, lifeInfo(fmt.Sprintf("w%03d", i), fmt.Sprintf("m%03d", i)))
 		}
 		core.SetWorkers(list, now)
-		_, ids, err := core.Roster()
-		if err != nil {
-			b.Fatal(err)
-		}
-		core.RosterStored(ids)
+		storeRoster(b, core)
 		for _, info := range list {
 			poll(core, info.ID, now.Steady, now.Steady+time.Millisecond)
 		}
--- a/dispatch/checkpoint_rapid_test.go
+++ b/dispatch/checkpoint_rapid_test.go
@@ -159,7 +159,7 @@
 		list = append(list, WorkerInfo{ID: id, Address: fmt.Sprint(i), Service: "svc", CPUMilli: 16_000, MemoryMiB: 32_000})
 	}
 	m.core.SetWorkers(list, m.now)
-	m.core.RosterStored([]WorkerID{id})
+	storeOpen(m.core, id)
 	m.unread[id] = true
 }
 
--- a/dispatch/contract_test.go
+++ b/dispatch/contract_test.go
@@ -26,7 +26,7 @@
 		})
 	}
 	core.SetWorkers(list, now)
-	core.RosterStored(ids)
+	storeOpen(core, ids...)
 	for _, id := range ids {
 		core.HoldDone(core.PlanHold(id, now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
 	}
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -174,7 +174,7 @@
 	for i, list := range lists {
 		now = Instant{Steady: time.Duration(i+1) * time.Second}
 		core.SetWorkers(list, now)
-		core.RosterStored([]WorkerID{"old", "new"})
+		storeOpen(core, "old", "new")
 		if i >= 1 {
 			// The address answers for the next life only.
 			core.HoldDone(HoldOrder{Worker: "old"}, HoldReply{}, OutcomeOtherLife, now)
@@ -271,7 +271,7 @@
 	core.Renewed(0)
 	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}, {Name: "patient", Service: "svc", Priority: 2}}})
 	core.SetWorkers([]WorkerInfo{{ID: "w", Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 1000}}, now)
-	core.RosterStored([]WorkerID{"w"})
+	storeOpen(core, "w")
 	core.HoldDone(core.PlanHold("w", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
 	fills := simpleJob(1, 2)
 	fills.Queue = "patient"
@@ -302,7 +302,7 @@
 	core.Renewed(0)
 	core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "svc"}}})
 	core.SetWorkers([]WorkerInfo{{ID: "w", Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 9000}}, Instant{})
-	core.RosterStored([]WorkerID{"w"})
+	storeOpen(core, "w")
 	now := Instant{Steady: time.Second}
 	core.HoldDone(core.PlanHold("w", now).Order, HoldReply{ClockMS: 1000}, OutcomeOK, now)
 	serving, fill := lastingJob(1, 1), simpleJob(2, 1)
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -34,7 +34,7 @@
 	// stored is the store's copy of progress; while storeDown it takes nothing.
 	stored    map[string][]byte
 	storeDown bool
-	roster    []byte
+	roster    rosterStore
 	vms       []string
 	ended     map[WorkerID][]EndedTask
 	// crashDown is how long a VM has no worker after a crash.
@@ -60,7 +60,7 @@
 	f := &crashFleet{
 		sameID: sameID, t: t, now: Instant{Steady: time.Second}, life: map[string]WorkerID{}, down: map[string]time.Duration{},
 		cut: map[string]bool{}, draining: map[string]bool{}, starts: map[job.TaskID][]uint64{}, running: map[WorkerID]map[job.TaskID]uint64{},
-		crashes: map[job.TaskID]int{}, crasher: func(job.TaskID) bool { return false }, stored: map[string][]byte{},
+		crashes: map[job.TaskID]int{}, crasher: func(job.TaskID) bool { return false }, stored: map[string][]byte{}, roster: rosterStore{},
 		ended: map[WorkerID][]EndedTask{}, crashDown: crashDown,
 	}
 	for i := range vms {
@@ -85,7 +85,7 @@
 // their specs.
 func (f *crashFleet) takeOver(specs ...*job.Spec) {
 	f.t.Helper()
-	list, err := DecodeRoster(f.roster)
+	list, err := f.roster.read()
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -255,12 +255,7 @@
 	}
 	f.core.Persisted(records)
 	if f.core.RosterStale() {
-		value, open, err := f.core.Roster()
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		f.roster = value
-		f.core.RosterStored(open)
+		f.roster.put(storeRoster(f.t, f.core))
 	}
 }
 
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -19,11 +19,7 @@
 		list = append(list, WorkerInfo{ID: WorkerID(id), Address: id, Service: "svc", DataCentre: id[:1], CPUMilli: 4000, MemoryMiB: 4000})
 	}
 	core.SetWorkers(list, now)
-	_, open, err := core.Roster()
-	if err != nil {
-		t.Fatal(err)
-	}
-	core.RosterStored(open)
+	storeRoster(t, core)
 	for _, w := range list {
 		core.HoldDone(core.PlanHold(w.ID, now).Order, HoldReply{ClockMS: 500_000}, OutcomeOK, now)
 	}
--- a/dispatch/lives_test.go
+++ b/dispatch/lives_test.go
@@ -59,21 +59,19 @@
 	now := Instant{Steady: time.Second}
 	core := livesCore(now)
 	core.SetWorkers([]WorkerInfo{lifeInfo("w1", "m1"), lifeInfo("w2", "m2")}, now)
-	_, ids, err := core.Roster()
+	parts, err := core.Roster(1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	poll(core, "w1", now.Steady, now.Steady+time.Millisecond)
 	core.SetWorkers([]WorkerInfo{lifeInfo("w2", "m2")}, now)
-	core.RosterStored(ids) // the write that was under way still names it
+	core.RosterStored(parts) // the write that was under way still names it
 	if !core.RosterStale() {
 		t.Error("the roster is not written again")
 	}
-	_, ids, _ = core.Roster()
-	if len(ids) != 1 || ids[0] != "w2" {
-		t.Errorf("the roster holds %v", ids)
+	if list := rosterOf(t, core); len(list) != 1 || list[0].ID != "w2" {
+		t.Errorf("the roster holds %v", list)
 	}
-	core.RosterStored(ids)
 	if core.RosterStale() {
 		t.Error("the roster is written for ever")
 	}
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -106,7 +106,7 @@
 		change(&spec.Steps[0])
 		core.AddJob(spec, nil, true, now)
 		core.SetWorkers([]WorkerInfo{{ID: "w0", Address: "w0", Service: "svc", CPUMilli: 4000, MemoryMiB: 8000}}, now)
-		core.RosterStored([]WorkerID{"w0"})
+		storeOpen(core, "w0")
 		row := RunningTask{Task: job.TaskID{Job: spec.ID}, Run: 1<<runBits | 1, Percent: 10}
 		core.HoldDone(core.PlanHold("w0", now).Order, HoldReply{ClockMS: 1000, Running: []RunningTask{row}}, OutcomeOK, now)
 		core.Schedule(now)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -18,13 +19,18 @@
 // these workers has answered under the new term, has ended, or RecoveryWait is
 // over, tasks that it may run are not started elsewhere.
 func (c *Core) Recover(list []RosterEntry, now Instant) {
+	slices.SortFunc(list, func(a, b RosterEntry) int { return cmp.Compare(a.ID, b.ID) }) // workers are kept in this order
 	for _, e := range list {
+		if before, twice := c.unresolved[e.ID]; twice {
+			c.recoverTwice(before, e)
+			continue
+		}
 		u := unresolvedWorker{until: now.Steady + c.params.RecoveryWait, open: !e.Closed, tasks: map[string]bool{}}
 		for _, id := range e.Tasks {
 			u.tasks[id] = true
 		}
 		c.unresolved[e.ID] = u
-		c.roster.entries[e.ID] = e
+		c.roster.keep(e)
 		c.recoverLost(e, now)
 		c.addWorker(WorkerInfo{ID: e.ID, Address: e.Address, VM: e.VM}, now).recorded = u.open
 		if u.open {
@@ -36,6 +42,25 @@
 	}
 }
 
+// recoverTwice takes in a second entry of a worker: it was dropped from one part of the
+// roster, taken up in another, and the first was not written since. What either says may
+// run there.
+func (c *Core) recoverTwice(u unresolvedWorker, e RosterEntry) {
+	for _, id := range e.Tasks {
+		u.tasks[id] = true
+	}
+	if !e.Closed && !u.open {
+		u.open = true
+		c.openUnresolved++
+		c.workers[e.ID].recorded = true
+		c.roster.drop(e.ID)
+		c.roster.keep(e)
+	} else {
+		c.roster.changed(e.part)
+	}
+	c.unresolved[e.ID] = u
+}
+
 // unheardTasks are those that may have run at workers of the previous owner which were
 // lost before this one heard of them.
 type unheardTasks struct {
--- a/dispatch/recover_test.go
+++ b/dispatch/recover_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,16 +13,51 @@
 // rosterOf returns the entries that a core would have stored, after storing them.
 func rosterOf(t *testing.T, core *Core) []RosterEntry {
 	t.Helper()
-	value, open, err := core.Roster()
+	for n := range core.roster.parts {
+		core.roster.changed(n)
+	}
+	parts := storeRoster(t, core)
+	list, err := rosterStore{}.put(parts).read()
 	if err != nil {
 		t.Fatal(err)
 	}
-	list, err := DecodeRoster(value)
+	return list
+}
+
+// storeRoster stores all parts of the roster that are stale, and returns them.
+func storeRoster(t testing.TB, core *Core) []RosterPart {
+	t.Helper()
+	parts, err := core.Roster(math.MaxInt)
 	if err != nil {
 		t.Fatal(err)
 	}
-	core.RosterStored(open)
-	return list
+	core.RosterStored(parts)
+	return parts
+}
+
+// storeOpen tells a core that the store has open entries of these workers.
+func storeOpen(core *Core, ids ...WorkerID) { core.RosterStored([]RosterPart{{open: ids}}) }
+
+// rosterStore is what the store holds of the roster.
+type rosterStore map[int]RosterPart
+
+func (s rosterStore) put(parts []RosterPart) rosterStore {
+	for _, p := range parts {
+		s[p.Number] = p
+	}
+	return s
+}
+
+func (s rosterStore) read() ([]RosterEntry, error) {
+	var list []RosterEntry
+	for _, n := range slices.Sorted(maps.Keys(s)) {
+		part, err := DecodeRoster(s[n])
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, part...)
+	}
+	return list, nil
 }
 
 // startedCore returns a core with two workers that run one task each, and the
@@ -265,11 +303,7 @@
 	core := sureCore(Params{RecoveryWait: 10 * time.Second}, 2, now)
 	core.RecoverUnknown(now)
 	core.SetWorkers([]WorkerInfo{{ID: "w1", Address: "a", Service: "svc", CPUMilli: 4000, MemoryMiB: 4000}}, now)
-	_, open, err := core.Roster()
-	if err != nil {
-		t.Fatal(err)
-	}
-	core.RosterStored(open)
+	storeRoster(t, core)
 	core.HoldDone(core.PlanHold("w1", now).Order, HoldReply{ClockMS: 500_000}, OutcomeOK, now)
 	core.AddJob(simpleJob(1, 1), nil, true, now)
 	core.AddJob(simpleJob(2, 1), nil, false, now)
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -39,11 +39,7 @@
 	x.t.Helper()
 	x.core.SetWorkers([]WorkerInfo{lifeInfo(string(x.life), "m")}, x.now)
 	x.core.Tick(x.now) // opens its entry in the roster
-	_, ids, err := x.core.Roster()
-	if err != nil {
-		x.t.Fatal(err)
-	}
-	x.core.RosterStored(ids)
+	storeRoster(x.t, x.core)
 }
 
 // restart lets the next life of the worker begin.
@@ -257,13 +253,8 @@
 // no others, and by when it was born.
 func TestRosterTellsLives(t *testing.T) {
 	x := newRestartCore(t)
-	value, _, err := x.core.Roster()
-	if err != nil {
-		t.Fatal(err)
-	}
-	list, err := DecodeRoster(value)
-	if err != nil || len(list) != 1 || list[0].ID != x.life {
-		t.Errorf("%s: %+v, %v", value, list, err)
+	if list := rosterOf(t, x.core); len(list) != 1 || list[0].ID != x.life {
+		t.Errorf("%+v", list)
 	}
 }
 
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 )
 
@@ -18,42 +19,99 @@
 	Tasks  []string `json:"tasks,omitempty"`
 	// Young are the runs of which one may have crashed the worker, if it has.
 	Young []LostRun `json:"young,omitempty"`
+	// part is the number of the part that holds the entry.
+	part int
+}
+
+// rosterPartSize is the most entries in a part of the roster, some 100 bytes each: a change
+// of one worker writes its part, whatever the number of workers.
+const rosterPartSize = 50
+
+// RosterPart is a part of the roster as it is stored, by its number.
+type RosterPart struct {
+	Number int
+	Value  []byte
+	// open are the workers whose entries in it are open.
+	open []WorkerID
 }
 
 // roster is the list of workers that may have orders of this owner, for the next
-// one. An entry is stored before the worker's first order. Stale is set while
-// the store's copy lacks something or holds what is over, and written tells
-// whether a write holds the newest entries.
+// one, in parts that are stored one by one. An entry is stored before the worker's first
+// order, and stays in its part.
 //
 // Invariant: worker.recorded is set only while the store's newest entry of the
 // worker is open. It is cleared before an entry is closed, and set again only
 // when a write that opens it was stored.
 type roster struct {
-	entries        map[WorkerID]RosterEntry
-	stale, written bool
+	entries map[WorkerID]RosterEntry
+	parts   []rosterPart
+	// room is the number of the first part that may have room; stale holds the numbers
+	// of the parts whose copies in the store lack something or hold what is over.
+	room  int
+	stale map[int]bool
 }
 
-func newRoster() roster { return roster{entries: map[WorkerID]RosterEntry{}} }
+// rosterPart is the entries of one part; written tells whether a write holds the newest
+// ones.
+type rosterPart struct {
+	ids     map[WorkerID]bool
+	written bool
+}
+
+func newRoster() roster { return roster{entries: map[WorkerID]RosterEntry{}, stale: map[int]bool{}} }
 
 func (r *roster) want(info WorkerInfo) {
 	if _, ok := r.entries[info.ID]; !ok {
-		r.put(RosterEntry{ID: info.ID, Address: info.Address, VM: info.VM})
+		r.put(RosterEntry{ID: info.ID, Address: info.Address, VM: info.VM, part: r.partWithRoom()})
 	}
 }
 
+// put keeps an entry in the part that it names, to be stored.
 func (r *roster) put(e RosterEntry) {
+	r.keep(e)
+	r.changed(e.part)
+}
+
+// keep keeps an entry in the part that it names.
+func (r *roster) keep(e RosterEntry) {
+	r.grow(e.part)
+	r.parts[e.part].ids[e.ID] = true
 	r.entries[e.ID] = e
-	r.stale, r.written = true, false
+}
+
+// changed notes that a part must be stored.
+func (r *roster) changed(part int) {
+	r.grow(part)
+	r.parts[part].written = false
+	r.stale[part] = true
+}
+
+// grow adds empty parts, up to that of a number.
+func (r *roster) grow(part int) {
+	for len(r.parts) <= part {
+		r.parts = append(r.parts, rosterPart{ids: map[WorkerID]bool{}})
+	}
+}
+
+// partWithRoom returns the number of a part that takes another entry.
+func (r *roster) partWithRoom() int {
+	for r.room < len(r.parts) && len(r.parts[r.room].ids) >= rosterPartSize {
+		r.room++
+	}
+	return r.room
 }
 
 // drop forgets a worker. An entry too many in the store would cost the next
 // owner a wait for a worker that never answers.
 func (r *roster) drop(id WorkerID) {
-	if _, ok := r.entries[id]; !ok {
+	e, ok := r.entries[id]
+	if !ok {
 		return
 	}
 	delete(r.entries, id)
-	r.stale, r.written = true, false
+	delete(r.parts[e.part].ids, id)
+	r.room = min(r.room, e.part)
+	r.changed(e.part)
 }
 
 // updateClosed closes the entries of workers that get no starts, and opens them
@@ -98,53 +156,67 @@
 	return list
 }
 
-// RosterStale reports whether the roster must be written.
-func (c *Core) RosterStale() bool { return c.roster.stale }
+// RosterStale reports whether parts of the roster must be written.
+func (c *Core) RosterStale() bool { return len(c.roster.stale) > 0 }
 
-// Roster returns the roster to be written, and the workers whose entries in it
-// are open.
-func (c *Core) Roster() ([]byte, []WorkerID, error) {
-	list := make([]RosterEntry, 0, len(c.roster.entries))
-	open := make([]WorkerID, 0, len(c.roster.entries))
-	for id, e := range c.roster.entries {
+// Roster returns parts of the roster that must be written, at most so many.
+func (c *Core) Roster(most int) ([]RosterPart, error) {
+	numbers := slices.Sorted(maps.Keys(c.roster.stale))
+	var parts []RosterPart
+	for _, n := range numbers[:min(most, len(numbers))] {
+		part, err := c.rosterPart(n)
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+func (c *Core) rosterPart(number int) (RosterPart, error) {
+	p := &c.roster.parts[number]
+	part := RosterPart{Number: number}
+	list := make([]RosterEntry, 0, len(p.ids))
+	for id := range p.ids {
+		e := c.roster.entries[id]
 		if _, waits := c.unresolved[id]; e.Closed && !waits {
 			w := c.workers[id]
 			e.Tasks, e.Young = w.tasksAt(), c.youngForRoster(w)
 		}
 		if !e.Closed {
-			open = append(open, id)
+			part.open = append(part.open, id)
 		}
 		name, born := e.ID.split()
 		e.ID, e.Born = WorkerID(name), born
 		list = append(list, e)
 	}
-	c.roster.written = true
-	value, err := json.Marshal(list)
-	return value, open, err
+	p.written = true
+	var err error
+	part.Value, err = json.Marshal(list)
+	return part, err
 }
 
-// RosterStored tells that the store holds a roster where these workers are open.
-func (c *Core) RosterStored(open []WorkerID) {
-	for _, id := range open {
-		e, ok := c.roster.entries[id]
-		if w := c.workers[id]; ok && w != nil && !e.Closed {
-			w.recorded = true
+// RosterStored tells that the store holds these parts of the roster.
+func (c *Core) RosterStored(parts []RosterPart) {
+	for _, part := range parts {
+		for _, id := range part.open {
+			e, ok := c.roster.entries[id]
+			if w := c.workers[id]; ok && w != nil && !e.Closed {
+				w.recorded = true
+			}
+		}
+		if part.Number < len(c.roster.parts) && c.roster.parts[part.Number].written {
+			delete(c.roster.stale, part.Number)
 		}
-	}
-	if c.roster.written {
-		c.roster.stale = false
 	}
 }
 
-// DecodeRoster reads what Roster returned.
-func DecodeRoster(value []byte) ([]RosterEntry, error) {
+// DecodeRoster reads a part that Roster returned.
+func DecodeRoster(part RosterPart) ([]RosterEntry, error) {
 	var list []RosterEntry
-	if len(value) == 0 {
-		return nil, nil
-	}
-	err := json.Unmarshal(value, &list)
+	err := json.Unmarshal(part.Value, &list)
 	for i, e := range list {
-		list[i].ID = LifeID(string(e.ID), e.Born)
+		list[i].ID, list[i].part = LifeID(string(e.ID), e.Born), part.Number
 	}
 	return list, err
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -57,7 +57,7 @@
 	order        []string
 	cancelled    map[string]time.Duration
 	progress     map[string][]byte // the store
-	roster       []byte
+	roster       rosterStore
 	storeDown    bool
 	takeovers    int
 	renewalsLost time.Duration            // until then
@@ -90,7 +90,7 @@
 
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 7)), checkpointFaults: checkpointFaults{checkpointRNG: rand.New(rand.NewPCG(seed, 11))}, specs: map[string]*job.Spec{}, progress: map[string][]byte{},
+		rng: rand.New(rand.NewPCG(seed, 7)), checkpointFaults: checkpointFaults{checkpointRNG: rand.New(rand.NewPCG(seed, 11))}, specs: map[string]*job.Spec{}, progress: map[string][]byte{}, roster: rosterStore{},
 		cancelled: map[string]time.Duration{}, evacuated: map[string]time.Duration{}, maxAttempts: 50, stretch: 2,
 		params: Params{MaxTaskLease: 6 * time.Second, TaskLease: DefaultTaskLease, JobKept: time.Hour, OwnerTTL: simTTL, OwnerHorizon: simHorizon, RecoveryWait: RecoveryWaitFor(simTTL, simHorizon)},
 	}
@@ -208,7 +208,7 @@
 	if s.dropRoster {
 		roster = nil
 	}
-	list, err := DecodeRoster(roster)
+	list, err := roster.read()
 	if err != nil {
 		panic(err)
 	}
@@ -314,6 +314,9 @@
 	}
 }
 
+// simRosterParts is the most parts of the roster in one write.
+const simRosterParts = 2
+
 // flush writes progress, unless the store is down or another owner has taken
 // over: the store checks that.
 func (s *sim) flush(o *simOwner) {
@@ -325,14 +328,11 @@
 	if err != nil {
 		panic(err)
 	}
-	var roster []byte
-	var ids []WorkerID
-	if o.core.RosterStale() {
-		if roster, ids, err = o.core.Roster(); err != nil {
-			panic(err)
-		}
+	roster, err := o.core.Roster(simRosterParts)
+	if err != nil {
+		panic(err)
 	}
-	if len(records) == 0 && roster == nil {
+	if len(records) == 0 && len(roster) == 0 {
 		return
 	}
 	if s.ackEarly {
@@ -344,16 +344,12 @@
 			for _, r := range records {
 				s.progress[r.Job] = r.Value
 			}
-			if roster != nil {
-				s.roster = roster
-			}
+			s.roster.put(roster)
 			s.later(2*time.Millisecond, func() {
 				o.writing = false
 				if !o.dead {
 					o.core.Persisted(records)
-					if roster != nil {
-						o.core.RosterStored(ids)
-					}
+					o.core.RosterStored(roster)
 				}
 			})
 			return
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -26,7 +26,7 @@
 		ids = append(ids, id)
 	}
 	s.core.SetWorkers(infos, s.now)
-	s.core.RosterStored(ids)
+	storeOpen(s.core, ids...)
 	for _, id := range ids {
 		s.core.HoldDone(HoldOrder{Worker: id}, HoldReply{ClockMS: 1}, OutcomeOK, s.now)
 	}
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -213,7 +213,7 @@
 		infos = append(infos, WorkerInfo{ID: WorkerID(fmt.Sprintf("w%d", i)), VM: fmt.Sprintf("m%d", i), Address: "a", Service: "svc", CPUMilli: 16000, MemoryMiB: 64000})
 	}
 	core.SetWorkers(infos[:1], now) // all tasks start on the first
-	core.RosterStored([]WorkerID{"w0"})
+	storeOpen(core, "w0")
 	core.HoldDone(HoldOrder{Worker: "w0"}, HoldReply{ClockMS: 1}, OutcomeOK, now)
 	spec := lastingJob(1, 3)
 	spec.Steps[0].MaxAway = 1
@@ -225,7 +225,7 @@
 		rows[o.Worker] = append(rows[o.Worker], RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
 	}
 	core.SetWorkers(infos, now)
-	core.RosterStored([]WorkerID{"w0", "w1"})
+	storeOpen(core, "w0", "w1")
 	core.HoldDone(HoldOrder{Worker: "w1"}, HoldReply{ClockMS: 1}, OutcomeOK, now)
 	if err := core.SetWave(Wave{Number: 1, VMs: []string{"m0"}, Allowed: 10 * time.Second, AtOnce: 1}, nil, now); err != nil {
 		t.Fatal(err)
--- a/node/load.go
+++ b/node/load.go
@@ -52,7 +52,8 @@
 	}
 	core := dispatch.New(n.opts.Params, o.own.lead.Term, n.logDecision)
 	now := n.instant()
-	n.takeOver(core, s.own.pairs, now)
+	o.rosterMarked = n.readRoster(core, s.own.pairs, now)
+	n.takeLearnt(core, s.own.pairs)
 	o.noteWaveRecords(s.own.pairs)
 	core.SetConfig(config)
 	n.evacuations.note(s.evacuations)
@@ -121,20 +122,10 @@
 	return group.Wait()
 }
 
-// takeOver reads what the previous owner left beside the jobs.
-func (n *Node) takeOver(core *dispatch.Core, own []kv.Pair, now dispatch.Instant) {
+// takeLearnt reads what the previous owner has learnt.
+func (n *Node) takeLearnt(core *dispatch.Core, own []kv.Pair) {
 	for _, p := range own {
-		switch p.Key {
-		case rosterKey:
-			list, err := dispatch.DecodeRoster(p.Value)
-			if err != nil {
-				// Any worker may have orders of the previous owner.
-				n.noteUnreadable("roster_unreadable", p.Key, p.ModRevision, err)
-				core.RecoverUnknown(now)
-				continue
-			}
-			core.Recover(list, now)
-		case learntKey:
+		if p.Key == learntKey {
 			if err := core.TakeLearnt(p.Value); err != nil {
 				// It only saves time: the new owner learns again.
 				n.noteUnreadable("learnt_unreadable", p.Key, p.ModRevision, err)
--- a/node/owner.go
+++ b/node/owner.go
@@ -61,13 +61,15 @@
 
 	// writing is held during a write of progress; it is taken before mu. It guards
 	// unsure, which is set if the newest write may have been carried out without an
-	// answer, and removal.
-	writing sync.Mutex
-	unsure  bool
-	removal unsureRemoval
-	mu      sync.Mutex
-	core    *dispatch.Core
-	polled  map[dispatch.WorkerID]context.CancelFunc
+	// answer, rosterMarked, which is set once the store tells that the roster is in
+	// parts, and removal.
+	writing      sync.Mutex
+	unsure       bool
+	rosterMarked bool
+	removal      unsureRemoval
+	mu           sync.Mutex
+	core         *dispatch.Core
+	polled       map[dispatch.WorkerID]context.CancelFunc
 
 	// slots holds a value for each start or change of pace under way.
 	slots chan struct{}
--- a/node/record.go
+++ b/node/record.go
@@ -17,9 +17,11 @@
 	// flushPauseBehind is the same while more jobs wait than one write takes:
 	// at most 70 writes a second, of 400 that the store takes.
 	flushPauseBehind = 10 * time.Millisecond
-	// flushRecords is the most records in one write: the store takes 32
-	// entries, of which two are conditions and five other keys.
+	// flushRecords is the most records and parts of the roster in one write: the store
+	// takes 32 entries, of which two are conditions and five other keys.
 	flushRecords = 25
+	// flushRosterParts is the most parts of the roster in one write, 5 KB each.
+	flushRosterParts = 8
 	// idleFlush is the pause after which a flush is tried without news: for what
 	// was learnt, and for the last records to be removed.
 	idleFlush = 3 * time.Second
@@ -68,11 +70,10 @@
 		o.mu.Unlock()
 		return false
 	}
-	records, err := o.core.Records(flushRecords)
-	var roster []byte
-	var rosterIDs []dispatch.WorkerID
-	if err == nil && o.core.RosterStale() {
-		roster, rosterIDs, err = o.core.Roster()
+	roster, err := o.core.Roster(flushRosterParts)
+	var records []dispatch.Record
+	if err == nil {
+		records, err = o.core.Records(flushRecords - len(roster))
 	}
 	var learnt []byte
 	if now := o.now(); err == nil && o.core.LearntDue(now) {
@@ -87,7 +88,7 @@
 		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
 		return false
 	}
-	if len(records) == 0 && roster == nil && wave == nil {
+	if len(records) == 0 && len(roster) == 0 && wave == nil {
 		// What was learnt is due at each idle flush; old records must not wait
 		// for one without it.
 		if removed := o.removeExpired(ctx); !removed || learnt == nil {
@@ -95,30 +96,32 @@
 		}
 	}
 	began := o.node.clock()
-	ok := o.write(ctx, append(recordOps(records, roster, learnt), o.node.waveOps(wave)...))
+	ok := o.write(ctx, append(o.recordOps(records, roster, learnt), o.node.waveOps(wave)...))
 	o.node.metrics.flush.UpdateDuration(time.Now().Add(began - o.node.clock()))
 	if !ok {
 		return false
 	}
+	o.rosterMarked = o.rosterMarked || len(roster) > 0
 	o.locked(func(c *dispatch.Core, _ dispatch.Instant) {
 		c.Persisted(records)
-		if roster != nil {
-			c.RosterStored(rosterIDs)
-		}
+		c.RosterStored(roster)
 		if wave != nil {
 			c.WavePersisted(wave)
 		}
 	})
-	if roster != nil {
+	if len(roster) > 0 {
 		signal(o.wake)
 	}
 	return true
 }
 
-func recordOps(records []dispatch.Record, roster, learnt []byte) []kv.Op {
+func (o *owner) recordOps(records []dispatch.Record, roster []dispatch.RosterPart, learnt []byte) []kv.Op {
 	var ops []kv.Op
-	if roster != nil {
-		ops = append(ops, kv.Put(rosterKey, roster, 0))
+	if len(roster) > 0 && !o.rosterMarked {
+		ops = append(ops, kv.Put(rosterKey, []byte(rosterInParts), 0))
+	}
+	for _, part := range roster {
+		ops = append(ops, kv.Put(rosterPartKey(part.Number), part.Value, 0))
 	}
 	if learnt != nil {
 		ops = append(ops, kv.Put(learntKey, learnt, 0))
--- /dev/null
+++ b/node/roster.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"leverstile.dev/dispatch"
+	"leverstile.dev/kv"
+)
+
+// mostRosterParts bounds the numbers of parts that are read, against keys of others.
+const mostRosterParts = 10_000
+
+func rosterPartKey(number int) string { return fmt.Sprintf("%s%05d", rosterPrefix, number) }
+
+// readRoster takes in the roster of the previous owner, and reports whether the store
+// tells that it is in parts. If anything of it can't be read, any worker may have orders.
+func (n *Node) readRoster(core *dispatch.Core, own []kv.Pair, now dispatch.Instant) (inParts bool) {
+	var list []dispatch.RosterEntry
+	sound := true
+	for _, p := range own {
+		if p.Key == rosterKey {
+			inParts = string(p.Value) == rosterInParts
+			sound = sound && inParts
+			if !inParts {
+				n.noteUnreadable("roster_unreadable", p.Key, p.ModRevision, errors.New("not in parts"))
+			}
+			continue
+		}
+		number, ok := rosterPartOf(p.Key)
+		if !ok {
+			continue
+		}
+		part, err := dispatch.DecodeRoster(dispatch.RosterPart{Number: number, Value: p.Value})
+		if err != nil {
+			n.noteUnreadable("roster_unreadable", p.Key, p.ModRevision, err)
+			sound = false
+			continue
+		}
+		list = append(list, part...)
+	}
+	core.Recover(list, now)
+	if !sound {
+		core.RecoverUnknown(now)
+	}
+	return inParts
+}
+
+// rosterPartOf returns the number of the part that a key holds.
+func rosterPartOf(key string) (number int, ok bool) {
+	name, ok := strings.CutPrefix(key, rosterPrefix)
+	if !ok {
+		return 0, false
+	}
+	number, err := strconv.Atoi(name)
+	return number, err == nil && number >= 0 && number < mostRosterParts && rosterPartKey(number) == key
+}
--- a/node/store.go
+++ b/node/store.go
@@ -65,8 +65,11 @@
 	// that it is as the owner left it: a write whose answer was lost can't
 	// take effect after a later one.
 	chainKey = "ls/own/chain"
-	// rosterKey holds the workers that may have orders.
-	rosterKey = "ls/own/roster"
+	// rosterKey held all workers that may have orders. Now it holds rosterInParts, which
+	// an entry that knows of one key reads as a damaged list; rosterPrefix has the parts.
+	rosterKey     = "ls/own/roster"
+	rosterPrefix  = rosterKey + "/"
+	rosterInParts = "parts"
 	// learntKey holds what the owner has learnt of run times and interference.
 	learntKey = "ls/own/learnt"
 	// intakePrefix holds what entries record for the owner.
