What an owner knows of workers lost unheard is handed on

Cause: a worker of the previous owner that is gone before the next one heard of it may have been crashed by a task. The next owner remembered that, dropped the worker from the roster, and was lost itself before it could tell which tasks: the third owner knew nothing, and the crash was not counted. Change: the tasks that may have run at such workers stand in a record of their own, written with the roster, until no worker of the previous owner is waited for.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -93,6 +93,8 @@
 	// lostUnheard holds the tasks of workers that were lost before this owner heard of
 	// them.
 	lostUnheard unheardTasks
+	// unheardStale is set while the store's record of them is out of date.
+	unheardStale bool
 	// unknown is set while tasks in phaseUnknown wait for settleUnknown.
 	unknown bool
 	roster  roster
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -35,6 +35,7 @@
 	stored    map[string][]byte
 	storeDown bool
 	roster    rosterStore
+	unheard   []byte
 	vms       []string
 	ended     map[WorkerID][]EndedTask
 	// crashDown is how long a VM has no worker after a crash.
@@ -91,6 +92,11 @@
 	}
 	next := f.newCore(f.core.Term() + 1)
 	next.Recover(list, f.now)
+	if f.unheard != nil {
+		if err := next.TakeUnheard(f.unheard); err != nil {
+			f.t.Fatal(err)
+		}
+	}
 	f.core = next
 	f.list()
 	for _, spec := range specs {
@@ -257,6 +263,14 @@
 	if f.core.RosterStale() {
 		f.roster.put(storeRoster(f.t, f.core))
 	}
+	unheard, err := f.core.Unheard()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if unheard != nil {
+		f.unheard = unheard
+		f.core.UnheardStored(unheard)
+	}
 }
 
 func (f *crashFleet) state(spec *job.Spec) job.State {
--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -240,6 +240,7 @@
 	}
 	if w.heardAt == 0 && from.Born() != 0 {
 		c.lostUnheard.add(u)
+		c.unheardStale = true
 	}
 	known, ok := c.unresolved[next.info.ID]
 	if !ok {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -61,29 +61,6 @@
 	c.unresolved[e.ID] = u
 }
 
-// unheardTasks are those that may have run at workers of the previous owner which were
-// lost before this one heard of them.
-type unheardTasks struct {
-	any   bool // at one of these, any task
-	tasks map[string]bool
-}
-
-func (l *unheardTasks) add(u unresolvedWorker) {
-	l.any = l.any || u.open
-	if l.tasks == nil {
-		l.tasks = map[string]bool{}
-	}
-	maps.Copy(l.tasks, u.tasks)
-}
-
-// has reports whether a task of the step that a suspect stands for may have run there.
-func (l *unheardTasks) has(t *task) bool {
-	if l.any || !t.step.spec.Gang {
-		return l.any || l.tasks[t.id().String()]
-	}
-	return slices.ContainsFunc(t.step.tasks, func(t *task) bool { return l.tasks[t.id().String()] })
-}
-
 // unknownWorker stands for workers that no roster names.
 const unknownWorker WorkerID = ""
 
@@ -107,6 +84,7 @@
 	}
 	if w := c.workers[id]; w == nil || w.heardAt == 0 {
 		c.lostUnheard.add(u)
+		c.unheardStale = true
 	}
 	switch {
 	case c.openUnresolved > 0:
@@ -197,6 +175,7 @@
 			c.openStep(s, now)
 		}
 	}
+	c.forgetUnheard()
 }
 
 // mendGang ends a gang's run that lost members with the previous owner, once it
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -156,8 +156,9 @@
 	return list
 }
 
-// RosterStale reports whether parts of the roster must be written.
-func (c *Core) RosterStale() bool { return len(c.roster.stale) > 0 }
+// RosterStale reports whether parts of the roster, or the record of Unheard, must be
+// written.
+func (c *Core) RosterStale() bool { return len(c.roster.stale) > 0 || c.unheardStale }
 
 // Roster returns parts of the roster that must be written, at most so many.
 func (c *Core) Roster(most int) ([]RosterPart, error) {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -58,6 +58,7 @@
 	cancelled    map[string]time.Duration
 	progress     map[string][]byte // the store
 	roster       rosterStore
+	unheard      []byte
 	storeDown    bool
 	takeovers    int
 	renewalsLost time.Duration            // until then
@@ -221,6 +222,11 @@
 		}
 	}
 	o.core.Recover(list, s.instant())
+	if s.unheard != nil {
+		if err := o.core.TakeUnheard(s.unheard); err != nil {
+			panic(err)
+		}
+	}
 	o.core.SetConfig(s.config())
 	if !s.blindTakeover {
 		s.tellEvacuated(o)
@@ -332,7 +338,11 @@
 	if err != nil {
 		panic(err)
 	}
-	if len(records) == 0 && len(roster) == 0 {
+	unheard, err := o.core.Unheard()
+	if err != nil {
+		panic(err)
+	}
+	if len(records) == 0 && len(roster) == 0 && unheard == nil {
 		return
 	}
 	if s.ackEarly {
@@ -345,11 +355,15 @@
 				s.progress[r.Job] = r.Value
 			}
 			s.roster.put(roster)
+			if unheard != nil {
+				s.unheard = unheard
+			}
 			s.later(2*time.Millisecond, func() {
 				o.writing = false
 				if !o.dead {
 					o.core.Persisted(records)
 					o.core.RosterStored(roster)
+					o.core.UnheardStored(unheard)
 				}
 			})
 			return
--- a/node/load.go
+++ b/node/load.go
@@ -53,7 +53,7 @@
 	core := dispatch.New(n.opts.Params, o.own.lead.Term, n.logDecision)
 	now := n.instant()
 	o.rosterMarked = n.readRoster(core, s.own.pairs, now)
-	n.takeLearnt(core, s.own.pairs)
+	n.takeKnown(core, s.own.pairs)
 	o.noteWaveRecords(s.own.pairs)
 	core.SetConfig(config)
 	n.evacuations.note(s.evacuations)
@@ -122,10 +122,15 @@
 	return group.Wait()
 }
 
-// takeLearnt reads what the previous owner has learnt.
-func (n *Node) takeLearnt(core *dispatch.Core, own []kv.Pair) {
+// takeKnown reads what the previous owner knew of tasks and workers beside the roster.
+func (n *Node) takeKnown(core *dispatch.Core, own []kv.Pair) {
 	for _, p := range own {
-		if p.Key == learntKey {
+		switch p.Key {
+		case unheardKey:
+			if err := core.TakeUnheard(p.Value); err != nil {
+				n.noteUnreadable("unheard_unreadable", p.Key, p.ModRevision, err)
+			}
+		case learntKey:
 			if err := core.TakeLearnt(p.Value); err != nil {
 				// It only saves time: the new owner learns again.
 				n.noteUnreadable("learnt_unreadable", p.Key, p.ModRevision, err)
--- a/node/record.go
+++ b/node/record.go
@@ -18,8 +18,8 @@
 	// at most 70 writes a second, of 400 that the store takes.
 	flushPauseBehind = 10 * time.Millisecond
 	// flushRecords is the most records and parts of the roster in one write: the store
-	// takes 32 entries, of which two are conditions and five other keys.
-	flushRecords = 25
+	// takes 32 entries, of which two are conditions and six other keys.
+	flushRecords = 24
 	// flushRosterParts is the most parts of the roster in one write, 5 KB each.
 	flushRosterParts = 8
 	// idleFlush is the pause after which a flush is tried without news: for what
@@ -79,6 +79,10 @@
 	if now := o.now(); err == nil && o.core.LearntDue(now) {
 		learnt, err = o.core.Learnt(now)
 	}
+	var unheard []byte
+	if err == nil {
+		unheard, err = o.core.Unheard()
+	}
 	var wave *dispatch.WaveRecord
 	if err == nil {
 		wave, err = o.core.DirtyWave()
@@ -88,7 +92,7 @@
 		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
 		return false
 	}
-	if len(records) == 0 && len(roster) == 0 && wave == nil {
+	if len(records) == 0 && len(roster) == 0 && unheard == nil && wave == nil {
 		// What was learnt is due at each idle flush; old records must not wait
 		// for one without it.
 		if removed := o.removeExpired(ctx); !removed || learnt == nil {
@@ -96,7 +100,7 @@
 		}
 	}
 	began := o.node.clock()
-	ok := o.write(ctx, append(o.recordOps(records, roster, learnt), o.node.waveOps(wave)...))
+	ok := o.write(ctx, append(o.recordOps(records, roster, unheard, learnt), o.node.waveOps(wave)...))
 	o.node.metrics.flush.UpdateDuration(time.Now().Add(began - o.node.clock()))
 	if !ok {
 		return false
@@ -105,6 +109,7 @@
 	o.locked(func(c *dispatch.Core, _ dispatch.Instant) {
 		c.Persisted(records)
 		c.RosterStored(roster)
+		c.UnheardStored(unheard)
 		if wave != nil {
 			c.WavePersisted(wave)
 		}
@@ -115,8 +120,11 @@
 	return true
 }
 
-func (o *owner) recordOps(records []dispatch.Record, roster []dispatch.RosterPart, learnt []byte) []kv.Op {
+func (o *owner) recordOps(records []dispatch.Record, roster []dispatch.RosterPart, unheard, learnt []byte) []kv.Op {
 	var ops []kv.Op
+	if unheard != nil {
+		ops = append(ops, kv.Put(unheardKey, unheard, 0))
+	}
 	if len(roster) > 0 && !o.rosterMarked {
 		ops = append(ops, kv.Put(rosterKey, []byte(rosterInParts), 0))
 	}
--- a/node/store.go
+++ b/node/store.go
@@ -70,6 +70,9 @@
 	rosterKey     = "ls/own/roster"
 	rosterPrefix  = rosterKey + "/"
 	rosterInParts = "parts"
+	// unheardKey holds the tasks that may have run at workers which were lost before the
+	// owner heard of them.
+	unheardKey = "ls/own/unheard"
 	// learntKey holds what the owner has learnt of run times and interference.
 	learntKey = "ls/own/learnt"
 	// intakePrefix holds what entries record for the owner.
