Ticks, writes and lists no longer look at all workers for each of many

Cause, three terms that grow with pairs: whether the owner reaches most workers was found out for each silent one by a walk over all others, in each tick; whether a rack was lost, by a walk over all workers for each that ended; whether too many workers are slow, by one for each list of a slow one. And each stored write looked at all workers for ends. Change: contact is counted once for a moment, workers stand by rack, slow ones are counted each 0.1 s, and workers with ends that wait stand in a set.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -81,6 +81,12 @@
 	// order holds all workers, members those of each service, by id.
 	order   []*worker
 	members map[string][]*worker
+	racks   map[string][]*worker
+	// unstoredEnds are the workers with ends that wait to be stored.
+	unstoredEnds map[*worker]bool
+	reach        reach
+	slow         map[string]*slowCount // by service
+	work         work
 	// names holds the lives of each worker's id.
 	names map[string]*namesakes
 	// over holds lives that have ended and may still be listed.
@@ -148,6 +154,13 @@
 	Restarts uint64
 }
 
+// work counts what the core looks at, which must not grow faster than the fleet.
+type work struct {
+	// reachLooks, slowLooks and endLooks are workers that were looked at to tell which
+	// others answer, which are slow, and which ends are stored.
+	reachLooks, slowLooks, endLooks uint64
+}
+
 // Decision is one decision or change of belief, for the log.
 type Decision struct {
 	Event  string
@@ -199,7 +212,7 @@
 		params: params, term: term,
 		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
-		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, names: map[string]*namesakes{}, members: map[string][]*worker{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
+		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, names: map[string]*namesakes{}, members: map[string][]*worker{}, racks: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slow: map[string]*slowCount{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, kept: map[string]*keptRoom{}, perfByKey: map[perfKey]*runTimes{},
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -81,10 +81,7 @@
 		return false
 	}
 	all, lost := map[string]bool{w.info.VM: true}, map[string]bool{w.info.VM: true}
-	for _, other := range c.order {
-		if other.info.Rack != w.info.Rack {
-			continue
-		}
+	for _, other := range c.racks[w.info.Rack] {
 		all[other.info.VM] = true
 		if c.silentWith(other, w.loss.since) {
 			lost[other.info.VM] = true
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -39,15 +39,21 @@
 	if a != nil {
 		c.release(a, now)
 	}
-	w.ends = append(w.ends, pendingEnd{number: e.Number, task: e.Task, job: t.step.job, version: t.step.job.version})
+	c.keepEnd(w, pendingEnd{number: e.Number, task: e.Task, job: t.step.job, version: t.step.job.version})
 }
 
 // ignoreEnd lets a worker forget an end that says nothing of a task.
 func (c *Core) ignoreEnd(w *worker, e *EndedTask, reason string) {
-	w.ends = append(w.ends, pendingEnd{number: e.Number, task: e.Task})
+	c.keepEnd(w, pendingEnd{number: e.Number, task: e.Task})
 	c.trace(Decision{Event: "end_ignored", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Reason: reason})
 }
 
+// keepEnd notes an end that the worker may forget once its effect is stored.
+func (c *Core) keepEnd(w *worker, e pendingEnd) {
+	w.ends = append(w.ends, e)
+	c.unstoredEnds[w] = true
+}
+
 // neverOrdered reports whether a run is of this owner's term, and newer than any start of
 // the task that it ordered. Runs of other terms may be true: of earlier owners, or of one that
 // has replaced this one.
--- a/dispatch/growth_test.go
+++ b/dispatch/growth_test.go
@@ -60,6 +60,63 @@
 	return f
 }
 
+// silence has all workers of a data centre leave polls unanswered, and the others answer.
+func (f *growthFleet) silence(centre string) {
+	f.t.Helper()
+	f.now.Steady += time.Second
+	for _, info := range f.list {
+		order := f.core.PlanHold(info.ID, f.now).Order
+		if info.DataCentre == centre {
+			f.core.HoldDone(order, HoldReply{}, OutcomeUnknown, f.now)
+			continue
+		}
+		w := f.core.workers[info.ID]
+		reply := HoldReply{ClockMS: 2000}
+		for _, a := range w.attempts {
+			reply.Running = append(reply.Running, RunningTask{Task: a.task.id(), Run: a.run, Percent: 100})
+		}
+		f.core.HoldDone(order, reply, OutcomeOK, f.now)
+	}
+}
+
+// TestATickWithALostDataCentreLooksAtEachWorkerOnce: whether the owner reaches most workers
+// is found out once a tick, not for each worker that is silent.
+//
+// Users would see an owner that is late for as long as a data centre is lost: with 1,000 of
+// 6,000 workers silent, a tick looked at workers six million times.
+func TestATickWithALostDataCentreLooksAtEachWorkerOnce(t *testing.T) {
+	for _, workers := range fleetSizes() {
+		f := newGrowthFleet(t, workers)
+		f.silence("1")
+		f.now.Steady += 100 * time.Millisecond
+		before := f.core.work.reachLooks
+		f.core.Tick(f.now)
+		if looks := f.core.work.reachLooks - before; looks > uint64(workers) {
+			t.Errorf("%d workers: %d looks in a tick", workers, looks)
+		}
+	}
+}
+
+// TestAStoredWriteLooksAtWorkersWithEnds: a write of progress that is stored costs as much as
+// there are workers whose ends wait for it.
+func TestAStoredWriteLooksAtWorkersWithEnds(t *testing.T) {
+	for _, workers := range fleetSizes() {
+		f := newGrowthFleet(t, workers)
+		records, err := f.core.Records(25)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := f.core.order[workers/2]
+		a := w.attempts[0]
+		f.core.takeEnds(w, []EndedTask{{Number: 1, Task: a.task.id(), Run: a.run, Kind: EndFailed}}, f.now)
+		before := f.core.work.endLooks
+		f.core.Persisted(records)
+		if looks := f.core.work.endLooks - before; looks > 1 {
+			t.Errorf("%d workers: %d looks for one with an end", workers, looks)
+		}
+	}
+}
+
 // TestAChangeOfOneWorkerWritesOnePart: what the store is told when a worker begins to drain,
 // or joins, does not grow with the number of workers.
 //
@@ -90,3 +147,18 @@
 	}
 	return n
 }
+
+// TestSlowWorkersAreCountedOnce: whether too many workers are slow is not found out anew for
+// each list of a slow one.
+func TestSlowWorkersAreCountedOnce(t *testing.T) {
+	for _, workers := range fleetSizes() {
+		f := newGrowthFleet(t, workers)
+		before := f.core.work.slowLooks
+		for _, w := range f.core.order[:workers/2] {
+			f.core.spareSlow(w, f.now)
+		}
+		if looks := f.core.work.slowLooks - before; looks > uint64(workers) {
+			t.Errorf("%d workers: %d looks for the lists of half of them", workers, looks)
+		}
+	}
+}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -12,6 +12,7 @@
 // may be carried out after those of the next. Only a worker itself tells.
 func (c *Core) SetWorkers(list []WorkerInfo, now Instant) {
 	c.listedAt = now.Steady
+	c.reach.changed()
 	listed := make(map[WorkerID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
@@ -66,17 +67,21 @@
 	return w
 }
 
-// join puts a worker in its place among all workers and among its service's,
-// both in the order of their ids.
+// join puts a worker in its place among all workers, its service's and its rack's, each
+// in the order of their ids.
 func (c *Core) join(w *worker) {
 	c.order = insertWorker(c.order, w)
 	c.members[w.info.Service] = insertWorker(c.members[w.info.Service], w)
+	c.racks[w.info.Rack] = insertWorker(c.racks[w.info.Rack], w)
 }
 
 // leave is the opposite of join.
 func (c *Core) leave(w *worker) {
 	c.order = removeWorker(c.order, w)
 	c.members[w.info.Service] = removeWorker(c.members[w.info.Service], w)
+	if c.racks[w.info.Rack] = removeWorker(c.racks[w.info.Rack], w); len(c.racks[w.info.Rack]) == 0 {
+		delete(c.racks, w.info.Rack)
+	}
 }
 
 func placeOf(list []*worker, w *worker) (int, bool) {
@@ -99,7 +104,7 @@
 // setInfo takes in what the platform lists of a worker.
 func (c *Core) setInfo(w *worker, info WorkerInfo) {
 	before := w.info
-	if before.Service != info.Service {
+	if before.Service != info.Service || before.Rack != info.Rack {
 		c.leave(w)
 		w.info = info
 		c.join(w)
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -83,32 +83,3 @@
 func (o *overload) starts(s *stepRun) bool {
 	return o.load < LoadNoFills || o.load < LoadNoStarts && !s.spec.Fills
 }
-
-// silent reports whether a worker's newest poll was not answered, while the
-// owner itself was on time and reached most others. Without that, an owner that
-// is late, or whose link is choked, starts tasks again whose ends it has not come
-// to read.
-func (c *Core) silent(w *worker, now Instant) bool {
-	return w.holdFails > 0 && w.failedSent > c.overload.doubtful && c.reachesOthers(w, now)
-}
-
-// reachedWithin is how old the newest answer of a worker may be that counts as
-// reached; polls are at most 2.1 s apart.
-const reachedWithin = 3 * time.Second
-
-// reachesOthers reports whether at least half of the other listed workers that
-// the owner polls have answered of late. If more are silent, the fault is on the
-// owner's side, or so large that their entries will lapse.
-func (c *Core) reachesOthers(w *worker, now Instant) bool {
-	reached, silent := 0, 0
-	for _, other := range c.order {
-		switch {
-		case other == w || !other.listed:
-		case other.holdFails > 0:
-			silent++
-		case other.lastAnswer > 0 && now.Steady-other.lastAnswer <= reachedWithin:
-			reached++
-		}
-	}
-	return reached >= silent
-}
--- a/dispatch/persist.go
+++ b/dispatch/persist.go
@@ -75,8 +75,11 @@
 			c.dirty[j] = c.turn // it changed meanwhile: to the end of the line
 		}
 	}
-	for _, w := range c.workers {
-		w.advanceSeen()
+	for w := range c.unstoredEnds {
+		c.work.endLooks++
+		if w.advanceSeen(); len(w.ends) == 0 {
+			delete(c.unstoredEnds, w)
+		}
 	}
 }
 
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -114,6 +114,7 @@
 		c.trace(Decision{Event: "worker_reached", Worker: w.info.ID, Age: now.Steady - w.lastAnswer})
 	}
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
+	c.reach.changed()
 	w.answeredSent = w.holdSent
 	w.told, w.ackUnanswered = max(w.told, order.Seen), 0
 	w.noteAnswered(now)
@@ -201,6 +202,7 @@
 func (c *Core) holdFailed(w *worker, outcome Outcome, now Instant) time.Duration {
 	w.noteUnanswered(outcome, now)
 	w.holdFails++
+	c.reach.changed()
 	w.failedSent = w.holdSent
 	w.unanswered++
 	if w.holdFails == suspectAfter {
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 )
@@ -137,6 +136,8 @@
 
 func (c *Core) forget(w *worker, reason string) {
 	delete(c.workers, w.info.ID)
+	delete(c.unstoredEnds, w)
+	c.reach.without(w)
 	c.leaveName(w)
 	c.leave(w)
 	w.listed = false // for what still refers to it
@@ -150,5 +151,9 @@
 
 // Workers returns the ids of all workers to poll.
 func (c *Core) Workers() []WorkerID {
-	return slices.Sorted(maps.Keys(c.workers))
+	ids := make([]WorkerID, len(c.order))
+	for i, w := range c.order {
+		ids[i] = w.info.ID
+	}
+	return ids
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -154,9 +154,14 @@
 
 // spareSlow keeps short tasks off a slow worker, longer at each relapse.
 func (c *Core) spareSlow(w *worker, now Instant) {
-	if now.Steady < w.slowUntil || c.slowShare(w.info.Service, now) >= mostAvoided {
+	if now.Steady < w.slowUntil {
 		return
 	}
+	count := c.slowOf(w.info.Service, now)
+	if count.share() >= mostAvoided {
+		return
+	}
+	count.slow++
 	pause := min(slowPause<<min(w.slowStrikes, 3), avoidMax)
 	w.slowStrikes++
 	w.slowUntil = now.Steady + pause
@@ -171,21 +176,44 @@
 	return !s.spec.Lasting && !s.starved(now)
 }
 
-// slowShare returns the part of a service's listed workers that count as slow.
-func (c *Core) slowShare(service string, now Instant) float64 {
-	slow, all := 0, 0
-	for _, w := range c.workers {
-		if !w.listed || w.info.Service != service {
+// slowCount is how many of a service's listed workers count as slow, as of a moment.
+type slowCount struct {
+	known     bool
+	at        time.Duration
+	slow, all int
+}
+
+// slowCountAge is how old a count of slow workers may be; those that begin to count as
+// slow meanwhile are added.
+const slowCountAge = 100 * time.Millisecond
+
+// slowOf returns the count of a service's slow workers.
+func (c *Core) slowOf(service string, now Instant) *slowCount {
+	n := c.slow[service]
+	if n == nil {
+		n = &slowCount{}
+		c.slow[service] = n
+	}
+	if n.known && now.Steady-n.at < slowCountAge {
+		return n
+	}
+	*n = slowCount{known: true, at: now.Steady}
+	for _, w := range c.members[service] {
+		c.work.slowLooks++
+		if !w.listed {
 			continue
 		}
-		all++
+		n.all++
 		if now.Steady < w.slowUntil {
-			slow++
+			n.slow++
 		}
 	}
-	return float64(slow) / float64(max(all, 1))
+	return n
 }
 
+// share returns the part of the workers that count as slow.
+func (n *slowCount) share() float64 { return float64(n.slow) / float64(max(n.all, 1)) }
+
 // endsSoonerElsewhere reports whether a task that is slow here would be done much
 // sooner at a sound worker, the work that it loses counted.
 func (c *Core) endsSoonerElsewhere(a *attempt) bool {
