An owner that the store alone does not answer stays the owner through others

Cause: the belief that an owner without its own path to the store has lost the store. A takeover costs what grows with the workers: all state is read, and each worker asked. Change: a renewal or a write that the store has not answered for 0.45 s is also made by an entry that has told the owner of a job of late, two at most. Both may take effect: a renewal twice is one, and of a write only one can, by its conditions; one that is refused may have been carried out and counts as unsure. After 8 s in which the store answered nothing the owner lets its lease lapse, since what it reads for itself is out of date.

--- a/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
+++ b/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
@@ -24,6 +24,8 @@
 const (
 	// OwnerName is the fully-qualified name of the Owner service.
 	OwnerName = "leverstile.jobs.v1.Owner"
+	// RelayName is the fully-qualified name of the Relay service.
+	RelayName = "leverstile.jobs.v1.Relay"
 	// JobsName is the fully-qualified name of the Jobs service.
 	JobsName = "leverstile.jobs.v1.Jobs"
 )
@@ -52,6 +54,10 @@
 	OwnerNoteEvacuationsProcedure = "/leverstile.jobs.v1.Owner/NoteEvacuations"
 	// OwnerExplainJobProcedure is the fully-qualified name of the Owner's ExplainJob RPC.
 	OwnerExplainJobProcedure = "/leverstile.jobs.v1.Owner/ExplainJob"
+	// RelayRenewLeaseProcedure is the fully-qualified name of the Relay's RenewLease RPC.
+	RelayRenewLeaseProcedure = "/leverstile.jobs.v1.Relay/RenewLease"
+	// RelayWriteProcedure is the fully-qualified name of the Relay's Write RPC.
+	RelayWriteProcedure = "/leverstile.jobs.v1.Relay/Write"
 	// JobsSubmitProcedure is the fully-qualified name of the Jobs's Submit RPC.
 	JobsSubmitProcedure = "/leverstile.jobs.v1.Jobs/Submit"
 	// JobsGetProcedure is the fully-qualified name of the Jobs's Get RPC.
@@ -336,6 +342,106 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.ExplainJob is not implemented"))
 }
 
+// RelayClient is a client for the leverstile.jobs.v1.Relay service.
+type RelayClient interface {
+	// RenewLease renews a lease of the caller's.
+	RenewLease(context.Context, *connect.Request[v1.RenewLeaseRequest]) (*connect.Response[v1.RenewLeaseResponse], error)
+	// Write carries out a transaction of the caller's.
+	Write(context.Context, *connect.Request[v1.WriteRequest]) (*connect.Response[v1.WriteResponse], error)
+}
+
+// NewRelayClient constructs a client for the leverstile.jobs.v1.Relay service. By default, it uses
+// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelayClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelayClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relayMethods := v1.File_leverstile_jobs_v1_jobs_proto.Services().ByName("Relay").Methods()
+	return &relayClient{
+		renewLease: connect.NewClient[v1.RenewLeaseRequest, v1.RenewLeaseResponse](
+			httpClient,
+			baseURL+RelayRenewLeaseProcedure,
+			connect.WithSchema(relayMethods.ByName("RenewLease")),
+			connect.WithClientOptions(opts...),
+		),
+		write: connect.NewClient[v1.WriteRequest, v1.WriteResponse](
+			httpClient,
+			baseURL+RelayWriteProcedure,
+			connect.WithSchema(relayMethods.ByName("Write")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relayClient implements RelayClient.
+type relayClient struct {
+	renewLease *connect.Client[v1.RenewLeaseRequest, v1.RenewLeaseResponse]
+	write      *connect.Client[v1.WriteRequest, v1.WriteResponse]
+}
+
+// RenewLease calls leverstile.jobs.v1.Relay.RenewLease.
+func (c *relayClient) RenewLease(ctx context.Context, req *connect.Request[v1.RenewLeaseRequest]) (*connect.Response[v1.RenewLeaseResponse], error) {
+	return c.renewLease.CallUnary(ctx, req)
+}
+
+// Write calls leverstile.jobs.v1.Relay.Write.
+func (c *relayClient) Write(ctx context.Context, req *connect.Request[v1.WriteRequest]) (*connect.Response[v1.WriteResponse], error) {
+	return c.write.CallUnary(ctx, req)
+}
+
+// RelayHandler is an implementation of the leverstile.jobs.v1.Relay service.
+type RelayHandler interface {
+	// RenewLease renews a lease of the caller's.
+	RenewLease(context.Context, *connect.Request[v1.RenewLeaseRequest]) (*connect.Response[v1.RenewLeaseResponse], error)
+	// Write carries out a transaction of the caller's.
+	Write(context.Context, *connect.Request[v1.WriteRequest]) (*connect.Response[v1.WriteResponse], error)
+}
+
+// NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelayHandler(svc RelayHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relayMethods := v1.File_leverstile_jobs_v1_jobs_proto.Services().ByName("Relay").Methods()
+	relayRenewLeaseHandler := connect.NewUnaryHandler(
+		RelayRenewLeaseProcedure,
+		svc.RenewLease,
+		connect.WithSchema(relayMethods.ByName("RenewLease")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayWriteHandler := connect.NewUnaryHandler(
+		RelayWriteProcedure,
+		svc.Write,
+		connect.WithSchema(relayMethods.ByName("Write")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/leverstile.jobs.v1.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelayRenewLeaseProcedure:
+			relayRenewLeaseHandler.ServeHTTP(w, r)
+		case RelayWriteProcedure:
+			relayWriteHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelayHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelayHandler struct{}
+
+func (UnimplementedRelayHandler) RenewLease(context.Context, *connect.Request[v1.RenewLeaseRequest]) (*connect.Response[v1.RenewLeaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Relay.RenewLease is not implemented"))
+}
+
+func (UnimplementedRelayHandler) Write(context.Context, *connect.Request[v1.WriteRequest]) (*connect.Response[v1.WriteResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Relay.Write is not implemented"))
+}
+
 // JobsClient is a client for the leverstile.jobs.v1.Jobs service.
 type JobsClient interface {
 	// Submit checks and records a job. Submitting it again is safe.
--- a/node/campaign_test.go
+++ b/node/campaign_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,7 +48,14 @@
 func (s *countedStore) Do(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
 	s.writes.Add(1)
 	time.Sleep(countedLatency)
-	return s.KVStore.Do(ctx, txn)
+	for _, c := range txn.If { // a refused write tells the keys of its conditions
+		txn.Else = append(txn.Else, kv.Get(c.Key))
+	}
+	res, err := s.KVStore.Do(ctx, txn)
+	if err == nil && !res.Succeeded {
+		res.Reads = [][]kv.Pair{slices.Concat(res.Reads...)}
+	}
+	return res, err
 }
 
 func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
--- a/node/hint.go
+++ b/node/hint.go
@@ -32,7 +32,7 @@
 		return
 	}
 	n.tellOwner(id, func(ctx context.Context, client jobsv1connect.OwnerClient) error {
-		resp, err := client.NoteIntake(ctx, connect.NewRequest(&jobsv1.NoteIntakeRequest{Id: id, Record: record}))
+		resp, err := client.NoteIntake(ctx, connect.NewRequest(&jobsv1.NoteIntakeRequest{Id: id, Record: record, Address: n.opts.PeerAddress}))
 		if err == nil {
 			n.noteCrowded(resp.Msg.GetCrowded())
 		}
@@ -69,6 +69,7 @@
 	if o == nil {
 		return connect.NewResponse(&jobsv1.NoteIntakeResponse{}), nil
 	}
+	p.node.relays.heard(req.Msg.GetAddress(), p.node.clock())
 	o.takeHint(req.Msg.GetId(), req.Msg.GetRecord())
 	return connect.NewResponse(&jobsv1.NoteIntakeResponse{Crowded: o.crowded()}), nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -76,6 +76,10 @@
 	// evacuations is what is known of evacuated data centres.
 	evacuations evacuationList
 	hints       chan struct{} // holds one value a hint under way
+	// relays are entries that the store has answered of late; relayed is set while one of
+	// them makes calls for this one.
+	relays  relayList
+	relayed atomic.Bool
 	// crowdedUntil is until when short jobs are to be admitted by the owner.
 	crowdedUntil atomic.Int64
 }
@@ -135,6 +139,7 @@
 
 func (n *Node) storeChanged(up bool, err error) {
 	if up {
+		n.relayed.Store(false)
 		n.log.Info().Str("event", "store_regained").Msg("")
 		return
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -222,7 +222,7 @@
 func (o *owner) renewLoop() {
 	for {
 		sent := o.node.clock()
-		err := o.node.store.KeepAlive(o.ctx, o.own.lease)
+		err := o.renewLease()
 		switch {
 		case o.ctx.Err() != nil:
 			return
--- a/node/peers.go
+++ b/node/peers.go
@@ -138,6 +138,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(jobsv1connect.NewOwnerHandler(&peerServer{n}))
 	mux.Handle(jobsv1connect.NewJobsHandler(&jobsServer{n}))
+	mux.Handle(jobsv1connect.NewRelayHandler(&relayServer{n}))
 	return mux
 }
 
--- a/node/record.go
+++ b/node/record.go
@@ -149,8 +149,8 @@
 	}
 	wctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	res, err := o.node.store.Do(wctx, txn)
-	o.unsure = err != nil && !errors.Is(err, kv.ErrNotDone)
+	res, twice, err := o.do(wctx, txn)
+	o.unsure = err != nil && !errors.Is(err, kv.ErrNotDone) || twice && !res.Succeeded
 	if err != nil {
 		if ctx.Err() == nil {
 			o.node.log.Warn().Str("event", "flush_failed").Int("operations", len(ops)).Err(err).Msg("")
--- a/node/store.go
+++ b/node/store.go
@@ -126,6 +126,9 @@
 	return h.clock() - time.Duration(h.lastOK.Load())
 }
 
+// silentFor returns how long ago the store last answered this process.
+func (h *storeHealth) silentFor() time.Duration { return h.clock() - time.Duration(h.lastOK.Load()) }
+
 // Down reports whether callers should not wait for the store.
 func (h *storeHealth) Down() bool { return h.quiet() > downQuiet }
 
--- /dev/null
+++ b/node/storerelay.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
+	"leverstile.dev/api/gen/leverstile/jobs/v1/jobsv1connect"
+	"leverstile.dev/kv"
+)
+
+// The store may not answer the owner while it serves all others. A takeover reads all
+// state and asks every worker, so the owner rather has other entries renew its lease and
+// carry out its writes until the store answers it again.
+
+// Figures of calls to the store through other entries.
+const (
+	// relayAfter the owner asks another entry to make a call that the store has not
+	// answered: a slow store takes 360 ms.
+	relayAfter = 450 * time.Millisecond
+	// relayTries is how many entries are asked to make one call.
+	relayTries = 2
+	// relayFor is how long the store may not have answered the owner itself. What it
+	// reads for itself, as the list of workers, is out of date after that.
+	relayFor = 8 * time.Second
+	// mostRelays is how many entries are remembered, relayFresh for how long: the store
+	// has answered them shortly before.
+	mostRelays = 8
+	relayFresh = 10 * time.Second
+)
+
+// relayList holds the entries that the store has answered of late, the newest last. Its
+// lock guards entries.
+type relayList struct {
+	mu      sync.Mutex
+	entries []relayEntry
+}
+
+type relayEntry struct {
+	address string
+	heardAt time.Duration
+}
+
+// heard notes that the store has answered an entry.
+func (l *relayList) heard(address string, now time.Duration) {
+	if address == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = slices.DeleteFunc(l.entries, func(e relayEntry) bool { return e.address == address })
+	l.entries = append(l.entries, relayEntry{address, now})
+	l.entries = l.entries[max(len(l.entries)-mostRelays, 0):]
+}
+
+// drop forgets an entry that did not answer, or that the store does not answer either.
+func (l *relayList) drop(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = slices.DeleteFunc(l.entries, func(e relayEntry) bool { return e.address == address })
+}
+
+// newest returns the entry that was heard of last.
+func (l *relayList) newest(now time.Duration) (address string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.entries) == 0 {
+		return "", false
+	}
+	e := l.entries[len(l.entries)-1]
+	return e.address, now-e.heardAt < relayFresh
+}
+
+// storeCall is a call to the store that can also be made by another entry.
+type storeCall[T any] struct {
+	direct func(context.Context) (T, error)
+	relay  func(context.Context, jobsv1connect.RelayClient) (T, error)
+}
+
+type storeAnswer[T any] struct {
+	value T
+	err   error
+}
+
+// conclusive reports whether the store itself has decided a call.
+func conclusive(err error) bool { return err == nil || errors.Is(err, kv.ErrLeaseNotFound) }
+
+// make makes a call, and has other entries make it too if the store does not answer.
+// More than one of them may take effect, so it must be a renewal, or a write that only one
+// can make; twice is set if another entry may have carried it out as well.
+func (c storeCall[T]) make(ctx context.Context, o *owner) (value T, twice bool, err error) {
+	answers := make(chan storeAnswer[T], 1)
+	go func() {
+		value, err := c.direct(ctx)
+		answers <- storeAnswer[T]{value, err}
+	}()
+	wait := relayAfter
+	if o.node.store.Down() {
+		wait = 0
+	}
+	select {
+	case a := <-answers:
+		if conclusive(a.err) || ctx.Err() != nil {
+			return a.value, false, a.err
+		}
+		answers <- a // what is told if no entry helps
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	for range relayTries {
+		address, ok := o.node.relays.newest(o.node.clock())
+		if !ok || o.node.store.silentFor() > relayFor || ctx.Err() != nil {
+			break
+		}
+		value, err := c.through(ctx, o, address)
+		if conclusive(err) {
+			o.noteRelayed(address)
+			return value, true, err
+		}
+		twice = twice || !errors.Is(err, kv.ErrNotDone)
+		o.node.relays.drop(address)
+	}
+	a := <-answers
+	if twice && errors.Is(a.err, kv.ErrNotDone) {
+		a.err = errors.Annotate(kv.ErrUnavailable, a.err.Error())
+	}
+	return a.value, twice, a.err
+}
+
+// through has another entry make the call.
+func (c storeCall[T]) through(ctx context.Context, o *owner, address string) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerAskTimeout)
+	defer cancel()
+	return c.relay(ctx, jobsv1connect.NewRelayClient(o.node.peers, "http://"+address))
+}
+
+// noteRelayed logs that the owner's calls are made by other entries, once an outage.
+func (o *owner) noteRelayed(address string) {
+	if o.node.relayed.CompareAndSwap(false, true) {
+		o.node.log.Warn().Str("event", "store_relayed").Str("by", address).Dur("silent", o.node.store.silentFor()).Msg("")
+	}
+}
+
+// renewLease renews the owner's lease.
+func (o *owner) renewLease() error {
+	_, _, err := storeCall[struct{}]{
+		direct: func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, o.node.store.KeepAlive(ctx, o.own.lease)
+		},
+		relay: func(ctx context.Context, c jobsv1connect.RelayClient) (struct{}, error) {
+			resp, err := c.RenewLease(ctx, connect.NewRequest(&jobsv1.RenewLeaseRequest{Lease: o.own.lease}))
+			if err != nil {
+				return struct{}{}, errors.Annotate(kv.ErrUnavailable, err.Error())
+			}
+			return struct{}{}, outcomeError(resp.Msg.GetOutcome())
+		},
+	}.make(o.ctx, o)
+	return err
+}
+
+// do carries out a write of the owner's, whose conditions keep it from taking effect twice.
+// If twice is set, one that is refused may have taken effect.
+func (o *owner) do(ctx context.Context, txn kv.Txn) (res kv.TxnResult, twice bool, err error) {
+	return storeCall[kv.TxnResult]{
+		direct: func(ctx context.Context) (kv.TxnResult, error) { return o.node.store.Do(ctx, txn) },
+		relay: func(ctx context.Context, c jobsv1connect.RelayClient) (res kv.TxnResult, err error) {
+			value, err := json.Marshal(txn)
+			if err != nil {
+				return res, errors.Trace(err)
+			}
+			resp, err := c.Write(ctx, connect.NewRequest(&jobsv1.WriteRequest{Txn: value}))
+			if err != nil {
+				return res, errors.Annotate(kv.ErrUnavailable, err.Error())
+			}
+			if err := outcomeError(resp.Msg.GetOutcome()); err != nil {
+				return res, err
+			}
+			err = json.Unmarshal(resp.Msg.GetResult(), &res)
+			return res, errors.Trace(err)
+		},
+	}.make(ctx, o)
+}
+
+// outcomeOf tells what became of a call to the store.
+func outcomeOf(err error) jobsv1.StoreOutcome {
+	switch {
+	case err == nil:
+		return jobsv1.StoreOutcome_STORE_OUTCOME_DONE
+	case errors.Is(err, kv.ErrNotDone):
+		return jobsv1.StoreOutcome_STORE_OUTCOME_NOT_DONE
+	case errors.Is(err, kv.ErrLeaseNotFound):
+		return jobsv1.StoreOutcome_STORE_OUTCOME_NO_LEASE
+	default:
+		return jobsv1.StoreOutcome_STORE_OUTCOME_UNKNOWN
+	}
+}
+
+// outcomeError is the opposite of outcomeOf.
+func outcomeError(outcome jobsv1.StoreOutcome) error {
+	switch outcome {
+	case jobsv1.StoreOutcome_STORE_OUTCOME_DONE:
+		return nil
+	case jobsv1.StoreOutcome_STORE_OUTCOME_NOT_DONE:
+		return errors.Trace(kv.ErrNotDone)
+	case jobsv1.StoreOutcome_STORE_OUTCOME_NO_LEASE:
+		return errors.Trace(kv.ErrLeaseNotFound)
+	default:
+		return errors.Trace(kv.ErrUnavailable)
+	}
+}
+
+// relayServer serves the calls of an owner that the store does not answer.
+type relayServer struct{ node *Node }
+
+// RenewLease implements jobsv1connect.RelayHandler.
+func (s *relayServer) RenewLease(ctx context.Context, req *connect.Request[jobsv1.RenewLeaseRequest]) (*connect.Response[jobsv1.RenewLeaseResponse], error) {
+	err := s.unlessDown(func() error { return s.node.store.KeepAlive(ctx, req.Msg.GetLease()) })
+	return connect.NewResponse(&jobsv1.RenewLeaseResponse{Outcome: outcomeOf(err)}), nil
+}
+
+// Write implements jobsv1connect.RelayHandler.
+func (s *relayServer) Write(ctx context.Context, req *connect.Request[jobsv1.WriteRequest]) (*connect.Response[jobsv1.WriteResponse], error) {
+	var txn kv.Txn
+	if err := json.Unmarshal(req.Msg.GetTxn(), &txn); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	var res kv.TxnResult
+	err := s.unlessDown(func() (err error) {
+		res, err = s.node.store.Do(ctx, txn)
+		return err
+	})
+	if err != nil {
+		return connect.NewResponse(&jobsv1.WriteResponse{Outcome: outcomeOf(err)}), nil
+	}
+	result, err := json.Marshal(res)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&jobsv1.WriteResponse{Outcome: outcomeOf(nil), Result: result}), nil
+}
+
+// unlessDown makes a call, unless the store does not answer this entry either.
+func (s *relayServer) unlessDown(call func() error) error {
+	if s.node.store.Down() {
+		return errors.Trace(kv.ErrNotDone)
+	}
+	return call()
+}
