--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -37,7 +37,7 @@
 // took 3.9, 20 and 92 microseconds while each task was a walk over all workers
 // and each pass rated their openness; it takes 1.5, 3.2 and 11.
 func BenchmarkStart(b *testing.B) {
-	for _, workers := range []int{66, 490, 2000} {
+	for _, workers := range []int{66, 490, 2000, 5000, 50_000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			core := benchCore(b, workers)
 			now := Instant{Steady: 2 * time.Second}
