Idle connections to workers are closed for others once as many are open as may be

Cause: an owner keeps up to two connections to each worker, of which one is idle for a minute after each order. Change: before a connection is opened and as many are open as may be, idle ones of the hosts called longest ago are closed, one in 32 at a time; those in use stay.

--- a/dial/client.go
+++ b/dial/client.go
@@ -54,6 +54,8 @@
 	mu    sync.Mutex // guards what follows
 	conns map[*clientConn]struct{}
 	hosts []calledHost
+	// madeRoom is when idle connections were last closed for others.
+	madeRoom time.Time
 	// dialling ends with the next Abort.
 	dialling     context.Context
 	stopDialling context.CancelFunc
@@ -87,7 +89,8 @@
 type Limits struct {
 	// PerHost is the most connections that are open to a host; further calls to
 	// it wait for one. With many hosts it is lowered so that MostOpen are open to
-	// all of them together, but not below two; 0 is no bound.
+	// all of them together, but not below two; idle ones are then closed for others, and
+	// more than MostOpen are open only while all are in use. 0 is no bound.
 	PerHost, MostOpen int
 	// MaxAnswer is the most bytes of an answer's body.
 	MaxAnswer int
@@ -215,6 +218,7 @@
 }
 
 func (c *Client) open(dialer *net.Dialer, address string) (net.Conn, error) {
+	c.makeRoom()
 	ctx := c.dialContext()
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
