--- a/dial/client.go
+++ b/dial/client.go
@@ -48,14 +48,17 @@
 // see lastLook.
 type Client struct {
 	http     fasthttp.Client
+	limits   Limits
 	perHost  int
 	mostOpen int
 
 	mu    sync.Mutex // guards what follows
 	conns map[*clientConn]struct{}
 	hosts []calledHost
-	// madeRoom is when idle connections were last closed for others.
-	madeRoom time.Time
+	// madeRoom is when idle connections were last closed for others, nextClosed the place
+	// among hosts of the one whose turn is next.
+	madeRoom   time.Time
+	nextClosed int
 	// dialling ends with the next Abort.
 	dialling     context.Context
 	stopDialling context.CancelFunc
@@ -89,16 +92,17 @@
 type Limits struct {
 	// PerHost is the most connections that are open to a host; further calls to
 	// it wait for one. With many hosts it is lowered so that MostOpen are open to
-	// all of them together, but not below two; idle ones are then closed for others, and
-	// more than MostOpen are open only while all are in use. 0 is no bound.
+	// all of them together, but not below two; 0 is no bound.
 	PerHost, MostOpen int
+	// Crowded is how many may be open before idle ones are closed for others; 0 is no bound.
+	Crowded int
 	// MaxAnswer is the most bytes of an answer's body.
 	MaxAnswer int
 }
 
 // NewClient returns a client. An idle connection is kept for idleTimeout.
 func NewClient(limits Limits, dialTimeout, idleTimeout time.Duration) *Client {
-	c := &Client{perHost: limits.PerHost, mostOpen: limits.MostOpen, conns: map[*clientConn]struct{}{}}
+	c := &Client{limits: limits, perHost: limits.PerHost, mostOpen: limits.MostOpen, conns: map[*clientConn]struct{}{}}
 	c.dialling, c.stopDialling = context.WithCancel(context.Background())
 	dialer := Dialer(dialTimeout)
 	c.http = fasthttp.Client{
--- a/dial/room.go
+++ b/dial/room.go
@@ -1,8 +1,6 @@
 package dial
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,36 +14,42 @@
 	roomPause = 50 * time.Millisecond
 )
 
-// makeRoom closes idle connections, those of hosts that were called longest ago first, once
-// as many are open as may be. With more hosts than connections may be open, idle ones would
-// else take the descriptors that calls need. Connections in use stay.
+// makeRoom closes some idle connections once Limits.Crowded are open: with more hosts than
+// half of that, idle ones would else take the descriptors that calls need. Connections in
+// use stay, and hosts take turns, so that most of those used of late are kept.
 func (c *Client) makeRoom() {
-	for _, h := range c.leastUsed(time.Now()) {
+	before, hosts := c.crowded(time.Now())
+	for i, h := range hosts {
 		h.CloseIdleConnections()
-		if c.openConns() <= c.mostOpen-c.mostOpen/roomPart {
+		if c.openConns() <= before-c.limits.Crowded/roomPart {
+			c.closedUpTo(i + 1)
 			return
 		}
 	}
 }
 
-// leastUsed returns the hosts, those called longest ago first, if room must be made.
-func (c *Client) leastUsed(now time.Time) []*fasthttp.HostClient {
+// crowded returns how many connections are open, and the hosts in the order of their turns,
+// if room must be made.
+func (c *Client) crowded(now time.Time) (open int, hosts []*fasthttp.HostClient) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.mostOpen <= 0 || len(c.conns) < c.mostOpen || now.Sub(c.madeRoom) < roomPause {
-		return nil
+	open = len(c.conns)
+	if c.limits.Crowded <= 0 || open < c.limits.Crowded || now.Sub(c.madeRoom) < roomPause {
+		return open, nil
 	}
 	c.madeRoom = now
-	hosts := make([]*fasthttp.HostClient, 0, len(c.hosts))
-	for _, h := range c.hosts {
-		if h.ConnsCount() > 0 {
-			hosts = append(hosts, h.HostClient)
-		}
+	hosts = make([]*fasthttp.HostClient, len(c.hosts))
+	for i := range c.hosts {
+		hosts[i] = c.hosts[(c.nextClosed+i)%len(c.hosts)].HostClient
 	}
-	slices.SortStableFunc(hosts, func(a, b *fasthttp.HostClient) int {
-		return cmp.Compare(a.LastUseTime().Unix(), b.LastUseTime().Unix())
-	})
-	return hosts
+	return open, hosts
+}
+
+// closedUpTo notes that so many hosts have had their turn.
+func (c *Client) closedUpTo(turns int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextClosed = (c.nextClosed + turns) % len(c.hosts)
 }
 
 func (c *Client) openConns() int {
--- a/dial/room_test.go
+++ b/dial/room_test.go
@@ -13,8 +13,8 @@
 // Users would see an owner of 3,000 workers whose calls fail for want of descriptors, while
 // most of its connections are idle.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
-	const mostOpen, hosts = 32, 160
-	c := testClientOf(t, Limits{PerHost: 2, MostOpen: mostOpen, MaxAnswer: 1 << 20})
+	const crowded, hosts = 32, 160
+	c := testClientOf(t, Limits{PerHost: 2, Crowded: crowded, MaxAnswer: 1 << 20})
 	held := make(chan struct{})
 	release := make(chan struct{})
 	slow := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -28,20 +28,26 @@
 		answered <- err
 	}()
 	<-held
-	most := 0
-	for range hosts {
+	most, least := 0, crowded
+	for i := range hosts {
 		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		defer s.Close()
 		if _, err := post(c, s.Listener.Addr().String(), time.Minute); err != nil {
 			t.Fatal(err)
 		}
 		most = max(most, c.openConns())
+		if i > crowded {
+			least = min(least, c.openConns())
+		}
 		c.mu.Lock()
 		c.madeRoom = time.Time{} // as if the pause were over
 		c.mu.Unlock()
 	}
-	if most > mostOpen {
-		t.Errorf("%d connections are open, want at most %d", most, mostOpen)
+	if most > crowded {
+		t.Errorf("%d connections are open, want at most %d", most, crowded)
+	}
+	if least < crowded/2 {
+		t.Errorf("%d connections are left of %d: those used of late are kept", least, crowded)
 	}
 	close(release)
 	if err := <-answered; err != nil {
