--- a/dial/client.go
+++ b/dial/client.go
@@ -48,17 +48,12 @@
 // see lastLook.
 type Client struct {
 	http     fasthttp.Client
-	limits   Limits
 	perHost  int
 	mostOpen int
 
 	mu    sync.Mutex // guards what follows
 	conns map[*clientConn]struct{}
 	hosts []calledHost
-	// madeRoom is when idle connections were last closed for others, nextClosed the place
-	// among hosts of the one whose turn is next.
-	madeRoom   time.Time
-	nextClosed int
 	// dialling ends with the next Abort.
 	dialling     context.Context
 	stopDialling context.CancelFunc
@@ -94,15 +89,13 @@
 	// it wait for one. With many hosts it is lowered so that MostOpen are open to
 	// all of them together, but not below two; 0 is no bound.
 	PerHost, MostOpen int
-	// Crowded is how many may be open before idle ones are closed for others; 0 is no bound.
-	Crowded int
 	// MaxAnswer is the most bytes of an answer's body.
 	MaxAnswer int
 }
 
 // NewClient returns a client. An idle connection is kept for idleTimeout.
 func NewClient(limits Limits, dialTimeout, idleTimeout time.Duration) *Client {
-	c := &Client{limits: limits, perHost: limits.PerHost, mostOpen: limits.MostOpen, conns: map[*clientConn]struct{}{}}
+	c := &Client{perHost: limits.PerHost, mostOpen: limits.MostOpen, conns: map[*clientConn]struct{}{}}
 	c.dialling, c.stopDialling = context.WithCancel(context.Background())
 	dialer := Dialer(dialTimeout)
 	c.http = fasthttp.Client{
@@ -222,7 +215,6 @@
 }
 
 func (c *Client) open(dialer *net.Dialer, address string) (net.Conn, error) {
-	c.makeRoom()
 	ctx := c.dialContext()
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
