TestOverwrittenEntryStopsNothing waits until something runs at each worker

The owner reads its two workers one after the other, and the one that is read first may take all four tasks. On a copy that printed each worker's starts, beside 40 processes of the test at once: 28 runs failed, and each failing worker had never been given a task (starts map[]), so nothing had been stopped: the case is allowed, and the test's premise was wrong.

Change: jobs are handed in until something runs at each worker; each worker must then run at least as many tasks as before its entry was overwritten (before: one or more). The check of doubled starts stands.

--- a/node/foreign_test.go
+++ b/node/foreign_test.go
@@ -32,13 +32,23 @@
 		c.workers = append(c.workers, wiretest.NewWorker(c.store, fmt.Sprintf("i-%d", i), "svc", time.Hour))
 	}
 	c.nodes = append(c.nodes, c.startNode("entry-0"))
-	const started = 4
-	c.submit(0, id(1), `{"spec":"s","steps":[{"count":4,"cpu":500}]}`)
-	c.await("the starts", func() bool { return startsAt(c.workers) == started })
+	// The worker that is read first takes all that is handed in until the other is read.
+	const perJob = 4
+	jobs := 0
+	c.await("starts at each worker", func() bool {
+		jobs++
+		c.submit(0, id(jobs), `{"spec":"s","steps":[{"count":4,"cpu":500}]}`)
+		c.await("the starts", func() bool { return startsAt(c.workers) == jobs*perJob })
+		return c.workers[0].Running() > 0 && c.workers[1].Running() > 0
+	})
+	before := map[string]int{}
+	for _, w := range c.workers {
+		before[w.ID] = w.Running()
+	}
 	for _, w := range c.workers {
 		c.store.Put("servers/"+w.ID, []byte(`{"service":"svc","state":"??"`))
 	}
-	next := 20
+	next := jobs + 1
 	c.await("a job that waits, since no worker can be used", func() bool {
 		c.submit(0, id(next), `{"spec":"s","steps":[{"count":1,"cpu":500}]}`)
 		next++
@@ -51,8 +61,8 @@
 				t.Errorf("task %s was started %d times", task, starts)
 			}
 		}
-		if n := w.Running(); n == 0 {
-			t.Errorf("nothing runs at %s any more", w.ID)
+		if n := w.Running(); n < before[w.ID] {
+			t.Errorf("%d tasks run at %s, where %d ran before", n, w.ID, before[w.ID])
 		}
 	}
 }
