First polls of workers begin in batches, as fast as the process keeps up

Two beliefs held only while the cell was small: that all first polls fit in a connection's timeout, and that a process which is late sees it by its timers (a goroutine woken by a timer runs before all that are ready: 20 to 60 ms late in the same moments).

Change: a pacer lets first polls begin in batches, by additive increase and multiplicative decrease on how late a pause ended after a yield. It bounds no calls under way, so silent workers hold up no others. Workers that a recovery waits for are read first.

--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -192,6 +192,12 @@
 	}
 }
 
+// Awaits reports whether a worker of the previous owner has not answered yet.
+func (c *Core) Awaits(id WorkerID) bool {
+	_, waits := c.unresolved[id]
+	return waits
+}
+
 // Recovering reports for how many workers the core still waits.
 func (c *Core) Recovering() int { return len(c.unresolved) }
 
--- a/node/contact.go
+++ b/node/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"leverstile.dev/dispatch"
@@ -23,12 +24,17 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := map[dispatch.WorkerID]bool{}
-	for _, id := range o.core.Workers() {
+	for _, id := range o.awaitedFirst(o.core.Workers()) {
 		known[id] = true
 		if o.polled[id] == nil {
 			ctx, cancel := context.WithCancel(o.ctx)
 			o.polled[id] = cancel
-			o.running.Go(func() { o.pollLoop(ctx, id) })
+			turn := o.firstPolls.join()
+			o.running.Go(func() {
+				if awaitTurn(ctx, turn) {
+					o.pollLoop(ctx, id)
+				}
+			})
 		}
 	}
 	for id, cancel := range o.polled {
@@ -39,6 +45,21 @@
 	}
 }
 
+// awaitedFirst puts workers that a recovery waits for before all others.
+func (o *owner) awaitedFirst(ids []dispatch.WorkerID) []dispatch.WorkerID {
+	slices.SortStableFunc(ids, func(a, b dispatch.WorkerID) int {
+		return awaitedRank(o.core, a) - awaitedRank(o.core, b)
+	})
+	return ids
+}
+
+func awaitedRank(c *dispatch.Core, id dispatch.WorkerID) int {
+	if c.Awaits(id) {
+		return 0
+	}
+	return 1
+}
+
 // pollersLoop starts and ends pollers when workers come and go between two reads of the
 // list. Many at once, as when a data centre is lost, are one look at all workers.
 func (o *owner) pollersLoop() {
--- a/node/owner.go
+++ b/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,8 @@
 	mu           sync.Mutex
 	core         *dispatch.Core
 	polled       map[dispatch.WorkerID]context.CancelFunc
+	// firstPolls paces the first poll of each worker: after a takeover all are due at once.
+	firstPolls *pacer
 
 	// slots holds a value for each start or change of pace under way.
 	slots chan struct{}
@@ -99,7 +102,7 @@
 	o := &owner{
 		node: n, own: own, polled: map[dispatch.WorkerID]context.CancelFunc{},
 		slots: make(chan struct{}, ordersFor(n.opts.LinkBytes)), wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
-		repoll: make(chan struct{}, 1), ctx: octx, stop: stop, lastAlive: n.clock(),
+		repoll: make(chan struct{}, 1), firstPolls: newPacer(n.clock, runtime.Gosched), ctx: octx, stop: stop, lastAlive: n.clock(),
 	}
 	n.log.Info().Str("event", "owner_begin").Uint64("term", own.lead.Term).Msg("")
 	o.running.Go(o.renewLoop)
--- /dev/null
+++ b/node/pacer.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Figures of pacer.
+const (
+	// pacedPause is the time between two batches.
+	pacedPause = 5 * time.Millisecond
+	// pacedLate is how late a pause may end in a process that keeps up.
+	pacedLate = 10 * time.Millisecond
+	// leastBatch and mostBatch bound a batch; batchGrowth is added after a pause that ended
+	// on time.
+	leastBatch  = 1
+	mostBatch   = 256
+	batchGrowth = 4
+)
+
+// pacer lets callers that come all at once begin in batches, as fast as the process keeps
+// up. What begins beyond that waits for the process itself, and counts as unanswered although its peer
+// is well.
+//
+// It does not bound how many are under way: peers that are silent hold up no others.
+type pacer struct {
+	clock func() time.Duration
+	// yield returns once all that was ready to run has had its turn.
+	yield func()
+
+	mu      sync.Mutex // guards what follows
+	waiting []chan struct{}
+	batch   int
+	running bool
+}
+
+func newPacer(clock func() time.Duration, yield func()) *pacer {
+	return &pacer{clock: clock, yield: yield, batch: batchGrowth}
+}
+
+// join takes a place behind all who wait; the channel is closed once it is the caller's turn.
+func (p *pacer) join() <-chan struct{} {
+	turn := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting = append(p.waiting, turn)
+	if !p.running {
+		p.running = true
+		go p.run()
+	}
+	return turn
+}
+
+// run lets batches begin until nobody waits.
+func (p *pacer) run() {
+	for p.begin() {
+		began := p.clock()
+		time.Sleep(pacedPause)
+		// A goroutine that a timer wakes runs before all others that are ready: a process
+		// whose run queue grows still sees its timers on time.
+		p.yield()
+		p.adapt(p.clock() - began - pacedPause)
+	}
+}
+
+// begin lets a batch begin. It reports false if nobody waited.
+func (p *pacer) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(p.batch, len(p.waiting))
+	for _, turn := range p.waiting[:n] {
+		close(turn)
+	}
+	p.waiting = p.waiting[n:]
+	p.running = n > 0
+	return p.running
+}
+
+// adapt takes in how late a pause ended.
+func (p *pacer) adapt(late time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.batch = nextBatch(p.batch, late)
+}
+
+// nextBatch returns the size of the next batch: additive increase, multiplicative decrease.
+func nextBatch(batch int, late time.Duration) int {
+	if late > pacedLate {
+		return max(batch/2, leastBatch)
+	}
+	return min(batch+batchGrowth, mostBatch)
+}
+
+// awaitTurn waits for a turn of the pacer. It reports false if ctx ended before.
+func awaitTurn(ctx context.Context, turn <-chan struct{}) bool {
+	select {
+	case <-turn:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/node/pollers_test.go
+++ b/node/pollers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -38,7 +39,7 @@
 		core.Renewed(0)
 		o := &owner{
 			node: n, core: core, ctx: ctx, polled: map[dispatch.WorkerID]context.CancelFunc{}, wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
-			stop: func(error) { stop() },
+			firstPolls: newPacer(n.clock, runtime.Gosched), stop: func(error) { stop() },
 		}
 		list := func(infos ...dispatch.WorkerInfo) {
 			o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.SetWorkers(infos, now) })
