Pacer: at least 16 polls a batch, and 30 ms of lateness

Cause: beside other load that keeps the process late, batches of one would let some 50 workers a second be read after a takeover, and leases lapse.

Change: a batch has at least 16; a pause may end 30 ms late, a tenth of the time in which a connection must be opened.

--- a/node/pacer.go
+++ b/node/pacer.go
@@ -11,10 +11,10 @@
 	// pacedPause is the time between two batches.
 	pacedPause = 5 * time.Millisecond
 	// pacedLate is how late a pause may end in a process that keeps up.
-	pacedLate = 10 * time.Millisecond
+	pacedLate = 30 * time.Millisecond
 	// leastBatch and mostBatch bound a batch; batchGrowth is added after a pause that ended
-	// on time.
-	leastBatch  = 1
+	// on time. The least goes on beside other load that makes the process late.
+	leastBatch  = 16
 	mostBatch   = 256
 	batchGrowth = 4
 )
@@ -36,7 +36,7 @@
 }
 
 func newPacer(clock func() time.Duration, yield func()) *pacer {
-	return &pacer{clock: clock, yield: yield, batch: batchGrowth}
+	return &pacer{clock: clock, yield: yield, batch: leastBatch}
 }
 
 // join takes a place behind all who wait; the channel is closed once it is the caller's turn.
