A connection that the peer has closed is noticed before a request is written

Cause: a start must not be sent twice, so one on an idle connection that the peer had reset counted as unanswered: it may run, and what it orders waits for the worker's list. After a reset of all connections that is each worker's first start: a term per worker.

Change: before a request on a connection that answered before, the client looks for the peer's close without reading (MSG_PEEK). Nothing was written then, so that the call goes on another connection, also one that must be sent once.

Test: TestCallOnceIsSentOnAConnectionThatIsOpen, close and reset; fails at the second call on the code before.

--- a/dial/client.go
+++ b/dial/client.go
@@ -152,16 +152,22 @@
 	req.SetBodyRaw(call.Body)
 }
 
-// send sends a request, and again while its connection turns out to be closed.
+// send sends a request, and again while its connection turns out to be closed. A try whose
+// connection was found closed before it was used counts as none.
 func (c *Client) send(req *fasthttp.Request, resp *fasthttp.Response, attempts int, deadline time.Time) (sent int, err error) {
-	for sent < attempts {
+	for unsent := 0; sent < attempts && unsent < callAttempts; {
 		left := time.Until(deadline)
 		if left <= 0 {
 			return sent, fasthttp.ErrTimeout
 		}
 		req.SetTimeout(left)
+		err = c.http.Do(req, resp)
+		if errors.Is(err, errNotSent) {
+			unsent++
+			continue
+		}
 		sent++
-		if err = c.http.Do(req, resp); err == nil || !closedWhileIdle(err) {
+		if err == nil || !closedWhileIdle(err) {
 			return sent, err
 		}
 	}
@@ -220,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &clientConn{Conn: conn, client: c}
+	cc := &clientConn{Conn: conn, client: c, idle: newIdleCheck(conn)}
 	if !c.register(ctx, cc) {
 		_ = conn.Close()
 		return nil, errAborted
@@ -240,16 +246,32 @@
 	return true
 }
 
-// clientConn is a connection whose reads have a last look.
+// clientConn is a connection whose reads have a last look, and which notices before a
+// request that the peer has closed it.
 type clientConn struct {
 	net.Conn
 	client  *Client
 	aborted atomic.Bool
+	idle    *idleCheck
+	// answered is set from the first bytes of an answer to the next request. One call at a
+	// time uses the connection.
+	answered bool
+}
+
+// Write implements net.Conn. It fails with errNotSent if the peer closed the connection
+// after the answer before.
+func (c *clientConn) Write(b []byte) (int, error) {
+	if c.answered && c.idle.closed() {
+		return 0, errNotSent
+	}
+	c.answered = false
+	return c.Conn.Write(b)
 }
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.answered = c.answered || n > 0
 	if err != nil && c.aborted.Load() {
 		return n, os.ErrDeadlineExceeded // not taken for a close by the peer, which is tried again
 	}
@@ -259,7 +281,9 @@
 	if err := c.Conn.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err = c.Conn.Read(b)
+	c.answered = c.answered || n > 0
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -286,7 +310,7 @@
 // closedWhileIdle reports whether the peer had closed the connection, which it
 // may have done while nobody used it.
 func closedWhileIdle(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, fasthttp.ErrConnectionClosed) ||
+	return errors.Is(err, errNotSent) || errors.Is(err, io.EOF) || errors.Is(err, fasthttp.ErrConnectionClosed) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -297,6 +297,74 @@
 	}
 }
 
+// TestCallOnceIsSentOnAConnectionThatIsOpen: a call that must not be repeated arrives after
+// the peer closed or reset all idle connections: nothing was sent on them.
+//
+// Users would see starts without an answer at each worker after a break of the network. What
+// such a start orders waits until the worker's list tells whether it runs.
+func TestCallOnceIsSentOnAConnectionThatIsOpen(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		var arrived atomic.Int32
+		var mu sync.Mutex
+		var conns []net.Conn
+		srv := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+		srv.Config.ConnState = func(conn net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				mu.Lock()
+				defer mu.Unlock()
+				conns = append(conns, conn)
+			}
+		}
+		srv.Start()
+		c := testClient(t, 2)
+		call := Call{Address: srv.Listener.Addr().String(), Path: "/x", Header: "X-Life", Value: "a", Body: []byte("{}"), Timeout: time.Minute, Once: true}
+		const calls = 20
+		for n := range calls {
+			status := 0
+			sent, err := c.Post(call, func(s int, _ []byte) { status = s })
+			if err != nil || sent != 1 || status != http.StatusOK || int(arrived.Load()) != n+1 {
+				t.Fatalf("reset %v, call %d: sent %d times, %d arrived, %d, %v", reset, n, sent, arrived.Load(), status, err)
+			}
+			mu.Lock()
+			for _, conn := range conns {
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}
+			conns = nil
+			mu.Unlock()
+			awaitClosed(t, c)
+		}
+		srv.Close()
+	}
+}
+
+// awaitClosed waits until the peer's close of all connections has arrived.
+func awaitClosed(t *testing.T, c *Client) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.conns {
+		raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = raw.Control(func(fd uintptr) {
+			err := error(unix.EINTR)
+			for err == unix.EINTR {
+				_, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, -1)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestBroken: a port where nobody listens and a connection that the peer closes count as
 // broken, one that is silent does not.
 func TestBroken(t *testing.T) {
--- /dev/null
+++ b/dial/idle.go
@@ -0,0 +1,43 @@
+package dial
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// errNotSent: the peer had closed the connection before anything of the request was written.
+var errNotSent = errors.New("dial: the peer had closed the connection; nothing was sent")
+
+// idleCheck tells whether the peer has closed a connection that nobody reads.
+type idleCheck struct {
+	raw  syscall.RawConn
+	look func(fd uintptr)
+	byte [1]byte
+	n    int
+	err  error
+}
+
+// newIdleCheck returns a check of a connection; it finds nothing where there is no socket.
+func newIdleCheck(conn net.Conn) *idleCheck {
+	c := &idleCheck{}
+	if s, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	c.look = func(fd uintptr) {
+		c.n, _, c.err = syscall.Recvfrom(int(fd), c.byte[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return c
+}
+
+// closed reports whether the peer has closed the connection, or has reset it. It takes no
+// bytes and does not wait.
+func (c *idleCheck) closed() bool {
+	if c.raw == nil || c.raw.Control(c.look) != nil {
+		return false // a use will tell
+	}
+	if c.err != nil {
+		return !errors.Is(c.err, syscall.EAGAIN) && !errors.Is(c.err, syscall.EINTR)
+	}
+	return c.n == 0
+}
