--- /dev/null
+++ b/dispatch/younglease_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAYoungRunOutlivesOneSilentPoll: a run on a worker that was idle, whose first poll meets a
+// connection that has fallen silent, has its lease renewed by the polls after it.
+//
+// Users would see what was started just before such a break of the network end and start
+// again. The start's deadline is all the lease that the run has until a poll is answered.
+func TestAYoungRunOutlivesOneSilentPoll(t *testing.T) {
+	// callTimeout is how long a worker may take to answer beyond the wait that it was asked for.
+	const callTimeout = 600 * time.Millisecond
+	for since := time.Duration(0); since <= idlePause; since += 50 * time.Millisecond {
+		core, now := idleCore(t, 1)
+		core.AddJob(simpleJob(1, 1), nil, false, now)
+		core.Schedule(now)
+		list := starts(core)
+		if len(list) != 1 {
+			t.Fatalf("%d starts, want 1", len(list))
+		}
+		core.OrderDone(list[0], Answer{Outcome: OutcomeOK, ClockMS: 1000}, now)
+		began := now.Steady
+		now.Steady += since // until then its poller pauses
+		plan := core.PlanHold("w0", now)
+		now.Steady += plan.Order.Wait + callTimeout
+		now.Steady += core.HoldDone(plan.Order, HoldReply{}, OutcomeUnknown, now)
+		for range 2 { // one may only ask
+			plan = core.PlanHold("w0", now)
+			reply := HoldReply{ClockMS: 1000 + (now.Steady - began).Milliseconds(), Running: []RunningTask{{Task: list[0].Task, Run: list[0].Run, Percent: 100}}}
+			if plan.Order.DeadlineMS > 0 {
+				break
+			}
+			now.Steady += core.HoldDone(plan.Order, reply, OutcomeOK, now)
+		}
+		if at := 1000 + (now.Steady - began).Milliseconds(); plan.Order.DeadlineMS == 0 || at >= list[0].DeadlineMS {
+			t.Errorf("polled %s after the start: at %d of the worker's clock the lease is not renewed, and it ends at %d", since, at, list[0].DeadlineMS)
+		}
+	}
+}
