The owner records jobs through other entries while its own path to the store is out

The belief was that the owner reaches the store whenever anyone does.

A cancellation of a job that it does not know is refused: only the store could tell.

--- a/node/intake.go
+++ b/node/intake.go
@@ -76,6 +76,9 @@
 
 func (n *Node) submitRecord(ctx context.Context, id string, value []byte) Recorded {
 	if n.store.Down() {
+		if o := n.current.Load(); o != nil {
+			return o.recordThroughOthers(ctx, jobPrefix+id, id, value)
+		}
 		return n.relaySubmit(ctx, id, value)
 	}
 	return n.createJob(ctx, id, value)
@@ -135,6 +138,9 @@
 
 func (n *Node) cancelRecord(ctx context.Context, id string) Recorded {
 	if n.store.Down() {
+		if o := n.current.Load(); o != nil {
+			return o.cancelThroughOthers(ctx, id)
+		}
 		return n.relayCancel(ctx, id)
 	}
 	_, known, err := n.State(ctx, id)
--- a/node/peers.go
+++ b/node/peers.go
@@ -161,11 +161,15 @@
 	return connect.NewResponse(&jobsv1.CountPendingResponse{Owner: true, Pending: int64(o.pendingOf(req.Msg.GetQueue()))}), nil
 }
 
-// SubmitJob implements jobsv1connect.OwnerHandler. It is not relayed further.
+// mayRecord reports whether this entry need not ask the owner to record what another one
+// asks of it: such a request goes no further than to the owner.
+func (n *Node) mayRecord() bool { return !n.store.Down() || n.current.Load() != nil }
+
+// SubmitJob implements jobsv1connect.OwnerHandler.
 func (p *peerServer) SubmitJob(ctx context.Context, req *connect.Request[jobsv1.SubmitJobRequest]) (*connect.Response[jobsv1.SubmitJobResponse], error) {
 	result := RecordedNo
-	if !p.node.store.Down() {
-		result = p.node.createJob(ctx, req.Msg.GetId(), req.Msg.GetRecord())
+	if p.node.mayRecord() {
+		result = p.node.submitRecord(ctx, req.Msg.GetId(), req.Msg.GetRecord())
 	}
 	p.node.log.Info().Str("event", "job_relayed").Str("job", req.Msg.GetId()).Str("recorded", result.String()).Msg("")
 	return connect.NewResponse(&jobsv1.SubmitJobResponse{Recorded: recordedWire[result]}), nil
@@ -174,7 +178,7 @@
 // CancelJob implements jobsv1connect.OwnerHandler.
 func (p *peerServer) CancelJob(ctx context.Context, req *connect.Request[jobsv1.CancelJobRequest]) (*connect.Response[jobsv1.CancelJobResponse], error) {
 	result := RecordedNo
-	if !p.node.store.Down() {
+	if p.node.mayRecord() {
 		result = p.node.cancelRecord(ctx, req.Msg.GetId())
 	}
 	return connect.NewResponse(&jobsv1.CancelJobResponse{Recorded: recordedWire[result]}), nil
--- a/node/storerelay.go
+++ b/node/storerelay.go
@@ -189,6 +189,47 @@
 	}.make(ctx, o)
 }
 
+// recordThroughOthers has another entry record what a customer asked for, while the store does
+// not answer the owner, and takes it in: the owner's watch tells nothing then. What is recorded
+// without a value is a cancellation.
+func (o *owner) recordThroughOthers(ctx context.Context, key, id string, value []byte) Recorded {
+	if _, ok := o.node.relays.newest(o.node.clock()); !ok || o.node.store.silentFor() > relayFor {
+		return RecordedNo
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeBudget)
+	defer cancel()
+	_, _, err := o.do(ctx, kv.Txn{
+		If:   []kv.Compare{{Key: key, Missing: true}},
+		Then: []kv.Op{kv.Put(key, stored(value), 0)},
+	})
+	switch {
+	case err == nil: // one that is there was written for the same customer
+		o.takeHint(id, value)
+		return RecordedYes
+	case errors.Is(err, kv.ErrNotDone):
+		return RecordedNo
+	default:
+		return RecordedUnknown
+	}
+}
+
+// stored returns the value of a record; that of a cancellation says nothing.
+func stored(value []byte) []byte {
+	if len(value) == 0 {
+		return []byte("1")
+	}
+	return value
+}
+
+// cancelThroughOthers is recordThroughOthers for a cancellation. Of a job that the owner does
+// not know, only the store could tell whether it is there.
+func (o *owner) cancelThroughOthers(ctx context.Context, id string) Recorded {
+	if _, known := o.stateOf(id); !known {
+		return RecordedNo
+	}
+	return o.recordThroughOthers(ctx, cancelPrefix+id, id, nil)
+}
+
 // outcomeOf tells what became of a call to the store.
 func outcomeOf(err error) jobsv1.StoreOutcome {
 	switch {
--- a/node/storerelay_test.go
+++ b/node/storerelay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -9,9 +10,13 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
 
+	jobsv1 "leverstile.dev/api/gen/leverstile/jobs/v1"
+	"leverstile.dev/dispatch"
+	"leverstile.dev/job"
 	"leverstile.dev/kv"
 	"leverstile.dev/standin"
 )
@@ -171,6 +176,80 @@
 	})
 }
 
+// TestOwnerRecordsForCustomersThroughOthers: what entries that the store does not answer hand to the
+// owner is recorded while the store does not answer the owner either, and the owner knows of it.
+//
+// Users would see jobs refused for as long as the outage of a part of the entries lasts, although
+// other entries reach the store.
+func TestOwnerRecordsForCustomersThroughOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayCell(t)
+		n, o := c.owner.node, c.owner
+		o.core = dispatch.New(dispatch.Params{MaxTaskLease: time.Second, OwnerTTL: time.Hour, OwnerHorizon: time.Hour}, 1, nil)
+		o.core.Renewed(n.clock())
+		o.core.SetConfig(&job.Config{Version: 1, Queues: []job.Queue{{Name: "q", Service: "s"}}})
+		o.wake, o.flushNow = make(chan struct{}, 1), make(chan struct{}, 1)
+		n.current.Store(o)
+		c.store.silent.Store(true)
+		for range downAfter {
+			n.store.note(kv.ErrUnavailable)
+		}
+		time.Sleep(2 * downQuiet)
+		if !n.store.Down() {
+			t.Fatal("the store counts as up")
+		}
+		p := &peerServer{node: n}
+		const id, other = "00000000000000a1", "00000000000000a2"
+		submit := func(id string) jobsv1.Recorded {
+			record, err := json.Marshal(&job.Spec{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, CPUMilli: 100}}, AcceptedMS: o.now().UnixMS})
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := p.SubmitJob(t.Context(), connect.NewRequest(&jobsv1.SubmitJobRequest{Id: id, Record: record}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return resp.Msg.GetRecorded()
+		}
+		cancel := func(id string) jobsv1.Recorded {
+			resp, err := p.CancelJob(t.Context(), connect.NewRequest(&jobsv1.CancelJobRequest{Id: id}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return resp.Msg.GetRecorded()
+		}
+		stored := func(key string) bool {
+			pair, err := c.store.countedStore.Get(t.Context(), key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return pair != nil
+		}
+		for range 2 { // its customer may ask again
+			if got := submit(id); got != jobsv1.Recorded_RECORDED_YES || !stored(jobPrefix+id) {
+				t.Errorf("a job was recorded: %v, stored %v", got, stored(jobPrefix+id))
+			}
+		}
+		if _, known := o.stateOf(id); !known {
+			t.Error("the owner does not know the job")
+		}
+		if got := cancel(id); got != jobsv1.Recorded_RECORDED_YES || !stored(cancelPrefix+id) {
+			t.Errorf("a cancellation was recorded: %v, stored %v", got, stored(cancelPrefix+id))
+		}
+		if got := cancel(other); got != jobsv1.Recorded_RECORDED_NO || stored(cancelPrefix+other) {
+			t.Errorf("a cancellation of an unknown job was recorded: %v, stored %v", got, stored(cancelPrefix+other))
+		}
+		n.relays.drop("other")
+		began := time.Now()
+		got, took := submit(other), time.Since(began)
+		if got != jobsv1.Recorded_RECORDED_NO || took > 0 || stored(jobPrefix+other) {
+			t.Errorf("without another entry a job was recorded: %v after %s, stored %v", got, took, stored(jobPrefix+other))
+		}
+		c.stop()
+		time.Sleep(patience)
+	})
+}
+
 // TestNobodyHelpsWhereTheStoreIsDown: an entry that the store does not answer either refuses
 // at once.
 func TestNobodyHelpsWhereTheStoreIsDown(t *testing.T) {
