--- a/node/storerelay_test.go
+++ b/node/storerelay_test.go
@@ -28,6 +28,8 @@
 	silent, late atomic.Bool
 	// muted is how many more renewals get no answer.
 	muted atomic.Int32
+	// refusing is set while writes are refused at once.
+	refusing atomic.Bool
 }
 
 // patience is how long the client of the store waits for an answer.
@@ -49,6 +51,9 @@
 }
 
 func (s *silencedStore) Do(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if s.refusing.Load() {
+		return kv.TxnResult{}, errors.Trace(kv.ErrNotDone)
+	}
 	if !s.silent.Load() {
 		return s.countedStore.Do(ctx, txn)
 	}
@@ -58,12 +63,23 @@
 	return kv.TxnResult{}, s.wait(ctx)
 }
 
-// handlers makes calls to entries by their addresses, without a network.
+// handlers makes calls to entries by their addresses, without a network. One without a handler
+// is gone; answers of unheard are lost.
 type handlers map[string]http.Handler
 
+// unheard is an entry whose answers are lost.
+const unheard = "unheard"
+
 func (h handlers) RoundTrip(req *http.Request) (*http.Response, error) {
+	handler := h[req.URL.Host]
+	if handler == nil {
+		return nil, errors.New("connection refused")
+	}
 	rec := httptest.NewRecorder()
-	h[req.URL.Host].ServeHTTP(rec, req)
+	handler.ServeHTTP(rec, req)
+	if req.URL.Host == unheard {
+		return nil, errors.New("connection reset")
+	}
 	return rec.Result(), nil
 }
 
@@ -80,7 +96,7 @@
 	c := &relayCell{store: &silencedStore{countedStore: shared}}
 	other := relayNode("other", shared)
 	n := relayNode("owner", c.store)
-	n.peers = &http.Client{Transport: handlers{"other": other.PeersHandler()}}
+	n.peers = &http.Client{Transport: handlers{"other": other.PeersHandler(), unheard: other.PeersHandler()}}
 	lease, err := shared.Grant(t.Context(), ownerTTL)
 	if err != nil {
 		t.Fatal(err)
@@ -117,12 +133,17 @@
 		c.owner.running.Go(c.owner.renewLoop)
 		time.Sleep(time.Second)
 		c.store.silent.Store(true)
-		for until := time.Now().Add(relayFor - time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		hear := func() {
+			time.Sleep(100 * time.Millisecond)
+			c.owner.node.relays.heard("other", c.owner.node.clock())
+		}
+		for until := time.Now().Add(relayFor - time.Second); time.Now().Before(until); hear() {
 			if _, held := c.store.lead(); !held {
 				t.Fatal("the lease has lapsed")
 			}
 		}
-		time.Sleep(ownerTTL + 3*time.Second)
+		for until := time.Now().Add(ownerTTL + 3*time.Second); time.Now().Before(until); hear() {
+		}
 		if _, held := c.store.lead(); held {
 			t.Error("an owner that has read nothing for long is not replaced")
 		}
@@ -176,6 +197,69 @@
 	})
 }
 
+// TestWhoIsAskedToMakeACall: entries that were heard of lately, the newest first, another one after
+// one that does not help; at once where the store counts as down or refuses the call.
+func TestWhoIsAskedToMakeACall(t *testing.T) {
+	down := func(c *relayCell) {
+		c.store.silent.Store(true)
+		for range downAfter {
+			c.owner.node.store.note(kv.ErrUnavailable)
+		}
+		time.Sleep(2 * downQuiet)
+	}
+	for name, x := range map[string]struct {
+		before  func(c *relayCell)
+		written bool
+		most    time.Duration // for the call; the stand-in takes some milliseconds itself
+	}{
+		"the store is silent":         {func(c *relayCell) { c.store.silent.Store(true) }, true, relayAfter + 50*time.Millisecond},
+		"the store counts as down":    {down, true, 50 * time.Millisecond},
+		"the store refuses the owner": {func(c *relayCell) { c.store.refusing.Store(true) }, true, 50 * time.Millisecond},
+		"the newest entry is gone":    {func(c *relayCell) { down(c); c.owner.node.relays.heard("gone", c.owner.node.clock()) }, true, 50 * time.Millisecond},
+		"all entries are gone": {func(c *relayCell) {
+			down(c)
+			c.owner.node.relays.drop("other")
+			c.owner.node.relays.heard("gone", c.owner.node.clock())
+		}, false, patience},
+		"no entry was heard of lately": {func(c *relayCell) {
+			c.store.silent.Store(true)
+			time.Sleep(time.Second)
+			c.owner.node.relays.drop("other")
+			c.owner.node.relays.heard("other", c.owner.node.clock()-relayFresh)
+		}, false, patience},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newRelayCell(t)
+				x.before(c)
+				began := time.Now()
+				written := c.owner.write(t.Context(), []kv.Op{kv.Put("k", []byte("1"), 0)})
+				if took := time.Since(began); written != x.written || took > x.most {
+					t.Errorf("written %v after %s, want %v after %s at most", written, took, x.written, x.most)
+				}
+				c.stop()
+				time.Sleep(patience)
+			})
+		})
+	}
+}
+
+// TestRefusedWritesThatAnotherEntryMayHaveMade: the store refuses the owner, and the entry that was
+// asked does not answer: the write may have been carried out, and the record is unsure.
+func TestRefusedWritesThatAnotherEntryMayHaveMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayCell(t)
+		c.owner.node.relays.drop("other")
+		c.owner.node.relays.heard(unheard, c.owner.node.clock())
+		c.store.refusing.Store(true)
+		_, twice, err := c.owner.do(t.Context(), kv.Txn{Then: []kv.Op{kv.Put("k", []byte("1"), 0)}})
+		if !twice || errors.Is(err, kv.ErrNotDone) || !errors.Is(err, kv.ErrUnavailable) {
+			t.Errorf("a write that was carried out: twice %v, %v", twice, err)
+		}
+		c.stop()
+	})
+}
+
 // TestOwnerRecordsForCustomersThroughOthers: what entries that the store does not answer hand to the
 // owner is recorded while the store does not answer the owner either, and the owner knows of it.
 //
@@ -225,10 +309,16 @@
 			}
 			return pair != nil
 		}
-		for range 2 { // its customer may ask again
-			if got := submit(id); got != jobsv1.Recorded_RECORDED_YES || !stored(jobPrefix+id) {
-				t.Errorf("a job was recorded: %v, stored %v", got, stored(jobPrefix+id))
-			}
+		if got := submit(id); got != jobsv1.Recorded_RECORDED_YES || !stored(jobPrefix+id) {
+			t.Errorf("a job was recorded: %v, stored %v", got, stored(jobPrefix+id))
+		}
+		first, err := c.store.countedStore.Get(t.Context(), jobPrefix+id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := submit(id) // its customer may ask again
+		if again, err := c.store.countedStore.Get(t.Context(), jobPrefix+id); err != nil || got != jobsv1.Recorded_RECORDED_YES || again.ModRevision != first.ModRevision {
+			t.Errorf("a job that is there was recorded: %v, written anew at %d, %v", got, again.ModRevision, err)
 		}
 		if _, known := o.stateOf(id); !known {
 			t.Error("the owner does not know the job")
@@ -239,11 +329,26 @@
 		if got := cancel(other); got != jobsv1.Recorded_RECORDED_NO || stored(cancelPrefix+other) {
 			t.Errorf("a cancellation of an unknown job was recorded: %v, stored %v", got, stored(cancelPrefix+other))
 		}
+		n.relays.heard(unheard, n.clock())
+		n.relays.drop("other")
+		if got := submit(other); got != jobsv1.Recorded_RECORDED_UNKNOWN {
+			t.Errorf("a job that another entry recorded without an answer: %v", got)
+		}
+		if got := cancel(id); got != jobsv1.Recorded_RECORDED_NO {
+			t.Errorf("a cancellation that nobody can record: %v", got)
+		}
+		const third = "00000000000000a3"
+		n.relays.heard("other", n.clock())
+		time.Sleep(relayFor)
+		n.relays.heard("other", n.clock())
+		if got := submit(third); got != jobsv1.Recorded_RECORDED_NO || stored(jobPrefix+third) {
+			t.Errorf("recorded though the store has not answered the owner for long: %v, stored %v", got, stored(jobPrefix+third))
+		}
 		n.relays.drop("other")
 		began := time.Now()
-		got, took := submit(other), time.Since(began)
-		if got != jobsv1.Recorded_RECORDED_NO || took > 0 || stored(jobPrefix+other) {
-			t.Errorf("without another entry a job was recorded: %v after %s, stored %v", got, took, stored(jobPrefix+other))
+		refused, took := submit(third), time.Since(began)
+		if refused != jobsv1.Recorded_RECORDED_NO || took > 0 || stored(jobPrefix+third) {
+			t.Errorf("without another entry a job was recorded: %v after %s, stored %v", refused, took, stored(jobPrefix+third))
 		}
 		c.stop()
 		time.Sleep(patience)
