--- a/node/pacer.go
+++ b/node/pacer.go
@@ -19,9 +19,9 @@
 	batchGrowth = 4
 )
 
-// pacer lets callers that come all at once begin in batches, as fast as the process keeps
-// up. What begins beyond that waits for the process itself, and counts as unanswered although its peer
-// is well.
+// pacer lets callers that come all at once begin in batches, as fast as the process keeps up.
+// What begins beyond that waits for the process itself, and counts as unanswered although its
+// peer is well.
 //
 // It does not bound how many are under way: peers that are silent hold up no others.
 type pacer struct {
