--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -48,7 +48,7 @@
 	if (w.synced || w.partlyRead) && w.holdFails == 0 {
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
 		if !idle && !w.mustAcknowledge() {
-			h.Wait = min(w.pollWait(c.overload.load), w.waitForYoung(now))
+			h.Wait = w.pollWait(c.overload.load)
 		}
 	}
 	if c.mayBeStarting(w) {
@@ -116,7 +116,6 @@
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
 	c.reach.changed()
 	w.answeredSent = w.holdSent
-	w.sureDeadline = max(w.sureDeadline, order.DeadlineMS)
 	w.told, w.ackUnanswered = max(w.told, order.Seen), 0
 	w.noteAnswered(now)
 	c.endOtherLives(w, now)
