A start that nothing tells of is no evidence in its worker's crash

What callers saw: a job shown as failed for good, of a task that crashes no worker.

Cause: evidence that is missing was taken for evidence.

Change: a run counts as confirmed if the worker answered the start or listed the run, or if the first copy's connection broke off; a crash says nothing sure of an unconfirmed one, and it is no trial. It still counts for the limit of five.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -42,10 +42,15 @@
 	crashDown time.Duration
 	// sameID: all lives of a VM have one id, and tell when they were born.
 	sameID bool
+	// rackSize is how many VMs share a rack.
+	rackSize int
+	// startFault plays a fault of the call of a start, if set: whether the worker begins the
+	// run, and how the call ends.
+	startFault func(o Order) (begun bool, outcome Outcome)
 }
 
 const (
-	// crashRack is how many VMs share a rack.
+	// crashRack is how many VMs mostly share a rack.
 	crashRack = 4
 	// crashDown is how long a VM mostly has no worker after a crash.
 	crashDown = 3 * time.Second
@@ -62,7 +67,7 @@
 		sameID: sameID, t: t, now: Instant{Steady: time.Second}, life: map[string]WorkerID{}, down: map[string]time.Duration{},
 		cut: map[string]bool{}, draining: map[string]bool{}, starts: map[job.TaskID][]uint64{}, running: map[WorkerID]map[job.TaskID]uint64{},
 		crashes: map[job.TaskID]int{}, crasher: func(job.TaskID) bool { return false }, stored: map[string][]byte{}, roster: rosterStore{},
-		ended: map[WorkerID][]EndedTask{}, crashDown: crashDown,
+		ended: map[WorkerID][]EndedTask{}, crashDown: crashDown, rackSize: crashRack,
 	}
 	for i := range vms {
 		vm := fmt.Sprintf("m%02d", i)
@@ -129,7 +134,7 @@
 		f.t.Fatal(err)
 	}
 	info := lifeInfo(string(f.life[vm]), vm)
-	info.Address, info.Rack = vm, fmt.Sprintf("r%d", place/crashRack)
+	info.Address, info.Rack = vm, fmt.Sprintf("r%d", place/f.rackSize)
 	info.Draining, info.Leaving = f.draining[vm], 20*time.Second
 	return info
 }
@@ -223,7 +228,11 @@
 func (f *crashFleet) orders() {
 	for _, o := range f.core.TakeOrders() {
 		outcome := f.reach(o.Address, o.Worker)
-		if outcome == OutcomeOK {
+		begun := outcome == OutcomeOK
+		if begun && o.Kind == OrderStart && f.startFault != nil {
+			begun, outcome = f.startFault(o)
+		}
+		if begun {
 			f.carryOut(o)
 		}
 		f.core.OrderDone(o, Answer{Outcome: outcome, ClockMS: f.now.Steady.Milliseconds()}, f.now)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -125,6 +125,8 @@
 	// ackClock is the worker's clock at the answer that confirmed the run;
 	// 0 while the start is unanswered. A list read before is older.
 	ackClock int64
+	// brokenOff is set if the connection of the start's first copy broke off.
+	brokenOff bool
 	// missed is set while the newest lists lack the run since it was last known to
 	// be there, missedAt is when the first of them was read; see missing.
 	missed   bool
--- a/dispatch/lostlife.go
+++ b/dispatch/lostlife.go
@@ -20,8 +20,13 @@
 	// Older is set if another run was started justStarted later or more: that one is
 	// likelier to have crashed the worker.
 	Older bool `json:"older,omitempty"`
+	// Unconfirmed is set if nothing told that the worker had begun the run.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
+// unsure reports whether the crash proves nothing of the run.
+func (r LostRun) unsure() bool { return r.Older || r.Unconfirmed }
+
 // lostLife is a life of a worker whose leases were over before it was known how it
 // ended. Its runs are unsettled until the VM answers again.
 type lostLife struct {
@@ -51,12 +56,19 @@
 	}
 	list := make([]LostRun, 0, len(young))
 	for _, a := range young {
-		trial := a.trial && silentSince-a.placedAt <= trialTime
-		list = append(list, LostRun{Task: a.task.id().String(), Run: a.run, Trial: trial, Older: newest-a.placedAt >= justStarted})
+		list = append(list, LostRun{
+			Task: a.task.id().String(), Run: a.run, Older: newest-a.placedAt >= justStarted, Unconfirmed: !a.confirmed(),
+			Trial: a.trial && a.confirmed() && silentSince-a.placedAt <= trialTime,
+		})
 	}
 	return list
 }
 
+// confirmed reports whether the worker has begun the run: it answered or listed it, or the
+// connection of the start's first copy broke off before the answer. A call that was only not
+// answered may never have reached the worker.
+func (a *attempt) confirmed() bool { return a.ackClock > 0 || a.listed || a.brokenOff }
+
 // lifeOf returns what is remembered of a worker whose runs are about to be lost.
 func (c *Core) lifeOf(w *worker, now Instant) lostLife {
 	l := lostLife{id: w.info.ID, end: c.howEnded(w, now), busy: len(w.attempts) > 0, loss: w.loss, runs: w.lostRuns(now), at: now.Steady}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -127,7 +127,7 @@
 	if t != nil && l.inherited {
 		t.crashInherited = true
 	}
-	if t == nil || !t.step.job.progress.CountCrash(t.id(), job.Crash{Run: r.Run, Alone: alone && !r.Older, Unsure: r.Older}) {
+	if t == nil || !t.step.job.progress.CountCrash(t.id(), job.Crash{Run: r.Run, Alone: alone && !r.unsure(), Unsure: r.unsure()}) {
 		return
 	}
 	j := t.step.job
@@ -140,7 +140,7 @@
 	c.setCrashes(t, n.All)
 	d := taskDecision("task_suspected", t, nil, r.Run, fmt.Sprintf("its worker crashed at its start, %d times in a row", n.All))
 	d.Worker = l.id
-	d.Detail = fmt.Sprintf("on trial %v, another run began later %v, its worker crashed alone %v", r.Trial, r.Older, alone)
+	d.Detail = fmt.Sprintf("on trial %v, another run began later %v, unconfirmed %v, its worker crashed alone %v", r.Trial, r.Older, r.Unconfirmed, alone)
 	c.trace(d)
 	c.giveUpIfCrasher(t, r.Trial && alone, now)
 }
