A crash proves something of a task once others of its moment have been noticed

Cause: evidence that is missing was taken for evidence, three times. - A crash was taken for one alone as soon as it was counted, when others of the same moment had not been noticed yet. - A crash was passed over as explained if a task on trial was there; in waves most suspects are harmless and on trial, so that they explained each other's crashes. - That many workers crashed in the seconds before said nothing.

Change: whether a crash came alone is decided 1 s after it; only a task that was given up explains others' crashes; a trial proves nothing while more than 5% of the VMs have crashed within 5 s. The last start that users allow waits up to 10 s for others to stop crashing. The log tells 'crash_compared'. A broken connection of a start counts as its evidence only until the worker answers a poll again.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -125,6 +125,8 @@
 	lostLives map[string]lostLife
 	crashed   map[string]crashRecord
 	suspects  int
+	// comparisons are crashes that are not told apart from others yet.
+	comparisons []crashComparison
 	// nextTrial is when the next task on trial may be started.
 	nextTrial time.Duration
 	// dirty holds the jobs whose progress is not stored, with their turn.
@@ -274,6 +276,7 @@
 	c.addDeferred(now)
 	c.expireUnresolved(now)
 	c.forgetOldCrashes(now)
+	c.compareCrashes(now)
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
 	}
--- /dev/null
+++ b/dispatch/densewaves_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// denseWaves plays waves of crashes: of eight workers one to four crash about together, eight
+// times within some 12 s, and restart soon.
+type denseWaves struct {
+	f        *crashFleet
+	rng      *rand.Rand
+	bad      *job.Spec // nil without a task that crashes its workers
+	harmless []*job.Spec
+}
+
+const (
+	denseWorkers = 8
+	denseWaveNum = 8
+	denseSeeds   = 60
+)
+
+func newDenseWaves(t *testing.T, seed uint64, crasher bool) *denseWaves {
+	t.Helper()
+	d := &denseWaves{rng: rand.New(rand.NewPCG(seed, 49)), f: newCrashFleetOf(t, denseWorkers, seed%2 == 0)}
+	d.f.rackSize = 1
+	for i := range 4 {
+		spec := simpleJob(i+1, 4)
+		spec.Steps[0].Lasting = true
+		d.harmless = append(d.harmless, spec)
+		d.f.core.AddJob(spec, nil, false, d.f.now)
+	}
+	d.f.pass(2 * time.Second)
+	if crasher {
+		d.bad = simpleJob(100, 1)
+		d.f.crasher = crashesOf(d.bad)
+		d.f.core.AddJob(d.bad, nil, false, d.f.now)
+	}
+	return d
+}
+
+func (d *denseWaves) play() {
+	f := d.f
+	for range denseWaveNum {
+		f.pass(time.Duration(1000+d.rng.IntN(600)) * time.Millisecond)
+		for _, i := range d.rng.Perm(denseWorkers)[:1+d.rng.IntN(4)] {
+			f.end(f.vms[i], time.Duration(100+d.rng.IntN(900))*time.Millisecond)
+			if d.rng.IntN(2) == 0 {
+				f.pass(time.Duration(20+d.rng.IntN(150)) * time.Millisecond)
+			}
+		}
+	}
+	f.pass(90 * time.Second)
+}
+
+// TestDenseWavesOfCrashesFailNoHarmlessJob: jobs whose tasks only were at workers that crash
+// in waves are kept, and a task that crashes its workers beside them is given up within the
+// starts that users allow.
+//
+// What users saw: a job of four lasting tasks, none of which crashes anything, was shown as
+// failed for good after some waves in which a third of the workers crashed about together.
+func TestDenseWavesOfCrashesFailNoHarmlessJob(t *testing.T) {
+	kept, failed, found, starts := 0, 0, 0, map[int]int{}
+	for seed := range uint64(denseSeeds) {
+		d := newDenseWaves(t, seed, seed%3 == 0)
+		d.play()
+		for _, spec := range d.harmless {
+			if d.f.state(spec) != job.Running {
+				failed++
+				t.Errorf("seed %d: job %s is %s: %v", seed, spec.ID, d.f.state(spec), d.f.told("job_failed"))
+				continue
+			}
+			kept++
+		}
+		if d.bad == nil {
+			continue
+		}
+		d.f.checkGivenUp(d.bad)
+		if d.f.state(d.bad) == job.Failed {
+			found++
+		}
+		starts[len(d.f.starts[job.TaskID{Job: d.bad.ID}])]++
+	}
+	t.Logf("%d harmless jobs kept, %d failed; %d crashing tasks found, by number of starts %v", kept, failed, found, starts)
+}
+
+// TestCrashesThatAreNoticedLaterCount: a crash is no proof against a task if another worker
+// crashed at the same moment, also if that is noticed after it; nor if many others crashed
+// shortly before.
+func TestCrashesThatAreNoticedLaterCount(t *testing.T) {
+	const hits = mostCrashes - 1
+	for offset := -280 * time.Millisecond; offset <= 280*time.Millisecond; offset += 40 * time.Millisecond {
+		for _, away := range []time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprintf("another %v after, away for %v", offset, away), func(t *testing.T) {
+				f := newCrashFleet(t, 24)
+				f.rackSize = 1
+				beside, spec := simpleJob(1, 24), simpleJob(2, 1)
+				f.core.AddJob(beside, nil, false, f.now)
+				f.pass(8 * time.Second)
+				f.core.AddJob(spec, nil, false, f.now)
+				id := job.TaskID{Job: spec.ID}
+				for hit := range hits {
+					for len(f.starts[id]) <= hit {
+						f.pass(20 * time.Millisecond)
+						if s := f.state(spec); s == job.Failed || f.now.Steady > 2*time.Minute {
+							t.Fatalf("the job is %s after %d starts", s, hit)
+						}
+					}
+					vm, other := f.vmOf(id), ""
+					f.pass(time.Second)
+					for _, o := range f.vms {
+						if o != vm && f.down[o] == 0 && len(f.running[f.life[o]]) > 0 {
+							other = o
+						}
+					}
+					first, second := vm, other
+					if offset < 0 {
+						first, second = other, vm
+					}
+					f.end(first, away)
+					f.pass(offset.Abs())
+					f.end(second, away)
+				}
+				f.pass(30 * time.Second)
+				if s := f.state(spec); s != job.Running {
+					t.Errorf("the job is %s: %v", s, f.told("crash_compared"))
+				}
+			})
+		}
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -109,7 +109,9 @@
 	// many more of its runs may have been crashes; see lostLife.
 	crashes, unsettled int
 	crashVersion       uint64
-	mayHaveCrashed     bool // see noteLostWithOwner and noteSilentEnd
+	// comparedAt is when its newest crash is told apart from others; see crashComparison.
+	comparedAt     time.Duration
+	mayHaveCrashed bool // see noteLostWithOwner and noteSilentEnd
 	// crashInherited is set if the previous owner's roster told of its last start.
 	crashInherited bool
 }
@@ -125,8 +127,8 @@
 	// ackClock is the worker's clock at the answer that confirmed the run;
 	// 0 while the start is unanswered. A list read before is older.
 	ackClock int64
-	// brokenOff is set if the connection of the start's first copy broke off.
-	brokenOff bool
+	// brokenAt is when the connection of the start's first copy broke off, 0 if it did not.
+	brokenAt time.Duration
 	// missed is set while the newest lists lack the run since it was last known to
 	// be there, missedAt is when the first of them was read; see missing.
 	missed   bool
--- a/dispatch/lostlife.go
+++ b/dispatch/lostlife.go
@@ -43,6 +43,15 @@
 	at        time.Duration
 }
 
+// taskNames returns the tasks of the life's runs.
+func (l lostLife) taskNames() []string {
+	names := make([]string, len(l.runs))
+	for i, r := range l.runs {
+		names[i] = r.Task
+	}
+	return names
+}
+
 // lostRuns returns the young runs at a worker, as they are remembered after it.
 func (w *worker) lostRuns(now Instant) []LostRun {
 	young := w.youngRuns()
@@ -65,9 +74,11 @@
 }
 
 // confirmed reports whether the worker has begun the run: it answered or listed it, or the
-// connection of the start's first copy broke off before the answer. A call that was only not
-// answered may never have reached the worker.
-func (a *attempt) confirmed() bool { return a.ackClock > 0 || a.listed || a.brokenOff }
+// connection of the start's first copy broke off, and no poll was answered since. A call that was
+// only not answered may never have reached the worker.
+func (a *attempt) confirmed() bool {
+	return a.ackClock > 0 || a.listed || a.brokenAt > 0 && a.brokenAt >= a.worker.lastAnswer
+}
 
 // lifeOf returns what is remembered of a worker whose runs are about to be lost.
 func (c *Core) lifeOf(w *worker, now Instant) lostLife {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -130,7 +130,9 @@
 		}
 		c.tellTask(eventStarted, a.task, a.worker, a.run, "")
 	case OutcomeUnknown, OutcomeBroken:
-		a.brokenOff = a.brokenOff || a.tries == 1 && ans.Outcome == OutcomeBroken
+		if a.tries == 1 && ans.Outcome == OutcomeBroken {
+			a.brokenAt = now.Steady
+		}
 		c.startUnanswered(a, o, now)
 	default:
 		c.startRefused(a, ans, now)
--- a/dispatch/sim_restart_test.go
+++ b/dispatch/sim_restart_test.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// restartsAmidMoreLateCalls plays more of these calls, for safeguards that are seldom needed.
+func restartsAmidMoreLateCalls(s *sim) {
+	restartsAmidLateCalls(s)
+	s.delayShare = 0.3
+}
+
 // restartsUnderOldOwners plays them while owners are replaced that still give orders.
 func restartsUnderOldOwners(s *sim) {
 	s.useSameIDs()
@@ -201,7 +207,7 @@
 		setup  func(s *sim)
 		mutate func(s *sim)
 	}{
-		{"the token does not rise with lives", restartsAmidLateCalls, func(s *sim) {
+		{"the token does not rise with lives", restartsAmidMoreLateCalls, func(s *sim) {
 			s.unguardLives = func(c *Core) {
 				for _, n := range c.names {
 					n.generation = 0
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"leverstile.dev/job"
 )
@@ -19,18 +18,8 @@
 	// mostCrashes in a row, a task is given up whatever else crashes: the users allow
 	// two starts after the third crash.
 	mostCrashes = 5
-	// sameMoment is how far apart crashes are noticed that may have one cause outside
-	// of the workers: a broken poll is noticed at once, the next one up to 0.2 s later.
-	sameMoment = 300 * time.Millisecond
 )
 
-// crashRecord is a crash that was counted.
-type crashRecord struct {
-	at time.Duration
-	// trial is set if a task on trial had just been started there.
-	trial bool
-}
-
 // suspect returns the task that holds what is known of a task's crashes: the first
 // one of a gang, whose members start and end together.
 func (t *task) suspect() *task {
@@ -90,44 +79,24 @@
 func (c *Core) countCrashes(vm string, l lostLife, now Instant) {
 	trial := slices.ContainsFunc(l.runs, func(r LostRun) bool { return r.Trial })
 	if vm != "" && l.busy {
-		c.crashed[vm] = crashRecord{l.loss.since, trial}
+		c.crashed[vm] = crashRecord{at: l.loss.since, tasks: l.taskNames()}
 	}
-	alone := !c.othersCrashed(vm, l.loss.since)
 	for _, r := range l.runs {
 		if !trial || r.Trial {
-			c.countCrash(l, r, alone, now)
-		}
-	}
-}
-
-// othersCrashed reports whether another VM's worker fell silent at the same moment
-// without a task on trial: then something else may crash workers, and a crash proves
-// less of the task on trial here.
-func (c *Core) othersCrashed(vm string, at time.Duration) bool {
-	for other, r := range c.crashed {
-		if other != vm && !r.trial && (r.at-at).Abs() <= sameMoment {
-			return true
+			c.countCrash(vm, l, r, now)
 		}
 	}
-	for _, w := range c.order {
-		if w.info.VM == vm || !w.loss.broken || (w.loss.since-at).Abs() > sameMoment {
-			continue
-		}
-		if !slices.ContainsFunc(w.attempts, func(a *attempt) bool { return a.trial }) {
-			return true
-		}
-	}
-	return false
+	c.compareCrashes(now)
 }
 
-// countCrash counts a crash for one task, and gives the task up if it is certain that
-// it crashes its workers.
-func (c *Core) countCrash(l lostLife, r LostRun, alone bool, now Instant) {
+// countCrash counts a crash for one task, and gives the task up if it was fed as many
+// workers as it may be.
+func (c *Core) countCrash(vm string, l lostLife, r LostRun, now Instant) {
 	t := c.suspectNamed(r.Task)
 	if t != nil && l.inherited {
 		t.crashInherited = true
 	}
-	if t == nil || !t.step.job.progress.CountCrash(t.id(), job.Crash{Run: r.Run, Alone: alone && !r.unsure(), Unsure: r.unsure()}) {
+	if t == nil || !t.step.job.progress.CountCrash(t.id(), job.Crash{Run: r.Run, Unsure: r.unsure()}) {
 		return
 	}
 	j := t.step.job
@@ -140,9 +109,12 @@
 	c.setCrashes(t, n.All)
 	d := taskDecision("task_suspected", t, nil, r.Run, fmt.Sprintf("its worker crashed at its start, %d times in a row", n.All))
 	d.Worker = l.id
-	d.Detail = fmt.Sprintf("on trial %v, another run began later %v, unconfirmed %v, its worker crashed alone %v", r.Trial, r.Older, r.Unconfirmed, alone)
+	d.Detail = fmt.Sprintf("on trial %v, another run began later %v, unconfirmed %v", r.Trial, r.Older, r.Unconfirmed)
 	c.trace(d)
-	c.giveUpIfCrasher(t, r.Trial && alone, now)
+	if !r.unsure() {
+		c.compareLater(t, vm, l, r)
+	}
+	c.giveUpIfCrasher(t, false, now)
 }
 
 // giveUpIfCrasher ends the job of a task that crashes its workers for certain, or that
@@ -155,6 +127,7 @@
 		return
 	}
 	c.stats.CrashersGivenUp++
+	c.explainCrashes(t)
 	c.setFinal(j, job.Failed, fmt.Sprintf("task %s: %d workers in a row crashed when it was started", t.id(), n.Sure), now)
 }
 
@@ -199,18 +172,29 @@
 	}
 }
 
+// lastStart reports whether one more crash ends a suspect's job, whatever else crashes.
+func (c *Core) lastStart(t *task) bool {
+	n := t.step.job.progress.CrashCount(t.id())
+	return n.All+1 >= mostCrashes && n.Sure+1 >= crashLimit
+}
+
 // suspectWaits returns why a suspect is not started yet, or nothing. The store must
 // know of its crashes, so that the next owner does, and too many unsettled runs may
 // have been crashes all.
 func (c *Core) suspectWaits(t *task, now Instant) string {
-	patient := now.Steady-t.readySince < starvedAfter
+	readySince := t.readySince
 	t = t.suspect()
+	spaced := now.Steady-readySince < starvedAfter || c.lastStart(t) // several have waited for the same crashes
 	switch {
 	case t.crashes > 0 && t.step.job.persisted < t.crashVersion:
 		return "the store to hold what is known of its crashes"
 	case t.unsettled > 0 && t.suspicion() >= mostCrashes:
 		return "the VMs of its last runs to answer"
-	case t.suspicion() >= trialCrashes && patient && now.Steady < c.nextTrial:
+	case t.suspicion() >= crashLimit && now.Steady < t.comparedAt:
+		return "its newest crash to be told apart from others"
+	case c.lastStart(t) && now.Steady-readySince < calmPatience && !c.calm(t, "", now.Steady):
+		return "other workers to stop crashing"
+	case t.suspicion() >= trialCrashes && spaced && now.Steady < c.nextTrial:
 		return "another task on trial to outlive its start"
 	default:
 		return ""
--- a/job/progress.go
+++ b/job/progress.go
@@ -123,6 +123,17 @@
 	return true
 }
 
+// CrashAlone notes that no other worker crashed when that of a run did, and reports whether
+// the crash still counts.
+func (p *Progress) CrashAlone(t TaskID, run uint64) bool {
+	list := p.Crashes[t.FailureKey()]
+	i := slices.IndexFunc(list, func(c Crash) bool { return c.Run == run })
+	if i >= 0 {
+		list[i].Alone = true
+	}
+	return i >= 0
+}
+
 // CrashCount is how often the worker of a task crashed at its start, in a row.
 type CrashCount struct {
 	// All counts also the unsure ones.
