Starts of tasks that may crash their workers are recorded before they are sent

Cause: what an owner knows and its next one does not, and a mark that should be a count. All that was lost with owners counted once, and as no proof, so that the limit, which asks for three sure crashes, was not reached.

Change: the start of a suspect, and of a task in doubt, stands in its job's progress until it is known what became of it; that of a suspect is sent once it is stored. The next owner adopts the run, reads that it came to nothing, or counts it as what it is. Doubts are runs, two at the most, and their record lasts until they are cleared. A refused connection is told apart from one that broke off: a start sent to a worker that was down already is no evidence.

TestRefusedConnectionProvesNothing and TestBroken ask for the difference too.

Tried and not kept: an outcome of its own for refused connections, since it changes what TestRefusedConnectionProvesNothing asks for.

--- a/dial/client.go
+++ b/dial/client.go
@@ -314,8 +314,12 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// Refused reports whether a call failed because its connection was refused: nothing of it was
+// sent.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Broken reports whether a call failed because its connection was refused or broken off,
 // so that the process at the other end may have ended; a peer that is cut off is silent.
 func Broken(err error) bool {
-	return err != nil && (closedWhileIdle(err) || errors.Is(err, syscall.ECONNREFUSED))
+	return err != nil && (closedWhileIdle(err) || Refused(err))
 }
--- a/dial/client_test.go
+++ b/dial/client_test.go
@@ -389,7 +389,7 @@
 	close(closing) // later ones are left open, and silent
 	c := testClient(t, 1)
 	call := Call{Address: l.Addr().String(), Path: "/x", Header: "X-Life", Value: "a", Body: []byte("{}"), Once: true, Timeout: 200 * time.Millisecond}
-	if _, err := c.Post(call, func(int, []byte) {}); !Broken(err) {
+	if _, err := c.Post(call, func(int, []byte) {}); !Broken(err) || Refused(err) {
 		t.Errorf("a connection that the peer closes: %v", err)
 	}
 	if _, err := c.Post(call, func(int, []byte) {}); err == nil || Broken(err) {
@@ -401,7 +401,7 @@
 	}
 	_ = free.Close()
 	call.Address = free.Addr().String()
-	if _, err := c.Post(call, func(int, []byte) {}); !Broken(err) {
+	if _, err := c.Post(call, func(int, []byte) {}); !Broken(err) || !Refused(err) {
 		t.Errorf("a port where nobody listens: %v", err)
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -99,6 +99,14 @@
 	// lostUnheard holds the tasks of workers that were lost before this owner heard of
 	// them.
 	lostUnheard unheardTasks
+	// lostInTerm holds those of workers that were lost in this term.
+	lostInTerm unheardTasks
+	// doubtful counts the tasks with doubts.
+	doubtful int
+	// unsentStarts wait for the store, recordedStarts are those of previous owners of
+	// which nothing is known yet, by worker.
+	unsentStarts   []unsentStart
+	recordedStarts map[WorkerID][]recordedStart
 	// unheardStale is set while the store's record of them is out of date.
 	unheardStale bool
 	// unknown is set while tasks in phaseUnknown wait for settleUnknown.
@@ -214,7 +222,7 @@
 		params: params, term: term,
 		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
-		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, names: map[string]*namesakes{}, members: map[string][]*worker{}, racks: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slow: map[string]*slowCount{}, over: map[WorkerID]bool{}, unresolved: map[WorkerID]unresolvedWorker{},
+		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, names: map[string]*namesakes{}, members: map[string][]*worker{}, racks: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slow: map[string]*slowCount{}, over: map[WorkerID]bool{}, recordedStarts: map[WorkerID][]recordedStart{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, kept: map[string]*keptRoom{}, perfByKey: map[perfKey]*runTimes{},
 	}
@@ -277,6 +285,7 @@
 	c.expireUnresolved(now)
 	c.forgetOldCrashes(now)
 	c.compareCrashes(now)
+	c.forgetUnheard()
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -109,7 +109,7 @@
 	var list []*attempt
 	for _, a := range w.attempts {
 		sentInTime := w.loss.since == 0 || a.ackClock > 0 || a.placedAt <= w.loss.since
-		if sentInTime && w.heardAt-a.started < youngAtCrash {
+		if !a.unsent && sentInTime && w.heardAt-a.started < youngAtCrash {
 			list = append(list, a)
 		}
 	}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -235,7 +235,8 @@
 		if begun {
 			f.carryOut(o)
 		}
-		f.core.OrderDone(o, Answer{Outcome: outcome, ClockMS: f.now.Steady.Milliseconds()}, f.now)
+		refused := outcome == OutcomeBroken && !begun
+		f.core.OrderDone(o, Answer{Outcome: outcome, ClockMS: f.now.Steady.Milliseconds(), Unsent: refused}, f.now)
 	}
 }
 
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -110,10 +110,13 @@
 	crashes, unsettled int
 	crashVersion       uint64
 	// comparedAt is when its newest crash is told apart from others; see crashComparison.
-	comparedAt     time.Duration
-	mayHaveCrashed bool // see noteLostWithOwner and noteSilentEnd
-	// crashInherited is set if the previous owner's roster told of its last start.
-	crashInherited bool
+	comparedAt time.Duration
+	// doubts are runs that may have crashed their workers, while no crash is known; see
+	// noteLostWithOwner and noteUnclearEnd.
+	doubts []uint64
+	// lastStartKnown is set if it is known what became of its last start by the previous
+	// owner.
+	lastStartKnown bool
 }
 
 // attempt is a run that was ordered and may be running.
@@ -129,6 +132,10 @@
 	ackClock int64
 	// brokenAt is when the connection of the start's first copy broke off, 0 if it did not.
 	brokenAt time.Duration
+	// unsent is set until the store knows of the start.
+	unsent bool
+	// lost is set if no list told how the run ended.
+	lost bool
 	// missed is set while the newest lists lack the run since it was last known to
 	// be there, missedAt is when the first of them was read; see missing.
 	missed   bool
@@ -204,6 +211,13 @@
 	}
 	j.build(before && len(c.unresolved) > 0)
 	c.takeCrashes(j)
+	if before {
+		c.takeDoubts(j)
+		c.takeStarts(j, now)
+	}
+	if j.progress.State.Final() {
+		return
+	}
 	for _, s := range j.steps {
 		c.openStep(s, now)
 	}
@@ -358,6 +372,9 @@
 	s.job.active--
 	s.job.idleSince = now.Steady
 	t.attempt = nil
+	if !a.lost {
+		c.dropStarts(t, a.run)
+	}
 	if t.phase == phaseDone {
 		return
 	}
--- a/dispatch/lives.go
+++ b/dispatch/lives.go
@@ -163,7 +163,7 @@
 // id only. Runs that the life before has listed ended with it, if that was another one.
 func (c *Core) inherit(w, next *worker) {
 	for _, a := range slices.Clone(w.attempts) {
-		if !a.listed || w.info.ID.Born() == 0 {
+		if !a.unsent && (!a.listed || w.info.ID.Born() == 0) {
 			a.moveTo(next)
 		}
 	}
@@ -239,8 +239,7 @@
 		return
 	}
 	if w.heardAt == 0 && from.Born() != 0 {
-		c.lostUnheard.add(u)
-		c.unheardStale = true
+		c.noteUnheard(u)
 	}
 	known, ok := c.unresolved[next.info.ID]
 	if !ok {
--- a/dispatch/lostlife.go
+++ b/dispatch/lostlife.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Figures of lives that were lost.
 const (
@@ -168,35 +171,69 @@
 }
 
 // noteLostWithOwner notes that the previous owner may have started a task of which
-// nobody tells, while a worker was lost of which this owner has heard nothing. Of a
-// suspect, that start counts for the most that a task is fed, but proves nothing; of
-// another task it does once it crashes a worker. Without it, a task whose first crash
-// fell into the moment of a takeover was started six times.
-func (c *Core) noteLostWithOwner(t *task, now Instant) {
-	switch {
-	case t.suspect() != t || t.step.gangRun != 0 || t.crashInherited || !c.lostUnheard.has(t):
-	case t.crashes > 0:
-		c.countUnsure(t, c.term<<runBits, reasonLostWithOwner)
-		c.giveUpIfCrasher(t, false, now)
-	default:
-		t.mayHaveCrashed = true
+// nobody tells, while a worker was lost of which this owner has heard nothing. That start
+// proves nothing, and counts for the most that a task is fed once it crashes a worker. Of a
+// suspect, each start is recorded.
+func (c *Core) noteLostWithOwner(t *task) {
+	if t.suspect() == t && t.step.gangRun == 0 && !t.lastStartKnown && t.crashes == 0 && c.lostInTerm.has(t) {
+		c.addDoubt(t, c.term<<runBits)
 	}
 }
 
-// noteSilentEnd notes the young runs of a worker that was silent before its life ended: it
-// may have crashed and been cut off at the same moment. Of a suspect, that start counts for
-// the most that a task is fed, but proves nothing; of another task it does once it crashes a
-// worker. Tasks that only were at workers that were cut off are not suspected.
-func (c *Core) noteSilentEnd(l lostLife, now Instant) {
+// noteUnclearEnd notes the young runs of a worker whose life ended otherwise than in a crash,
+// as far as is known: it may have crashed and been cut off, or lost others of its rack, at the
+// same moment. Of a suspect, that start counts for the most that a task is fed, but proves
+// nothing; of another task it does once it crashes a worker. Tasks that only were at workers
+// that were cut off are not suspected.
+func (c *Core) noteUnclearEnd(l lostLife, now Instant) {
 	for _, r := range l.runs {
 		t := c.suspectNamed(r.Task)
+		if t == nil {
+			continue
+		}
+		c.dropStarts(t, r.Run)
 		switch {
-		case t == nil || r.Older:
+		case r.unsure():
 		case t.crashes > 0:
-			c.countUnsure(t, r.Run, "it was started shortly before its worker fell silent")
+			c.countUnsure(t, r.Run, "it was started shortly before its worker's life ended: "+l.end.String())
 			c.giveUpIfCrasher(t, false, now)
 		default:
-			t.mayHaveCrashed = true
+			c.addDoubt(t, r.Run)
+		}
+	}
+}
+
+// mostDoubts of a task are kept: with more, crashes that are sure would not decide.
+const mostDoubts = mostCrashes - crashLimit
+
+// addDoubt notes a run of a task that may have crashed its worker, while no crash is known.
+func (c *Core) addDoubt(t *task, run uint64) {
+	if len(t.doubts) < mostDoubts && !slices.Contains(t.doubts, run) {
+		c.setDoubts(t, append(slices.Clone(t.doubts), run))
+	}
+}
+
+func (c *Core) setDoubts(t *task, runs []uint64) {
+	switch {
+	case len(t.doubts) == 0 && len(runs) > 0:
+		c.doubtful++
+	case len(t.doubts) > 0 && len(runs) == 0:
+		c.doubtful--
+	}
+	t.doubts = runs
+}
+
+// takeDoubts takes in that tasks may have crashed workers which were lost under earlier
+// owners.
+func (c *Core) takeDoubts(j *jobState) {
+	if c.lostUnheard.none() {
+		return
+	}
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.phase != phaseDone && t.suspect() == t && t.crashes == 0 && c.lostUnheard.has(t) {
+				c.addDoubt(t, (c.term-1)<<runBits)
+			}
 		}
 	}
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -38,7 +38,9 @@
 	w.add(a)
 	w.placedAt = now.Steady
 	c.stats.Starts++
-	c.sendStart(a, checkpoint)
+	if !c.recordStart(a, checkpoint) {
+		c.sendStart(a, checkpoint)
+	}
 }
 
 func (c *Core) newRun() uint64 {
@@ -130,7 +132,7 @@
 		}
 		c.tellTask(eventStarted, a.task, a.worker, a.run, "")
 	case OutcomeUnknown, OutcomeBroken:
-		if a.tries == 1 && ans.Outcome == OutcomeBroken {
+		if a.tries == 1 && ans.Outcome == OutcomeBroken && !ans.Unsent {
 			a.brokenAt = now.Steady
 		}
 		c.startUnanswered(a, o, now)
--- /dev/null
+++ b/dispatch/ownerslost_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// ownersLost is a case of owners that are lost at some of a task's crashes.
+type ownersLost struct {
+	crashes []int
+	after   time.Duration
+	// down: the store takes nothing from the crash on. sameID: workers restart under their
+	// ids. others: another worker crashes at each of the task's crashes.
+	down, sameID, others bool
+}
+
+func (x ownersLost) String() string {
+	return fmt.Sprintf("crashes %v, %v later, store down %v, same ids %v, others crash %v", x.crashes, x.after, x.down, x.sameID, x.others)
+}
+
+// severalOwnersLost returns all choices of two to four of a task's crashes, at moments after them.
+func severalOwnersLost() []ownersLost {
+	var list []ownersLost
+	for set := range 1 << (mostStartsOfACrasher - 1) {
+		var crashes []int
+		for i := range mostStartsOfACrasher - 1 {
+			if set&(1<<i) != 0 {
+				crashes = append(crashes, i+1)
+			}
+		}
+		if len(crashes) < 2 {
+			continue
+		}
+		for _, after := range []time.Duration{0, 40, 100, 400, 1000, 2000, 2900, 3100} {
+			for flags := range 8 {
+				list = append(list, ownersLost{crashes, after * time.Millisecond, flags&1 != 0, flags&2 != 0, flags&4 != 0})
+			}
+		}
+	}
+	return list
+}
+
+// TestSeveralOwnersLostCostNoStartTooMany: at whichever of a task's crashes owners are lost, and
+// however soon after them, the task is started as often as users allow and its job fails.
+//
+// What users saw: a task that crashes its workers was started six or seven times, five are
+// allowed, since crashes that nobody had told of were counted once for all owners.
+func TestSeveralOwnersLostCostNoStartTooMany(t *testing.T) {
+	for _, x := range severalOwnersLost() {
+		t.Run(x.String(), func(t *testing.T) { x.play(t, newCrashFleetOf(t, 24, x.sameID)) })
+	}
+}
+
+func (x ownersLost) play(t *testing.T, f *crashFleet) {
+	t.Helper()
+	bad, good := simpleJob(1, 1), simpleJob(2, 24)
+	f.crasher = crashesOf(bad)
+	f.core.AddJob(good, nil, false, f.now)
+	f.pass(8 * time.Second)
+	f.core.AddJob(bad, nil, false, f.now)
+	for seen := 0; f.now.Steady < 180*time.Second && f.state(bad) != job.Failed; {
+		f.pass(20 * time.Millisecond)
+		n := f.crashed()
+		if n == seen {
+			continue
+		}
+		seen = n
+		if x.others {
+			f.endAnyOther()
+		}
+		if slices.Contains(x.crashes, n) {
+			f.storeDown = x.down
+			f.pass(x.after)
+			f.takeOver(bad, good)
+			f.storeDown = false
+		}
+	}
+	f.checkGivenUp(bad, good)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -22,6 +22,7 @@
 	if c.deposed || now.Steady >= c.validUntil {
 		return
 	}
+	c.sendRecorded(now)
 	list := c.candidates(now)
 	if len(list) == 0 {
 		c.noteDemand(nil, now)
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -185,4 +185,7 @@
 type Answer struct {
 	Outcome Outcome
 	ClockMS int64
+	// Unsent is set with OutcomeBroken if the connection was refused: this copy of the
+	// order did nothing.
+	Unsent bool
 }
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -64,6 +64,7 @@
 		s.ready--
 	}
 	t.phase = phaseDone
+	c.setDoubts(t, nil)
 	s.left--
 	s.job.progress.MarkDone(t.id(), s.spec.Count)
 	c.touch(s.job)
@@ -93,6 +94,7 @@
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
 			c.setSuspicion(t, 0, 0)
+			c.setDoubts(t, nil)
 			if t.phase == phaseReady {
 				t.phase = phaseWaiting
 				s.ready--
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -83,9 +83,9 @@
 		c.openUnresolved--
 	}
 	if w := c.workers[id]; w == nil || w.heardAt == 0 {
-		c.lostUnheard.add(u)
-		c.unheardStale = true
+		c.noteUnheard(u)
 	}
+	c.settleStarts(id, now)
 	switch {
 	case c.openUnresolved > 0:
 		return
@@ -162,7 +162,7 @@
 				if t.phase == phaseUnknown && !c.mayRun(t) {
 					t.phase = phaseWaiting
 					t.concluded = true
-					c.noteLostWithOwner(t, now)
+					c.noteLostWithOwner(t)
 				}
 			}
 			if s.job.progress.State.Final() {
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -69,7 +69,7 @@
 	for _, a := range over {
 		c.stats.Lost++
 		c.tellGivenUp("run_lost", a, reason, fmt.Sprintf("lease to %d of worker's clock %d", w.lastDeadline, w.clockNow(now)), now.Steady-w.lastAnswer)
-		a.task.concluded = true
+		a.task.concluded, a.lost = true, !a.unsent
 		c.release(a, now)
 	}
 	w.synced, w.partlyRead = false, false // what it lists next must be read before it is used
@@ -84,6 +84,7 @@
 		return
 	}
 	next := c.namesake(w)
+	end := c.howEnded(w, now)
 	l, hadRuns := c.lostWith(w, next, now)
 	if next != nil {
 		c.inherit(w, next)
@@ -94,8 +95,9 @@
 	case l.end == endCrashed:
 		c.countCrashes(w.info.VM, l, now)
 	case l.end == endSilent:
-		c.noteSilentEnd(l, now)
+		c.noteUnclearEnd(l, now)
 	}
+	c.settleStartsOfLife(w, next, end, now)
 	c.resolve(w.info.ID, reason, now)
 	c.forget(w, reason)
 	c.over[w.info.ID] = true
--- /dev/null
+++ b/dispatch/startrecord.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import "leverstile.dev/job"
+
+// unsentStart is a start that is sent once the store knows of it.
+type unsentStart struct {
+	attempt    *attempt
+	checkpoint string
+	version    uint64 // of its job's progress
+}
+
+// recordedStart is a start of a previous owner.
+type recordedStart struct {
+	task *task
+	run  uint64
+	// over is set if the life that it was ordered of has ended, end is how.
+	over bool
+	end  lifeEnd
+}
+
+// recordStart records the start of a task that may crash its worker, so that no owner's end
+// makes the next one forget it. It reports whether the start waits for that: that of a task
+// which is only in doubt does not.
+func (c *Core) recordStart(a *attempt, checkpoint string) (waits bool) {
+	t := a.task.suspect()
+	if t.crashes == 0 && len(t.doubts) == 0 {
+		return false
+	}
+	j := t.step.job
+	j.progress.AddStart(t.id(), job.Start{Run: a.run, Worker: string(a.worker.info.ID)})
+	c.touch(j)
+	if t.crashes == 0 {
+		return false
+	}
+	a.unsent = true
+	c.unsentStarts = append(c.unsentStarts, unsentStart{a, checkpoint, j.version})
+	return true
+}
+
+// StartsWait reports whether starts wait for the store.
+func (c *Core) StartsWait() bool { return len(c.unsentStarts) > 0 }
+
+// sendRecorded sends the starts that the store knows of by now. One whose worker gets no
+// starts any more is released, as is one that has waited for the store for long.
+func (c *Core) sendRecorded(now Instant) {
+	list := c.unsentStarts
+	c.unsentStarts = nil
+	for _, u := range list {
+		a := u.attempt
+		switch {
+		case a.task.attempt != a || a.stopping:
+		case now.Steady-a.placedAt > startWindow || a.worker.info.Draining || c.evacuated[a.worker.info.DataCentre]:
+			c.tellGivenUp("start_not_sent", a, "the store did not take its record, or its worker takes none", "", now.Steady-a.placedAt)
+			c.release(a, now)
+		case a.task.step.job.persisted < u.version:
+			c.unsentStarts = append(c.unsentStarts, u)
+		default:
+			a.unsent = false
+			a.deadline = c.deadlineIn(a.worker, startWindow, now)
+			a.placedAt, a.started, a.worker.placedAt = now.Steady, now.Steady, now.Steady
+			c.sendStart(a, u.checkpoint)
+		}
+	}
+}
+
+// dropStarts forgets the recorded starts of a task up to a run: it is known what became of
+// them.
+func (c *Core) dropStarts(t *task, run uint64) {
+	t = t.suspect()
+	if j := t.step.job; j.progress.DropStarts(t.id(), run) {
+		c.touch(j)
+	}
+}
+
+// takeStarts takes in the starts that a previous owner recorded.
+func (c *Core) takeStarts(j *jobState, now Instant) {
+	if len(j.progress.Starts) == 0 {
+		return
+	}
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.phase == phaseDone || t.suspect() != t {
+				continue
+			}
+			for _, start := range j.progress.Starts[t.id().FailureKey()] {
+				c.takeStart(t, start, now)
+			}
+		}
+	}
+}
+
+func (c *Core) takeStart(t *task, start job.Start, now Instant) {
+	id := WorkerID(start.Worker)
+	r := recordedStart{task: t, run: start.Run, end: endSilent}
+	switch w := c.workers[id]; {
+	case c.Awaits(id):
+		c.recordedStarts[id] = append(c.recordedStarts[id], r)
+	case w != nil && w.synced:
+		c.settleStart(w.info.ID, r, now)
+	default:
+		r.over = true // the previous owner has forgotten its life
+		c.settleStart(id, r, now)
+	}
+}
+
+// settleStartsOfLife draws the consequences of the end of a life that a previous owner had
+// ordered starts of. The next life of its id may have carried them out: its lists tell.
+func (c *Core) settleStartsOfLife(w, next *worker, end lifeEnd, now Instant) {
+	id := w.info.ID
+	list := c.recordedStarts[id]
+	delete(c.recordedStarts, id)
+	for _, r := range list {
+		if !r.over {
+			r.over, r.end = true, end
+		}
+		if next != nil && !next.synced {
+			c.recordedStarts[next.info.ID] = append(c.recordedStarts[next.info.ID], r)
+			continue
+		}
+		c.settleStart(id, r, now)
+	}
+}
+
+// settleStarts concludes what became of the starts at a worker of which all is known that
+// can be.
+func (c *Core) settleStarts(id WorkerID, now Instant) {
+	list := c.recordedStarts[id]
+	delete(c.recordedStarts, id)
+	w := c.workers[id]
+	for _, r := range list {
+		if !r.over && (w == nil || !w.synced) {
+			r.over = true // its leases are over
+		}
+		c.settleStart(id, r, now)
+	}
+}
+
+// settleStart concludes what became of a start: its run is adopted, came to nothing at a
+// worker that lives on, or may have crashed its worker.
+func (c *Core) settleStart(id WorkerID, r recordedStart, now Instant) {
+	t := r.task
+	if t.step.job.progress.State.Final() || t.phase == phaseDone || c.adopted(t, r.run) {
+		return
+	}
+	t.lastStartKnown = true
+	l := lostLife{id: id, end: r.end, loss: contactLoss{since: now.Steady}, inherited: true, runs: []LostRun{{Task: t.id().String(), Run: r.run}}, at: now.Steady}
+	switch {
+	case !r.over:
+		c.dropStarts(t, r.run)
+	case r.end == endCrashed:
+		c.countCrash("", l, l.runs[0], now)
+	default:
+		c.noteUnclearEnd(l, now)
+	}
+}
+
+// adopted reports whether a run of a task, or of its gang, is at work or may be.
+func (c *Core) adopted(t *task, run uint64) bool {
+	if t.step.spec.Gang {
+		return t.step.gangRun == run
+	}
+	return t.attempt != nil && t.attempt.run == run
+}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -94,16 +94,17 @@
 func (c *Core) countCrash(vm string, l lostLife, r LostRun, now Instant) {
 	t := c.suspectNamed(r.Task)
 	if t != nil && l.inherited {
-		t.crashInherited = true
+		t.lastStartKnown = true
 	}
 	if t == nil || !t.step.job.progress.CountCrash(t.id(), job.Crash{Run: r.Run, Unsure: r.unsure()}) {
 		return
 	}
 	j := t.step.job
-	if t.mayHaveCrashed {
-		t.mayHaveCrashed = false
-		c.countUnsure(t, c.term<<runBits, "it may have been started where a worker was lost before")
+	j.progress.DropStarts(t.id(), r.Run)
+	for _, run := range t.doubts {
+		c.countUnsure(t, run, "it may have been started where a worker was lost before")
 	}
+	c.setDoubts(t, nil)
 	c.touch(j)
 	n := j.progress.CrashCount(t.id())
 	c.setCrashes(t, n.All)
@@ -131,9 +132,6 @@
 	c.setFinal(j, job.Failed, fmt.Sprintf("task %s: %d workers in a row crashed when it was started", t.id(), n.Sure), now)
 }
 
-// reasonLostWithOwner tells of a start that the previous owner may have given.
-const reasonLostWithOwner = "it may have been started when the previous owner was lost"
-
 // countUnsure counts a start of a suspect under which a worker may have crashed.
 func (c *Core) countUnsure(t *task, run uint64, reason string) {
 	j := t.step.job
@@ -150,11 +148,13 @@
 func (c *Core) cleared(t *task, run uint64, reason string) {
 	t = t.suspect()
 	progress := &t.step.job.progress
+	if !slices.ContainsFunc(t.doubts, func(d uint64) bool { return d > run }) {
+		c.setDoubts(t, nil)
+	}
 	if t.crashes == 0 || run < progress.NewestCrash(t.id()) {
 		return
 	}
 	progress.ClearCrashes(t.id())
-	t.mayHaveCrashed = false
 	c.touch(t.step.job)
 	c.setCrashes(t, 0)
 	c.tellTask("task_cleared", t, nil, run, reason)
@@ -166,8 +166,8 @@
 		return
 	}
 	t := a.task.suspect()
-	t.mayHaveCrashed = false
-	if t.crashes > 0 {
+	c.dropStarts(t, a.run)
+	if t.crashes > 0 || len(t.doubts) > 0 {
 		c.cleared(t, a.run, "its run has outlived its start")
 	}
 }
--- a/dispatch/unheard.go
+++ b/dispatch/unheard.go
@@ -38,11 +38,19 @@
 	return slices.ContainsFunc(t.step.tasks, func(t *task) bool { return l.tasks[t.id().String()] })
 }
 
+// noteUnheard takes in what may have run at a worker that was lost unheard.
+func (c *Core) noteUnheard(u unresolvedWorker) {
+	c.lostInTerm.add(u)
+	c.lostUnheard.add(u)
+	c.unheardStale = true
+}
+
 // forgetUnheard forgets the tasks that may have run at lost workers, once nothing waits
-// for a worker of the previous owner: each of them was looked at when it was released.
+// for a worker of the previous owner and each of them has outlived a start since: owners
+// may end before it is started again.
 func (c *Core) forgetUnheard() {
-	if len(c.unresolved) == 0 && !c.lostUnheard.none() {
-		c.lostUnheard = unheardTasks{}
+	if len(c.unresolved) == 0 && c.doubtful == 0 && !c.lostUnheard.none() {
+		c.lostUnheard, c.lostInTerm = unheardTasks{}, unheardTasks{}
 		c.unheardStale = true
 	}
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -45,12 +45,21 @@
 	// Crashes holds the runs of a task in a row at whose start their worker crashed,
 	// under the same keys: a crashed worker tells nobody of them.
 	Crashes map[string][]Crash `json:"crashes,omitempty"`
+	// Starts holds the starts of tasks that may crash their workers, under the same keys,
+	// until it is known what became of them.
+	Starts map[string][]Start `json:"starts,omitempty"`
 	// Reason is why the job failed, for its customer.
 	Reason string `json:"reason,omitempty"`
 	// EndedMS is when the state became final, milliseconds since 1970.
 	EndedMS int64 `json:"ended_ms,omitempty"`
 }
 
+// Start is a run that was ordered of a worker.
+type Start struct {
+	Run    uint64 `json:"run"`
+	Worker string `json:"worker"`
+}
+
 // Crash is a run at whose start its worker crashed.
 type Crash struct {
 	Run uint64 `json:"run"`
@@ -134,6 +143,35 @@
 	return i >= 0
 }
 
+// mostStarts bounds the starts that are kept of a task; a gang has one for each member.
+const mostStarts = 64
+
+// AddStart notes a start.
+func (p *Progress) AddStart(t TaskID, start Start) {
+	if p.Starts == nil {
+		p.Starts = map[string][]Start{}
+	}
+	key := t.FailureKey()
+	list := append(p.Starts[key], start)
+	p.Starts[key] = list[max(0, len(list)-mostStarts):]
+}
+
+// DropStarts forgets the starts of a task up to a run, and reports whether there were any.
+func (p *Progress) DropStarts(t TaskID, run uint64) bool {
+	key := t.FailureKey()
+	list := p.Starts[key]
+	rest := slices.DeleteFunc(slices.Clone(list), func(s Start) bool { return s.Run <= run })
+	switch {
+	case len(rest) == len(list):
+		return false
+	case len(rest) == 0:
+		delete(p.Starts, key)
+	default:
+		p.Starts[key] = rest
+	}
+	return true
+}
+
 // CrashCount is how often the worker of a task crashed at its start, in a row.
 type CrashCount struct {
 	// All counts also the unsure ones.
@@ -190,6 +228,9 @@
 	if err := checkTasks(p.Failures, spec); err != nil {
 		return errors.Annotate(err, "failures")
 	}
+	if err := checkTasks(p.Starts, spec); err != nil {
+		return errors.Annotate(err, "starts")
+	}
 	return errors.Annotate(checkTasks(p.Crashes, spec), "crashes")
 }
 
--- a/node/record.go
+++ b/node/record.go
@@ -106,15 +106,17 @@
 		return false
 	}
 	o.rosterMarked = o.rosterMarked || len(roster) > 0
+	startsWait := false
 	o.locked(func(c *dispatch.Core, _ dispatch.Instant) {
 		c.Persisted(records)
+		startsWait = c.StartsWait()
 		c.RosterStored(roster)
 		c.UnheardStored(unheard)
 		if wave != nil {
 			c.WavePersisted(wave)
 		}
 	})
-	if len(roster) > 0 {
+	if len(roster) > 0 || startsWait {
 		signal(o.wake)
 	}
 	return true
