A crash that looks like the loss of a rack counts for the limit of starts

Cause: evidence that is missing taken for evidence. That most of a rack crashes in the same second says that the task may not be the cause, not that it is not. And the life of a VM that was known after a moment was taken for one that had fallen silent then, although its end was known: only crashes were remembered, not lives that were lost with a rack, so that one lost rack made the next crash there look like another (TestCrashesThatLookLikeALostRack..., crashes [1 3]: three in a row).

Change: the young runs of a life that ended with its rack count as those that ended in silence: as unsure for a suspect, as a doubt else. When the newest life of a VM fell silent is remembered, however it ended.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -133,6 +133,8 @@
 	lostLives map[string]lostLife
 	crashed   map[string]crashRecord
 	suspects  int
+	// fellSilent is when the newest life of a VM with tasks fell silent that has ended of late.
+	fellSilent map[string]time.Duration
 	// comparisons are crashes that are not told apart from others yet.
 	comparisons []crashComparison
 	// nextTrial is when the next task on trial may be started.
@@ -221,7 +223,7 @@
 	return &Core{
 		params: params, term: term,
 		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
-		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{},
+		lostLives: map[string]lostLife{}, crashed: map[string]crashRecord{}, fellSilent: map[string]time.Duration{},
 		workers: map[WorkerID]*worker{}, lives: map[string][]*worker{}, names: map[string]*namesakes{}, members: map[string][]*worker{}, racks: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slow: map[string]*slowCount{}, over: map[WorkerID]bool{}, recordedStarts: map[WorkerID][]recordedStart{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, kept: map[string]*keptRoom{}, perfByKey: map[perfKey]*runTimes{},
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -94,12 +94,15 @@
 // it did. Of one without tasks, which was not polled, only its next life tells.
 func (c *Core) silentWith(w *worker, at time.Duration) bool {
 	near := func(t time.Duration) bool { return (t - at).Abs() <= rackLostWithin }
-	if r, crashed := c.crashed[w.info.VM]; crashed && near(r.at) || w.loss.since > 0 && near(w.loss.since) {
+	before, known := c.fellSilent[w.info.VM]
+	switch {
+	case known && near(before), w.loss.since > 0 && near(w.loss.since):
 		return true
-	} else if crashed {
+	case known:
 		return false
+	default:
+		return w.knownAt > at
 	}
-	return w.knownAt > at
 }
 
 // youngRuns returns the runs at a worker of which one may have crashed it by its
--- a/dispatch/lostlife.go
+++ b/dispatch/lostlife.go
@@ -168,6 +168,11 @@
 			delete(c.crashed, vm)
 		}
 	}
+	for vm, at := range c.fellSilent {
+		if now.Steady-at > crashedLately {
+			delete(c.fellSilent, vm)
+		}
+	}
 }
 
 // noteLostWithOwner notes that the previous owner may have started a task of which
--- /dev/null
+++ b/dispatch/rackcrash_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// TestCrashesThatLookLikeALostRackCostNoStartTooMany: at one or two of a task's crashes most of
+// the rack crashes too, so that the worker looks lost with it. The task is started as often as
+// users allow, and no job beside it fails.
+//
+// What users saw: a start too many of a task that crashes its workers, under one owner: one of
+// its crashes was taken for the loss of a rack, and counted for nothing.
+func TestCrashesThatLookLikeALostRackCostNoStartTooMany(t *testing.T) {
+	for set := 1; set < 1<<(mostStartsOfACrasher-1); set++ {
+		var crashes []int
+		for i := range mostStartsOfACrasher - 1 {
+			if set&(1<<i) != 0 {
+				crashes = append(crashes, i+1)
+			}
+		}
+		if len(crashes) > mostCrashes-crashLimit {
+			continue
+		}
+		for _, after := range []time.Duration{0, 100, 300, 500, 800} {
+			for _, sameID := range []bool{false, true} {
+				after := after * time.Millisecond
+				t.Run(fmt.Sprintf("crashes %v, rack %v later, same ids %v", crashes, after, sameID), func(t *testing.T) {
+					lostRackRun(t, newCrashFleetOf(t, 24, sameID), crashes, after)
+				})
+			}
+		}
+	}
+}
+
+func lostRackRun(t *testing.T, f *crashFleet, crashes []int, after time.Duration) {
+	t.Helper()
+	bad, good := simpleJob(1, 1), simpleJob(2, 48)
+	f.crasher = crashesOf(bad)
+	f.core.AddJob(good, nil, false, f.now)
+	f.pass(8 * time.Second)
+	f.core.AddJob(bad, nil, false, f.now)
+	for seen := 0; f.now.Steady < 180*time.Second && f.state(bad) != job.Failed; {
+		f.pass(20 * time.Millisecond)
+		n := f.crashed()
+		if n == seen {
+			continue
+		}
+		seen = n
+		if slices.Contains(crashes, n) {
+			rack := f.rackThatCrashed()
+			f.pass(after)
+			for _, vm := range f.vms {
+				if f.info(vm).Rack == rack && f.down[vm] == 0 {
+					f.end(vm, crashDown)
+				}
+			}
+		} else {
+			f.endAnyOther() // so that no crash is a proof
+		}
+	}
+	f.checkGivenUp(bad, good)
+}
+
+// rackThatCrashed returns the rack of the VM whose worker crashed last.
+func (f *crashFleet) rackThatCrashed() string {
+	newest := f.vms[0]
+	for _, vm := range f.vms {
+		if f.down[vm] > f.down[newest] {
+			newest = vm
+		}
+	}
+	return f.info(newest).Rack
+}
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -90,11 +90,14 @@
 		c.inherit(w, next)
 	}
 	c.lose(w, reason, now)
+	if hadRuns && l.busy && w.info.VM != "" {
+		c.fellSilent[w.info.VM] = l.loss.since
+	}
 	switch {
 	case !hadRuns:
 	case l.end == endCrashed:
 		c.countCrashes(w.info.VM, l, now)
-	case l.end == endSilent:
+	default:
 		c.noteUnclearEnd(l, now)
 	}
 	c.settleStartsOfLife(w, next, end, now)
