The first polls after a start wait only as long as its lease allows

What callers saw: what was started on an idle worker just before a connection fell silent for good was ended by its worker and started again (TestAYoungRunOutlivesOneSilentPoll, which failed always): the start's deadline of 1.4 s was over before the first poll, 1.5 s and a timeout, was given up.

A list that was asked for early for the sake of a lease now tells no progress, so that speed is measured from the same lists as before.

TestOverloadGivesUpInOrder asks for the wait of a poll of runs that were listed once; before, it asked for that of runs that no list had told of yet. The figures asked for are the same.

--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -141,7 +141,9 @@
 	a.missed, a.listed = false, true
 	a.atWork = row.Percent == fullPace
 	c.noteOutlived(a, now)
-	c.noteProgress(a, row.Percent, now)
+	if !a.worker.forLease { // two lists at short intervals tell no speed
+		c.noteProgress(a, row.Percent, now)
+	}
 	c.read(a, row, now)
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -125,6 +125,7 @@
 	switch ans.Outcome {
 	case OutcomeOK:
 		a.ackClock, a.missed = max(a.ackClock, ans.ClockMS), false
+		a.worker.sureDeadline = max(a.worker.sureDeadline, o.DeadlineMS)
 		c.markBegun(a.task.step.job)
 		if a.task.phase == phaseStarting {
 			a.task.phase = phaseRunning
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -27,10 +27,13 @@
 		core.AddJob(serving, nil, false, now)
 		core.AddJob(filling, nil, false, now)
 		core.Schedule(now)
+		var running []RunningTask
 		for _, o := range starts(core) {
 			core.OrderDone(o, Answer{ClockMS: 1001}, now)
+			running = append(running, RunningTask{Task: o.Task, Run: o.Run, Percent: fullPace})
 		}
 		busy := core.jobs[serving.ID].steps[0].tasks[0].attempt.worker.info.ID
+		core.HoldDone(core.PlanHold(busy, now).Order, HoldReply{ClockMS: 1001, Running: running}, OutcomeOK, now)
 
 		core.Late(x.late, now)
 		for id := 3; id <= 4; id++ {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -49,6 +49,9 @@
 		h.DeadlineMS = c.deadlineIn(w, c.params.TaskLease, now)
 		if !idle && !w.mustAcknowledge() {
 			h.Wait = w.pollWait(c.overload.load)
+			if wait := w.waitForYoung(now); wait < h.Wait {
+				h.Wait, h.ForLease = wait, true
+			}
 		}
 	}
 	if c.mayBeStarting(w) {
@@ -116,6 +119,7 @@
 	w.holdFails, w.unanswered, w.lastAnswer = 0, 0, now.Steady
 	c.reach.changed()
 	w.answeredSent = w.holdSent
+	w.sureDeadline = max(w.sureDeadline, order.DeadlineMS)
 	w.told, w.ackUnanswered = max(w.told, order.Seen), 0
 	w.noteAnswered(now)
 	c.endOtherLives(w, now)
@@ -123,6 +127,7 @@
 	fresh := w.noteClock(reply.ClockMS, now)
 	c.takeEnds(w, reply.Ended, now)
 	if fresh {
+		w.forLease = order.ForLease
 		c.takeRunning(w, reply, now)
 	}
 	if !w.synced && fresh {
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -62,6 +62,8 @@
 	Seen uint64
 	// Wait is how long the answer may be held until a task ends.
 	Wait time.Duration
+	// ForLease is set if the wait is short for the sake of a lease.
+	ForLease bool
 }
 
 // HoldReply is a worker's answer to a HoldOrder.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,6 +21,9 @@
 	// readings; others only for ends and to renew the lease.
 	holdWaitWatched = 450 * time.Millisecond
 	holdWait        = 1500 * time.Millisecond
+	// missedPoll is what a poll without an answer takes beyond its wait until the next one
+	// renews the lease: its timeout, the pause, and a poll that only asks.
+	missedPoll = 900 * time.Millisecond
 	// holdGapUnsaved is the pause before the next poll while ends wait to be
 	// persisted: the worker would answer at once.
 	holdGapUnsaved = 60 * time.Millisecond
@@ -62,6 +65,10 @@
 	lastDeadline int64
 	// leaseSent is when the newest call with a deadline was sent.
 	leaseSent time.Duration
+	// sureDeadline is the latest deadline that the worker has confirmed.
+	sureDeadline int64
+	// forLease is set if its newest list was asked for early, to renew the lease.
+	forLease bool
 	// ackUnanswered is the highest acknowledgement that was sent since the newest answer;
 	// endsDoubted is set if the life before had one, see doubtEnds.
 	ackUnanswered uint64
@@ -223,6 +230,17 @@
 	return deadline
 }
 
+// waitForYoung returns how long a poll may wait so that, if it stays unanswered, the lease of
+// what was started since the last answer can still be renewed in time.
+func (w *worker) waitForYoung(now Instant) time.Duration {
+	young := slices.ContainsFunc(w.attempts, func(a *attempt) bool { return a.ackClock != 0 && !a.listed })
+	if !young {
+		return holdWait
+	}
+	left := time.Duration(w.sureDeadline-w.clockNow(now)) * time.Millisecond
+	return max(left-missedPoll, 0)
+}
+
 // leastAt returns the least that the worker's clock may show at a time to come. It
 // counts from the last reading: the clock of a worker that is idle for a minute may
 // be 1.2 s behind the estimate, by which a lease would outlast the owner's right.
