Crashes near a moment are gathered once for all runs of a worker

Cause: found by reading. Each comparison looked at all workers, twice, for each run that had just begun at a worker that crashed: with 900 of 6,002 workers crashing, some ten such runs each, 9,000 x 6,002 looks twice. And each list of a run that works longer than 5 s formatted its key to look for a recorded start.

Change: the crashes near a moment are gathered once a worker and moment, in a pass once; jobs without recorded starts are passed over. Steps that no owner can have begun (blocked, not due) are not in doubt, so that the record of lost workers is not kept for them.

No growth test; not measured at size yet.

--- a/dispatch/calm.go
+++ b/dispatch/calm.go
@@ -60,18 +60,22 @@
 		due = append(due, x)
 		return true
 	})
+	near := crashesNear{}
 	for _, x := range due {
-		c.compareCrash(x, now)
+		if near.vm != x.vm || near.at != x.at { // those of one worker come together
+			near = c.crashesNear(x.vm, x.at)
+		}
+		c.compareCrash(x, near, now)
 	}
 }
 
-func (c *Core) compareCrash(x crashComparison, now Instant) {
+func (c *Core) compareCrash(x crashComparison, near crashesNear, now Instant) {
 	t := x.task
 	j := t.step.job
 	if j.progress.State.Final() || t.phase == phaseDone {
 		return
 	}
-	alone, calm := !c.othersCrashed(t, x.vm, x.at), c.calm(t, x.vm, x.at)
+	alone, calm := near.alone(t), c.calm(t, near)
 	d := taskDecision("crash_compared", t, nil, x.run, "")
 	d.Detail = fmt.Sprintf("its worker crashed alone %v, few others crashed before %v", alone, calm)
 	c.trace(d)
@@ -82,37 +86,63 @@
 	c.giveUpIfCrasher(t, x.trial && calm, now)
 }
 
-// othersCrashed reports whether another VM's worker crashed at the same moment: then
-// something else may crash workers, and a crash proves less of a task.
-func (c *Core) othersCrashed(t *task, vm string, at time.Duration) bool {
-	return c.crashesOfOthers(t, vm, at-sameMoment, at+sameMoment) > 0
-}
-
-// calm reports whether few other VMs' workers crashed in the time before a moment. A run
-// that had just begun may have met one of many by chance. What crashed before this owner's
-// term is not known.
-func (c *Core) calm(t *task, vm string, at time.Duration) bool {
-	known := at-calmTime >= c.firstRenewed
-	return known && float64(c.crashesOfOthers(t, vm, at-calmTime, at+sameMoment)) <= calmShare*float64(len(c.lives))
+// crashesNear holds the crashes of VMs but one in the time before a moment, without those
+// that a task which was given up explains.
+type crashesNear struct {
+	vm     string
+	at     time.Duration
+	others []crashRecord
 }
 
-// crashesOfOthers returns how many other VMs' workers crashed in a period, without those
-// where a run of the task had just begun, or one of a task that was given up.
-func (c *Core) crashesOfOthers(t *task, vm string, from, to time.Duration) int {
-	n, name := 0, t.id().String()
-	within := func(t time.Duration) bool { return from <= t && t <= to }
+func (c *Core) crashesNear(vm string, at time.Duration) crashesNear {
+	near := crashesNear{vm: vm, at: at}
+	within := func(t time.Duration) bool { return at-calmTime <= t && t <= at+sameMoment }
 	for other, r := range c.crashed {
-		if other != vm && !r.explained && within(r.at) && !slices.Contains(r.tasks, name) {
-			n++
+		if other != vm && !r.explained && within(r.at) {
+			near.others = append(near.others, r)
 		}
 	}
 	for _, w := range c.order {
-		r, counted := c.crashed[w.info.VM]
-		if w.info.VM != vm && w.loss.broken && within(w.loss.since) && !(counted && within(r.at)) {
-			n++
+		if w.info.VM == vm || !w.loss.broken || !within(w.loss.since) {
+			continue
+		}
+		if r, counted := c.crashed[w.info.VM]; !counted || !within(r.at) {
+			near.others = append(near.others, crashRecord{at: w.loss.since})
+		}
+	}
+	return near
+}
+
+// count returns how many of the crashes came after a moment, without those where a run of
+// the task had just begun.
+func (n crashesNear) count(t *task, from time.Duration) int {
+	count, name := 0, t.id().String()
+	for _, r := range n.others {
+		if r.at >= from && !slices.Contains(r.tasks, name) {
+			count++
 		}
 	}
-	return n
+	return count
+}
+
+// alone reports whether no other VM's worker crashed at the same moment: else something
+// else may crash workers, and a crash proves less of a task.
+func (n crashesNear) alone(t *task) bool { return n.count(t, n.at-sameMoment) == 0 }
+
+// calm reports whether few other VMs' workers crashed in the time before a moment. A run
+// that had just begun may have met one of many by chance. What crashed before this owner's
+// term is not known.
+func (c *Core) calm(t *task, near crashesNear) bool {
+	known := near.at-calmTime >= c.firstRenewed
+	return known && float64(near.count(t, near.at-calmTime)) <= calmShare*float64(len(c.lives))
+}
+
+// calmNow is calm for the present moment.
+func (c *Core) calmNow(t *task, now Instant) bool {
+	if c.nearNow.at != now.Steady {
+		c.nearNow = c.crashesNear("", now.Steady)
+	}
+	return c.calm(t, c.nearNow)
 }
 
 // explainCrashes notes that a task which was given up has caused crashes.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -137,6 +137,8 @@
 	fellSilent map[string]time.Duration
 	// comparisons are crashes that are not told apart from others yet.
 	comparisons []crashComparison
+	// nearNow is reused within a pass.
+	nearNow crashesNear
 	// nextTrial is when the next task on trial may be started.
 	nextTrial time.Duration
 	// dirty holds the jobs whose progress is not stored, with their turn.
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -212,7 +212,7 @@
 	j.build(before && len(c.unresolved) > 0)
 	c.takeCrashes(j)
 	if before {
-		c.takeDoubts(j)
+		c.takeDoubts(j, now)
 		c.takeStarts(j, now)
 	}
 	if j.progress.State.Final() {
@@ -335,6 +335,9 @@
 // due reports whether the step's time has come.
 func (s *stepRun) due(now Instant) bool { return s.job.spec.DueMS(s.occurrence) <= now.UnixMS }
 
+// mayHaveBegun reports whether an owner may have started tasks of the step.
+func (s *stepRun) mayHaveBegun(now Instant) bool { return !s.blocked() && s.due(now) }
+
 // blocked reports whether an earlier step is not done.
 func (s *stepRun) blocked() bool { return s.after > 0 }
 
--- a/dispatch/lostlife.go
+++ b/dispatch/lostlife.go
@@ -179,8 +179,8 @@
 // nobody tells, while a worker was lost of which this owner has heard nothing. That start
 // proves nothing, and counts for the most that a task is fed once it crashes a worker. Of a
 // suspect, each start is recorded.
-func (c *Core) noteLostWithOwner(t *task) {
-	if t.suspect() == t && t.step.gangRun == 0 && !t.lastStartKnown && t.crashes == 0 && c.lostInTerm.has(t) {
+func (c *Core) noteLostWithOwner(t *task, now Instant) {
+	if t.suspect() == t && t.step.mayHaveBegun(now) && t.step.gangRun == 0 && !t.lastStartKnown && t.crashes == 0 && c.lostInTerm.has(t) {
 		c.addDoubt(t, c.term<<runBits)
 	}
 }
@@ -230,11 +230,14 @@
 
 // takeDoubts takes in that tasks may have crashed workers which were lost under earlier
 // owners.
-func (c *Core) takeDoubts(j *jobState) {
+func (c *Core) takeDoubts(j *jobState, now Instant) {
 	if c.lostUnheard.none() {
 		return
 	}
 	for _, s := range j.steps {
+		if !s.mayHaveBegun(now) {
+			continue
+		}
 		for _, t := range s.tasks {
 			if t.phase != phaseDone && t.suspect() == t && t.crashes == 0 && c.lostUnheard.has(t) {
 				c.addDoubt(t, (c.term-1)<<runBits)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -162,7 +162,7 @@
 				if t.phase == phaseUnknown && !c.mayRun(t) {
 					t.phase = phaseWaiting
 					t.concluded = true
-					c.noteLostWithOwner(t)
+					c.noteLostWithOwner(t, now)
 				}
 			}
 			if s.job.progress.State.Final() {
--- a/dispatch/startrecord.go
+++ b/dispatch/startrecord.go
@@ -67,7 +67,8 @@
 // them.
 func (c *Core) dropStarts(t *task, run uint64) {
 	t = t.suspect()
-	if j := t.step.job; j.progress.DropStarts(t.id(), run) {
+	j := t.step.job
+	if len(j.progress.Starts) > 0 && j.progress.DropStarts(t.id(), run) {
 		c.touch(j)
 	}
 }
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -192,7 +192,7 @@
 		return "the VMs of its last runs to answer"
 	case t.suspicion() >= crashLimit && now.Steady < t.comparedAt:
 		return "its newest crash to be told apart from others"
-	case c.lastStart(t) && now.Steady-readySince < calmPatience && !c.calm(t, "", now.Steady):
+	case c.lastStart(t) && now.Steady-readySince < calmPatience && !c.calmNow(t, now):
 		return "other workers to stop crashing"
 	case t.suspicion() >= trialCrashes && spaced && now.Steady < c.nextTrial:
 		return "another task on trial to outlive its start"
