The record of lost workers outlasts tasks that wait for a sure lease

Found by reading: resolved workers whose tasks are not released yet, since the owner's lease is not sure, have put no task in doubt so far; a tick between would have forgotten the record.

--- a/dispatch/unheard.go
+++ b/dispatch/unheard.go
@@ -49,7 +49,7 @@
 // for a worker of the previous owner and each of them has outlived a start since: owners
 // may end before it is started again.
 func (c *Core) forgetUnheard() {
-	if len(c.unresolved) == 0 && c.doubtful == 0 && !c.lostUnheard.none() {
+	if len(c.unresolved) == 0 && !c.unknown && c.doubtful == 0 && !c.lostUnheard.none() {
 		c.lostUnheard, c.lostInTerm = unheardTasks{}, unheardTasks{}
 		c.unheardStale = true
 	}
