--- a/dispatch/ownerslost_test.go
+++ b/dispatch/ownerslost_test.go
@@ -60,27 +60,34 @@
 
 func (x ownersLost) play(t *testing.T, f *crashFleet) {
 	t.Helper()
-	bad, good := simpleJob(1, 1), simpleJob(2, 24)
-	f.crasher = crashesOf(bad)
-	f.core.AddJob(good, nil, false, f.now)
-	f.pass(8 * time.Second)
-	f.core.AddJob(bad, nil, false, f.now)
-	for seen := 0; f.now.Steady < 180*time.Second && f.state(bad) != job.Failed; {
-		f.pass(20 * time.Millisecond)
-		n := f.crashed()
-		if n == seen {
-			continue
-		}
-		seen = n
+	f.playCrasher(24, func(crash int, jobs ...*job.Spec) {
 		if x.others {
 			f.endAnyOther()
 		}
-		if slices.Contains(x.crashes, n) {
+		if slices.Contains(x.crashes, crash) {
 			f.storeDown = x.down
 			f.pass(x.after)
-			f.takeOver(bad, good)
+			f.takeOver(jobs...)
 			f.storeDown = false
 		}
+	})
+}
+
+// playCrasher plays a task that crashes its workers beside a job of so many tasks, with what
+// else happens at each crash, until its job is given up.
+func (f *crashFleet) playCrasher(beside int, atCrash func(crash int, jobs ...*job.Spec)) {
+	f.t.Helper()
+	bad, good := simpleJob(1, 1), simpleJob(2, beside)
+	f.crasher = crashesOf(bad)
+	f.core.AddJob(good, nil, false, f.now)
+	f.pass(8 * time.Second)
+	f.core.AddJob(bad, nil, false, f.now)
+	for seen := 0; f.now.Steady < 3*time.Minute && f.state(bad) != job.Failed; {
+		f.pass(20 * time.Millisecond)
+		if n := f.crashed(); n != seen {
+			seen = n
+			atCrash(n, bad, good)
+		}
 	}
 	f.checkGivenUp(bad, good)
 }
--- a/dispatch/rackcrash_test.go
+++ b/dispatch/rackcrash_test.go
@@ -42,31 +42,19 @@
 
 func lostRackRun(t *testing.T, f *crashFleet, crashes []int, after time.Duration) {
 	t.Helper()
-	bad, good := simpleJob(1, 1), simpleJob(2, 48)
-	f.crasher = crashesOf(bad)
-	f.core.AddJob(good, nil, false, f.now)
-	f.pass(8 * time.Second)
-	f.core.AddJob(bad, nil, false, f.now)
-	for seen := 0; f.now.Steady < 180*time.Second && f.state(bad) != job.Failed; {
-		f.pass(20 * time.Millisecond)
-		n := f.crashed()
-		if n == seen {
-			continue
+	f.playCrasher(48, func(crash int, _ ...*job.Spec) {
+		if !slices.Contains(crashes, crash) {
+			f.endAnyOther() // so that no crash is a proof
+			return
 		}
-		seen = n
-		if slices.Contains(crashes, n) {
-			rack := f.rackThatCrashed()
-			f.pass(after)
-			for _, vm := range f.vms {
-				if f.info(vm).Rack == rack && f.down[vm] == 0 {
-					f.end(vm, crashDown)
-				}
+		rack := f.rackThatCrashed()
+		f.pass(after)
+		for _, vm := range f.vms {
+			if f.info(vm).Rack == rack && f.down[vm] == 0 {
+				f.end(vm, crashDown)
 			}
-		} else {
-			f.endAnyOther() // so that no crash is a proof
 		}
-	}
-	f.checkGivenUp(bad, good)
+	})
 }
 
 // rackThatCrashed returns the rack of the VM whose worker crashed last.
