Removed queues: their accepted jobs survive a change of the owner

Seen by callers: jobs that were accepted on a queue stop for good once the operators remove the queue and the owner changes, beside free workers. A job without settings has no limit of failed runs either.

Cause: the settings of a removed queue (service, priority, attempts) were in the memory of one owner only. The next one has a configuration without the queue and passes its steps over. Evidence: the same owner ends all jobs within 3 s once the queue is added again, and serves the other queue of the same service meanwhile; either event alone does no harm.

Change: a job is stored with the settings with which it was accepted, and the owner stores the newest settings of the queues that it knows, with the version in which each last changed. A next owner decides by the newest of that record and its configuration, else by those of the job. An owner with an older configuration than its predecessor follows the record too. Whether workers check their capacity is read from the services, no longer from the queues alone. Earlier versions ignore both records; a job that one of them accepted has the owner's record only.

TestDecodeJobReadsEveryField: the new field is set by the entry like AcceptedMS, not decoded; the check that each field is covered stands.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -111,7 +111,7 @@
 func (c *Core) longRunningWaiting(service string) int {
 	n := 0
 	for _, s := range c.openSteps {
-		if s.spec.LongRunning && c.queues[s.job.spec.Queue].Service == service {
+		if s.spec.LongRunning && c.serviceOf(s.job.spec) == service {
 			n += s.ready
 		}
 	}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -206,3 +206,24 @@
 		core.Schedule(now)
 	}
 }
+
+// BenchmarkConfigChange measures a configuration that changes one of 40 queues, and the record of
+// the queues that is stored then, at 2,000 workers with as many jobs.
+func BenchmarkConfigChange(b *testing.B) {
+	core := benchCore(b, 2000)
+	size := 0
+	for version := int64(2); b.Loop(); version++ {
+		config := &job.Config{Version: version, Queues: []job.Queue{core.queues["q"]}}
+		for i := range 39 {
+			config.Queues = append(config.Queues, job.Queue{Name: fmt.Sprintf("queue-%02d", i), Service: fmt.Sprintf("service-%02d", i%8), Stretch: 2, MaxAttempts: 3, TargetLatency: time.Second, Priority: 1 + int(version)%(i+2)/(i+1)})
+		}
+		core.SetConfig(config)
+		value, err := core.QueueRecords()
+		if err != nil {
+			b.Fatal(err)
+		}
+		core.QueuesStored(value)
+		size = len(value)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		if byStep[s] == nil {
-			q := c.queues[s.job.spec.Queue]
+			q := c.settingsOf(s.job.spec)
 			culprits = append(culprits, candidate{s, q, c.rankOf(s, q, now)})
 		}
 		byStep[s] = append(byStep[s], a)
--- a/dispatch/clear_reserved.go
+++ b/dispatch/clear_reserved.go
@@ -52,6 +52,6 @@
 func (c *Core) mayClear(a *attempt, k *reservedCapacity, now Instant) bool {
 	s := a.task.step
 	return s.spec.LongRunning && !s.spec.Gang && !a.stopping && a.task.phase == phaseRunning && a.pastStart &&
-		now.Steady-a.started >= clearAge && c.queues[s.job.spec.Queue].Priority >= k.priority &&
+		now.Steady-a.started >= clearAge && c.settingsOf(s.job.spec).Priority >= k.priority &&
 		a.task.othersUnavailable() < max(s.spec.MaxUnavailable, 1)
 }
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -125,7 +125,7 @@
 	if t.copy != nil {
 		return true
 	}
-	if c.params.NoCopies || !mayCopy(t.step.spec) || c.queues[t.step.job.spec.Queue].Advice != nil {
+	if c.params.NoCopies || !mayCopy(t.step.spec) || c.settingsOf(t.step.job.spec).Advice != nil {
 		return false
 	}
 	b := c.copyBudget(t, nil)
@@ -160,7 +160,7 @@
 	slices.SortStableFunc(wanted, func(x, y wantedCopy) int { return int(x.decision.Reason) - int(y.decision.Reason) })
 	pools := map[string]*copyPool{}
 	for _, x := range wanted {
-		service := c.queues[x.task.step.job.spec.Queue].Service
+		service := c.serviceOf(x.task.step.job.spec)
 		p := pools[service]
 		if p == nil {
 			p = c.copyPoolOf(service, now)
@@ -181,7 +181,7 @@
 	var wanted []wantedCopy
 	wave := c.crashWaveNow(now)
 	for _, s := range c.copySteps {
-		if q, known := c.queues[s.job.spec.Queue]; !known || q.Advice != nil {
+		if q, known := c.queueOf(s.job.spec); !known || q.Advice != nil {
 			continue // a ticket of the placement policy is for one run
 		}
 		common := copies.Run{Usual: c.estimate(s), Median: s.medianRunTime(), Samples: len(s.runTimes), Tasks: len(s.tasks), Futile: c.lateRecord(s).Futile(c.copyRules, now.Steady)}
@@ -284,7 +284,7 @@
 		p.cpu += w.info.CPUMilli
 	}
 	for _, s := range c.copySteps {
-		if c.queues[s.job.spec.Queue].Service != service {
+		if c.serviceOf(s.job.spec) != service {
 			continue
 		}
 		for _, t := range s.tasks {
@@ -294,7 +294,7 @@
 		}
 	}
 	for _, s := range c.openSteps {
-		if q := c.queues[s.job.spec.Queue]; q.Service == service && s.waitsForCapacity(now) {
+		if q := c.settingsOf(s.job.spec); q.Service == service && s.waitsForCapacity(now) {
 			p.waiting = append(p.waiting, c.rankOf(s, q, now))
 		}
 	}
@@ -324,7 +324,7 @@
 	j := t.step.job
 	b := copies.Budget{
 		CPU: t.step.spec.CPUMilli, JobCopies: j.copies,
-		Failures: j.progress.FailureCount(t.id()), Runs: len(t.attempts()) + t.lostRuns, MaxAttempts: c.queues[j.spec.Queue].MaxAttempts,
+		Failures: j.progress.FailureCount(t.id()), Runs: len(t.attempts()) + t.lostRuns, MaxAttempts: c.settingsOf(j.spec).MaxAttempts,
 	}
 	for i := range j.spec.Steps {
 		b.JobTasks += j.spec.Steps[i].Count
@@ -339,7 +339,7 @@
 func (c *Core) startCopy(x wantedCopy, p *copyPool, now Instant) {
 	t := x.task
 	s := t.step
-	if p.refused[s] || !c.copyRules.Allows(c.copyBudget(t, p)) || p.yields(c.rankOf(s, c.queues[s.job.spec.Queue], now)) {
+	if p.refused[s] || !c.copyRules.Allows(c.copyBudget(t, p)) || p.yields(c.rankOf(s, c.settingsOf(s.job.spec), now)) {
 		return
 	}
 	if x.decision.Reason.Late() && c.lateRecord(s).Futile(c.copyRules, now.Steady) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -82,7 +82,9 @@
 	deposed bool
 
 	config *job.Config
-	queues map[string]job.Queue // all queues seen so far, with their newest settings
+	// queues holds the queues of the configuration and those with unfinished jobs.
+	queues       map[string]job.Queue
+	queueRecords queueRecords
 	// services holds the services of all queues.
 	services map[string]bool
 	// unguarded holds the services whose workers do not check their capacity, listedAt is
@@ -253,7 +255,7 @@
 	}
 	return &Core{
 		params: params, term: term,
-		queues: map[string]job.Queue{}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
+		queues: map[string]job.Queue{}, queueRecords: queueRecords{versions: map[string]int64{}}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostIncarnations: map[string]lostIncarnation{}, crashed: map[string]crashRecord{}, fellSilent: map[string]time.Duration{},
 		workers: map[WorkerID]*worker{}, workersByVM: map[string][]*worker{}, incarnationsByName: map[string]*sameIDIncarnations{}, workersByService: map[string][]*worker{}, workersByRack: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slowCounts: map[string]*slowCount{}, ended: map[WorkerID]bool{}, recordedStarts: map[WorkerID][]recordedStart{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
@@ -292,20 +294,6 @@
 // holdsLease reports whether no other owner can have taken over yet.
 func (c *Core) holdsLease(now Instant) bool { return now.Steady < c.leaseHeldUntil }
 
-// SetConfig applies a version of the configuration. A queue that was removed
-// keeps its last settings for the jobs that it accepted.
-func (c *Core) SetConfig(config *job.Config) {
-	if c.config != nil && config.Version < c.config.Version {
-		return
-	}
-	c.config = config
-	for _, q := range config.Queues {
-		c.queues[q.Name] = q
-		c.services[q.Service] = true
-		c.unguarded[q.Service] = q.CapacityUnchecked
-	}
-}
-
 // TakeOrders returns the orders decided since the last call.
 func (c *Core) TakeOrders() []Order {
 	out := c.pendingOrders
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -132,7 +132,7 @@
 	}
 	s.tasks[id.Index].failedInTerm = true
 	c.markChanged(j)
-	limit := c.queues[j.spec.Queue].MaxAttempts
+	limit := c.settingsOf(j.spec).MaxAttempts
 	if limit > 0 && j.progress.FailureCount(id) >= limit {
 		c.setFinal(j, job.Failed, "task "+id.String()+" has no attempts left", now)
 	}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -36,7 +36,10 @@
 		return Explanation{}
 	}
 	capacity := "room"
-	if excluded := c.countExclusions(c.queues[j.spec.Queue].Service, now).String(); excluded != "" {
+	if _, known := c.queueOf(j.spec); !known {
+		capacity = "its queue, which no configuration has"
+	}
+	if excluded := c.countExclusions(c.serviceOf(j.spec), now).String(); excluded != "" {
 		capacity += "; workers that get nothing: " + excluded
 	}
 	e := Explanation{Known: true, State: j.shown, Queue: j.spec.Queue, Reason: j.progress.Reason, Persisted: j.persisted == j.version}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -231,6 +231,7 @@
 	if j.progress.State.Final() {
 		return
 	}
+	c.serveQueueOf(spec)
 	j.build(stored && len(c.unresolved) > 0)
 	c.restoreCrashes(j)
 	if stored {
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -64,7 +64,7 @@
 }
 
 func (c *Core) hasCapacityElsewhere(t *task, now Instant) bool {
-	service := c.queues[t.step.job.spec.Queue].Service
+	service := c.serviceOf(t.step.job.spec)
 	return c.choose(t, c.poolOf(service, now), c.plainView(t.step, now), now) != nil
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -71,7 +71,7 @@
 
 // placeStep starts as many ready tasks of a step as there is capacity for.
 func (c *Core) placeStep(s *stepRun, p *pool, now Instant) {
-	queue := c.queues[s.job.spec.Queue]
+	queue := c.settingsOf(s.job.spec)
 	if s.suspects > 0 {
 		c.placeSuspects(s, p, now)
 	}
@@ -156,7 +156,7 @@
 			reason = "no worker has the processors"
 		}
 	}
-	if excluded := c.countExclusions(c.queues[s.job.spec.Queue].Service, now).String(); excluded != "" {
+	if excluded := c.countExclusions(c.serviceOf(s.job.spec), now).String(); excluded != "" {
 		reason += "; workers that get nothing: " + excluded
 	}
 	c.trace(Decision{Event: "step_waits", Job: s.job.spec.ID, Reason: reason, Age: now.Steady - s.job.idleSince})
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -63,7 +63,7 @@
 	var fills []*attempt
 	for _, a := range w.attempts {
 		s := a.task.step
-		if s.spec.Fills && s.spec.Checkpoints && !a.stopping && a.task.phase == phaseRunning && c.queues[s.job.spec.Queue].Priority > priority {
+		if s.spec.Fills && s.spec.Checkpoints && !a.stopping && a.task.phase == phaseRunning && c.settingsOf(s.job.spec).Priority > priority {
 			fills = append(fills, a)
 		}
 	}
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -138,7 +138,7 @@
 
 // shortOverloaded reports whether the short tasks of the step's service are overloaded.
 func (c *Core) shortOverloaded(s *stepRun, now Instant) bool {
-	k := c.reservedCapacity[c.queues[s.job.spec.Queue].Service]
+	k := c.reservedCapacity[c.serviceOf(s.job.spec)]
 	return k != nil && k.overloaded(now)
 }
 
@@ -202,7 +202,7 @@
 			continue
 		}
 		stillOpen = append(stillOpen, s)
-		q, ok := c.queues[s.job.spec.Queue]
+		q, ok := c.queueOf(s.job.spec)
 		if ok {
 			list = append(list, candidate{s, q, c.rankOf(s, q, now)})
 		}
--- a/dispatch/reserved.go
+++ b/dispatch/reserved.go
@@ -162,7 +162,7 @@
 	if !s.spec.LongRunning {
 		return false
 	}
-	q := c.queues[s.job.spec.Queue]
+	q := c.settingsOf(s.job.spec)
 	k := c.reservedCapacity[q.Service]
 	if k == nil || k.workers == 0 || q.Priority < k.priority {
 		return false
--- a/job/spec.go
+++ b/job/spec.go
@@ -41,6 +41,9 @@
 	Occurrences int   `json:"occurrences,omitempty"`
 	FirstDueMS  int64 `json:"first_due_ms,omitempty"`
 	IntervalMS  int64 `json:"interval_ms,omitempty"`
+	// AcceptedQueue holds the settings of the queue when the job was accepted, for an owner
+	// that knows none of its own. Jobs that an earlier version accepted lack it.
+	AcceptedQueue *QueueRecord `json:"accepted_queue,omitempty"`
 }
 
 // Step is a number of identical tasks.
--- a/node/intake.go
+++ b/node/intake.go
@@ -64,6 +64,9 @@
 		ctx = WithCallEnd(ctx, time.Now().Add(acceptance.CallerTimeout))
 	}
 	spec.AcceptedMS = n.instant().UnixMS
+	if config := n.config.Load(); spec.AcceptedQueue == nil && config != nil {
+		spec.AcceptedQueue = config.QueueRecord(spec.Queue)
+	}
 	value, err := json.Marshal(spec)
 	if err != nil {
 		n.log.Error().Str("event", "job_unwritable").Str("job", spec.ID).Err(err).Msg("")
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -20,6 +20,7 @@
 	if err := json.Unmarshal(req.Msg.GetSpec(), spec); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	spec.AcceptedQueue = nil // only entries set it
 	if err := s.node.checkSpec(spec); err != nil {
 		return nil, err
 	}
--- a/node/load.go
+++ b/node/load.go
@@ -137,7 +137,7 @@
 	return group.Wait()
 }
 
-// recoverRecords reads the previous owner's records of tasks and workers other than the roster.
+// recoverRecords reads the previous owner's records of tasks, workers and queues other than the roster.
 func (n *Node) recoverRecords(core *dispatch.Core, own []kv.Pair) {
 	for _, p := range own {
 		switch p.Key {
@@ -145,6 +145,10 @@
 			if err := core.RecoverUnread(p.Value); err != nil {
 				n.logUnreadable("unheard_unreadable", p.Key, p.ModRevision, err)
 			}
+		case queuesKey:
+			if err := core.RecoverQueues(p.Value); err != nil {
+				n.logUnreadable("queues_unreadable", p.Key, p.ModRevision, err)
+			}
 		case learntKey:
 			if err := core.LoadModels(p.Value); err != nil {
 				// The record only saves time: the new owner builds the models again.
--- a/node/owner.go
+++ b/node/owner.go
@@ -180,9 +180,12 @@
 func (o *owner) unwritten() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.core != nil && (o.core.Dirty() || o.core.RosterStale())
+	return o.core != nil && changed(o.core)
 }
 
+// changed reports whether the core has changes that the store lacks.
+func changed(c *dispatch.Core) bool { return c.Dirty() || c.RosterStale() || c.QueuesStale() }
+
 func (o *owner) now() dispatch.Instant { return o.node.instant() }
 
 // locked runs f on the core and sends the orders that result from it, until the
@@ -194,7 +197,7 @@
 	orders := o.core.TakeOrders()
 	adviceRequests := o.core.TakeAdviceRequests()
 	maintenanceOrders := o.core.TakeMaintenanceOrders()
-	dirty := o.core.Dirty() || o.core.RosterStale()
+	dirty := changed(o.core)
 	deposed := o.core.Deposed()
 	o.mu.Unlock()
 	if deposed {
--- a/node/record.go
+++ b/node/record.go
@@ -73,13 +73,20 @@
 		return false
 	}
 	settled := !o.settledStored && o.core.Recovering() == 0
-	roster, err := o.core.Roster(maxFlushRosterParts)
+	queues, err := o.core.QueueRecords()
+	var roster []dispatch.RosterPart
+	if err == nil {
+		roster, err = o.core.Roster(maxFlushRosterParts)
+	}
 	var records []dispatch.Record
 	if err == nil {
 		capacity := maxFlushRecords - len(roster)
 		if settled {
 			capacity--
 		}
+		if queues != nil {
+			capacity--
+		}
 		records, err = o.core.Records(capacity)
 	}
 	var models []byte
@@ -99,7 +106,7 @@
 		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
 		return false
 	}
-	if len(records) == 0 && len(roster) == 0 && unread == nil && wave == nil && !settled {
+	if len(records) == 0 && len(roster) == 0 && unread == nil && queues == nil && wave == nil && !settled {
 		// The stored models are due at each idle flush; the removal of old records must not
 		// wait for a flush without them.
 		if removed := o.removeExpired(ctx); !removed || models == nil {
@@ -108,6 +115,9 @@
 	}
 	began := o.node.clock()
 	ops := append(o.recordOps(records, roster, unread, models), o.node.waveOps(wave)...)
+	if queues != nil {
+		ops = append(ops, kv.Put(queuesKey, queues, 0))
+	}
 	if settled {
 		ops = append(ops, kv.Put(settledKey, strconv.AppendUint(nil, o.own.lead.Term, 10), 0))
 	}
@@ -124,6 +134,7 @@
 		startsWait = c.HasUnsentStarts()
 		c.RosterStored(roster)
 		c.UnreadStored(unread)
+		c.QueuesStored(queues)
 		if wave != nil {
 			c.WavePersisted(wave)
 		}
--- a/node/store.go
+++ b/node/store.go
@@ -83,6 +83,8 @@
 	// learntKey holds the owner's stored models: the estimates of run times and interference,
 	// and the demand of short tasks.
 	learntKey = "ls/own/learnt"
+	// queuesKey holds the settings of the queues that the owner knows.
+	queuesKey = "ls/own/queues"
 	// intakePrefix holds the intake: the jobs and cancellations that entries record for the
 	// owner.
 	intakePrefix = "ls/in/"
