Repeated jobs: their occurrences take memory only while they are open

Seen by callers: once one customer has handed in a timed job with a repeat_count of 2^63 - 1, nothing of anybody runs any more, also after the job is cancelled.

Cause: the owner built the steps and tasks of all occurrences of a job at once, and the check of the number of tasks multiplied before it compared, so that 6 x (2^63 - 1) passed as -6. The owner exceeds its memory limit and ends; the job is in the store, so that each next one does too.

Change: an occurrence is opened when it is due, or when a worker or the job's progress knows of it, with at most 5,000 open tasks a job, and closed once it is done and nothing of it runs. The limit is compared by a division, due times saturate, amounts above 2^36 are refused (near 2^63 they overflowed the check whether a task fits a worker). Stored jobs beyond the limits are clamped and processed; only one that can't be is held. What is stored is unchanged. Found on the way: a write of up to 24 records had no limit of bytes (now 256 KiB), failures of done tasks stayed in the record, admission built all tasks of a job.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -125,7 +125,9 @@
 		return Admission{}
 	}
 	j := &jobState{spec: spec}
-	j.build(false)
+	for i := range spec.Steps {
+		j.steps = append(j.steps, &stepRun{job: j, spec: &spec.Steps[i], index: i})
+	}
 	chain := c.totalCriticalPath(j)
 	useful := lateFactor*(time.Duration(float64(chain)*q.Stretch)+q.TargetLatency) - chain
 	wait := float64(k.waiting+int64(s.Count)*s.CPUMilli) / max(k.starts.mean, 1)
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -227,3 +228,33 @@
 	}
 	b.ReportMetric(float64(size), "bytes")
 }
+
+// BenchmarkRepeatedJobs measures a pass at 2,000 workers beside 1,000 jobs of 3,000 occurrences
+// that are not due, and reports the memory of one such job.
+func BenchmarkRepeatedJobs(b *testing.B) {
+	const jobs = 1000
+	core := benchCore(b, 2000)
+	now := Instant{Steady: 2 * time.Second, UnixMS: 1_700_000_000_000}
+	core.Renewed(now.Steady)
+	before := heapInUse()
+	for i := range jobs {
+		spec := simpleJob(1_000_000+i, 6)
+		spec.Occurrences, spec.FirstDueMS, spec.IntervalMS = 3000, now.UnixMS+3_600_000, 600_000
+		core.AddJob(spec, nil, false, now)
+	}
+	perJob := float64(heapInUse()-before) / jobs
+	for b.Loop() {
+		now.Steady += 8 * time.Millisecond
+		core.Renewed(now.Steady)
+		core.Schedule(now)
+	}
+	b.ReportMetric(perJob, "bytes/job")
+}
+
+// heapInUse returns the bytes of live objects.
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -132,8 +132,10 @@
 	// evacuated holds the data centres whose workers get no new tasks.
 	evacuated map[string]bool
 	openSteps []*stepRun // steps with tasks that may start
-	refusals  refusals
-	overload  overload
+	// repeated holds the jobs whose occurrences are opened one by one.
+	repeated []*jobState
+	refusals refusals
+	overload overload
 	// ratedScratch is a buffer that choosers reuse, one at a time; candidateScratch is
 	// one that scheduling passes reuse.
 	ratedScratch     ratedWorkers
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -10,8 +10,12 @@
 	// Reason is why the job has failed.
 	Reason string `json:"reason,omitempty"`
 	// Persisted is false while the store lacks the newest progress.
-	Persisted bool       `json:"persisted,omitempty"`
-	Tasks     []TaskInfo `json:"tasks,omitempty"`
+	Persisted bool `json:"persisted,omitempty"`
+	// Occurrences is how often a repeated job runs. Tasks are those of its open occurrences;
+	// the next one is due at NextDueMS, in milliseconds since 1970.
+	Occurrences int        `json:"occurrences,omitempty"`
+	NextDueMS   int64      `json:"next_due_ms,omitempty"`
+	Tasks       []TaskInfo `json:"tasks,omitempty"`
 }
 
 // TaskInfo is one task of an Explanation.
@@ -43,6 +47,9 @@
 		capacity += "; workers that get nothing: " + excluded
 	}
 	e := Explanation{Known: true, State: j.shown, Queue: j.spec.Queue, Reason: j.progress.Reason, Persisted: j.persisted == j.version}
+	if j.nextOccurrence < j.spec.Occurrences {
+		e.Occurrences, e.NextDueMS = j.spec.Occurrences, j.spec.DueMS(j.nextOccurrence)
+	}
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
 			e.Tasks = append(e.Tasks, c.explainTask(t, capacity, now))
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -11,8 +11,14 @@
 type jobState struct {
 	spec     *job.Spec
 	progress job.Progress
-	// steps is nil once the state is final and nothing runs.
+	// steps holds those of the open occurrences, in the order of occurrences. It is nil once
+	// the state is final and nothing runs.
 	steps []*stepRun
+	// nextOccurrence is the first one that is not due or was not opened for lack of space; the
+	// earlier ones are open or done. occurrenceEnded is set if an open one may have ended.
+	nextOccurrence  int
+	occurrenceEnded bool
+	stored          bool // before the takeover
 	// version counts changes of progress; persisted is the version that the
 	// store has. A state is shown, and an end acknowledged, once persisted.
 	version, persisted uint64
@@ -232,7 +238,12 @@
 		return
 	}
 	c.serveQueueOf(spec)
-	j.build(stored && len(c.unresolved) > 0)
+	j.stored = stored
+	c.openStored(j)
+	c.openDue(j, now)
+	if spec.Occurrences > 0 {
+		c.repeated = append(c.repeated, j)
+	}
 	c.restoreCrashes(j)
 	if stored {
 		c.recoverPossibleCrashes(j, now)
@@ -287,22 +298,21 @@
 	}
 }
 
-// build creates the steps and tasks; unknown means that an earlier owner may have
-// started the tasks.
-func (j *jobState) build(unknown bool) {
-	for occurrence := range j.spec.OccurrenceCount() {
-		first := len(j.steps)
-		for i := range j.spec.Steps {
-			j.steps = append(j.steps, j.buildStep(occurrence, i, unknown))
-		}
-		for _, s := range j.steps[first:] {
-			for _, earlier := range s.spec.After {
-				if j.steps[first+earlier].remaining > 0 {
-					s.pendingPredecessors++
-				}
+// buildOccurrence creates the steps and tasks of an occurrence; unknown means that an earlier
+// owner may have started the tasks.
+func (j *jobState) buildOccurrence(occurrence int, unknown bool) []*stepRun {
+	steps := make([]*stepRun, len(j.spec.Steps))
+	for i := range steps {
+		steps[i] = j.buildStep(occurrence, i, unknown)
+	}
+	for _, s := range steps {
+		for _, earlier := range s.spec.After {
+			if steps[earlier].remaining > 0 {
+				s.pendingPredecessors++
 			}
 		}
 	}
+	return steps
 }
 
 func (j *jobState) buildStep(occurrence, index int, unknown bool) *stepRun {
@@ -400,6 +410,7 @@
 	s.job.idleSince = now.Steady
 	c.countCopyEnd(a, now)
 	active := t.detach(a, now)
+	s.job.occurrenceEnded = s.job.occurrenceEnded || t.phase == phaseDone
 	if !a.lost {
 		c.dropStarts(t, a.run)
 	}
--- a/dispatch/lists.go
+++ b/dispatch/lists.go
@@ -77,14 +77,14 @@
 // findTask returns the task with this id, nil if it is unknown.
 func (c *Core) findTask(id job.TaskID) *task {
 	j := c.jobs[id.Job]
-	if j == nil || id.Occurrence >= j.spec.OccurrenceCount() || id.Step >= len(j.spec.Steps) {
+	if j == nil || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
 		return nil
 	}
-	at := id.Occurrence*len(j.spec.Steps) + id.Step
-	if at >= len(j.steps) || id.Index >= len(j.steps[at].tasks) {
+	steps := c.findOccurrence(j, id.Occurrence)
+	if steps == nil {
 		return nil
 	}
-	return j.steps[at].tasks[id.Index]
+	return steps[id.Step].tasks[id.Index]
 }
 
 // matchRow returns the attempt that a row of a worker's list describes, or nil. It adopts a
--- a/dispatch/persist.go
+++ b/dispatch/persist.go
@@ -31,8 +31,12 @@
 // Backlog returns how many jobs' progress waits to be written.
 func (c *Core) Backlog() int { return len(c.dirty) }
 
-// Records returns the progress of at most limit jobs that the store lacks:
-// jobs that have ended first, then the others in turn. A job is returned again
+// maxRecordBytes bounds the records of one write together, unless the first is larger: the
+// owner may have a link of 10 Mbit/s, and a write times out after 700 ms.
+const maxRecordBytes = 256 << 10
+
+// Records returns the progress of at most limit jobs that the store lacks, up to
+// maxRecordBytes: jobs that have ended first, then the others in turn. A job is returned again
 // until Persisted.
 func (c *Core) Records(limit int) ([]Record, error) {
 	jobs := make([]*jobState, 0, len(c.dirty))
@@ -47,13 +51,17 @@
 		return c.dirty[x] < c.dirty[y]
 	})
 	jobs = jobs[:min(limit, len(jobs))]
-	records := make([]Record, len(jobs))
-	for i, j := range jobs {
+	records := make([]Record, 0, len(jobs))
+	size := 0
+	for _, j := range jobs {
 		value, err := json.Marshal(&j.progress)
 		if err != nil {
 			return nil, err
 		}
-		records[i] = Record{Job: j.spec.ID, Value: value, version: j.version}
+		if size += len(value); size > maxRecordBytes && len(records) > 0 {
+			break
+		}
+		records = append(records, Record{Job: j.spec.ID, Value: value, version: j.version})
 	}
 	return records, nil
 }
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -42,8 +42,8 @@
 	if s.remaining > 0 {
 		return
 	}
-	first := s.occurrence * len(s.job.spec.Steps)
-	for _, next := range s.job.steps[first : first+len(s.job.spec.Steps)] {
+	s.job.occurrenceEnded = true
+	for _, next := range s.job.stepsOf(s.occurrence) {
 		for _, earlier := range next.spec.After {
 			if earlier == s.index {
 				next.pendingPredecessors--
@@ -68,10 +68,14 @@
 	c.setPossibleCrashes(t, nil)
 	s.remaining--
 	s.job.progress.MarkDone(t.id(), s.spec.Count)
+	s.job.progress.ClearFailures(t.id())
 	c.markChanged(s.job)
 }
 
 func (c *Core) finishIfDone(j *jobState, now Instant) {
+	if j.nextOccurrence < j.spec.OccurrenceCount() {
+		return
+	}
 	for _, s := range j.steps {
 		if s.remaining > 0 {
 			return
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -123,9 +123,8 @@
 	if !s.spec.Fills && !(s.short() && c.shortOverloaded(s, now)) {
 		return 0
 	}
-	n := len(s.job.spec.Steps)
 	var whole, left float64
-	for _, x := range s.job.steps[s.occurrence*n : (s.occurrence+1)*n] {
+	for _, x := range s.job.stepsOf(s.occurrence) {
 		if x.spec.LongRunning || x.spec.Fills != s.spec.Fills {
 			continue
 		}
@@ -178,6 +177,7 @@
 // candidates returns the steps with ready tasks in the order of their ranks, and removes
 // those that have none from the open steps.
 func (c *Core) candidates(now Instant) []candidate {
+	c.openOccurrences(now)
 	list := c.candidateScratch[:0]
 	stillOpen := c.openSteps[:0]
 	for _, s := range c.openSteps {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -61,14 +61,9 @@
 // criticalPath returns the critical path of the job's work that is left in one
 // occurrence, by estimates.
 func (c *Core) criticalPath(j *jobState, occurrence int) time.Duration {
-	n := len(j.spec.Steps)
-	first := occurrence * n
-	if first+n > len(j.steps) {
-		return 0
-	}
-	ends := make([]time.Duration, n)
+	ends := make([]time.Duration, len(j.spec.Steps))
 	longest := time.Duration(0)
-	for i, s := range j.steps[first : first+n] {
+	for i, s := range j.stepsOf(occurrence) {
 		for _, earlier := range s.spec.After {
 			ends[i] = max(ends[i], ends[earlier])
 		}
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"math"
+	"math/big"
 	"testing"
 
 	"github.com/juju/errors"
@@ -68,6 +70,13 @@
 		"id": func(s *Spec) { s.ID = "x" }, "no steps": func(s *Spec) { s.Steps = nil }, "no tasks": func(s *Spec) { s.Steps[0].Count = 0 },
 		"cycle": func(s *Spec) { s.Steps[1].After = []int{1} }, "negative": func(s *Spec) { s.Steps[0].MemoryMiB = -1 },
 		"too many by repeats": func(s *Spec) { s.Occurrences = MaxTasks },
+		"too many by one":     func(s *Spec) { s.Occurrences = MaxTasks/3 + 1 },
+		"first due":           func(s *Spec) { s.FirstDueMS = math.MaxInt64 },
+		"first due long ago":  func(s *Spec) { s.FirstDueMS = math.MinInt64 },
+		"interval":            func(s *Spec) { s.IntervalMS = MaxTimeMS + 1 },
+		"processors":          func(s *Spec) { s.Steps[1].CPUMilli = MaxAmount + 1 },
+		"memory":              func(s *Spec) { s.Steps[1].MemoryMiB = math.MaxInt64 },
+		"accelerators":        func(s *Spec) { s.Steps[1].Accelerators = math.MaxInt64 },
 	} {
 		s := good()
 		spoil(s)
@@ -77,6 +86,45 @@
 	}
 }
 
+// TestCountsOfTasksDoNotOverflow guards against a number of tasks that is within the limit only
+// since it has overflowed.
+func TestCountsOfTasksDoNotOverflow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Spec{ID: "5c0e7a21d94b36f8", Queue: "q"}
+		for range rapid.IntRange(1, 4).Draw(t, "steps") {
+			s.Steps = append(s.Steps, Step{Count: rapid.OneOf(rapid.IntRange(1, 8), rapid.IntRange(1, math.MaxInt64)).Draw(t, "count")})
+		}
+		s.Occurrences = rapid.OneOf(rapid.IntRange(0, 9000), rapid.Int()).Draw(t, "occurrences")
+		all := new(big.Int)
+		for _, step := range s.Steps {
+			all.Add(all, big.NewInt(int64(step.Count)))
+		}
+		all.Mul(all, big.NewInt(int64(s.OccurrenceCount())))
+		want := s.Occurrences >= 0 && all.Cmp(big.NewInt(MaxTasks)) <= 0
+		if got := s.Validate() == nil; got != want {
+			t.Fatalf("valid %v with %s tasks", got, all)
+		}
+	})
+}
+
+// TestDueTimesDoNotOverflow guards against an occurrence in the far future that counts as due.
+func TestDueTimesDoNotOverflow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Spec{Occurrences: math.MaxInt64, FirstDueMS: rapid.Int64().Draw(t, "first"), IntervalMS: rapid.Int64Range(0, math.MaxInt64).Draw(t, "interval")}
+		s.Clamp()
+		occurrence := rapid.IntRange(0, math.MaxInt64-1).Draw(t, "occurrence")
+		exact := new(big.Int).Mul(big.NewInt(int64(occurrence)), big.NewInt(s.IntervalMS))
+		exact.Add(exact, big.NewInt(s.FirstDueMS))
+		want := int64(math.MaxInt64)
+		if exact.IsInt64() {
+			want = exact.Int64()
+		}
+		if got := s.DueMS(occurrence); got != want && got != math.MaxInt64 || got == math.MaxInt64 && exact.Cmp(big.NewInt(math.MaxInt64/2)) < 0 {
+			t.Fatalf("due at %d, want %s", got, exact)
+		}
+	})
+}
+
 func TestQueueForChoosesLongestPrefix(t *testing.T) {
 	c := &Config{Queues: []Queue{{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "h", PathPrefix: "/a/b/"}, {Name: "other", Host: "g", PathPrefix: "/"}}}
 	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long"} {
--- a/job/progress.go
+++ b/job/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
@@ -83,23 +84,32 @@
 		p.Done = map[string][]byte{}
 	}
 	key := StepKey(t.Occurrence, t.Step)
-	bits := p.Done[key]
-	if bits == nil {
-		bits = make([]byte, (count+7)/8)
-		p.Done[key] = bits
+	done := p.Done[key]
+	if done == nil {
+		done = make([]byte, (count+7)/8)
+		p.Done[key] = done
 	}
 	mask := byte(1) << (t.Index % 8)
-	if bits[t.Index/8]&mask != 0 {
+	if done[t.Index/8]&mask != 0 {
 		return false
 	}
-	bits[t.Index/8] |= mask
+	done[t.Index/8] |= mask
 	return true
 }
 
 // IsDone reports whether a task's bit is set.
 func (p *Progress) IsDone(t TaskID) bool {
-	bits := p.Done[StepKey(t.Occurrence, t.Step)]
-	return t.Index/8 < len(bits) && bits[t.Index/8]&(1<<(t.Index%8)) != 0
+	done := p.Done[StepKey(t.Occurrence, t.Step)]
+	return t.Index/8 < len(done) && done[t.Index/8]&(1<<(t.Index%8)) != 0
+}
+
+// StepDone reports whether all tasks of a step of count tasks are done.
+func (p *Progress) StepDone(occurrence, step, count int) bool {
+	n := 0
+	for _, b := range p.Done[StepKey(occurrence, step)] {
+		n += bits.OnesCount8(b)
+	}
+	return n >= count
 }
 
 // RecordFailure records a failed run once and reports whether it was new.
@@ -115,6 +125,13 @@
 	return true
 }
 
+// ClearFailures removes the failures of a task, which no longer matter once it is done.
+func (p *Progress) ClearFailures(t TaskID) {
+	if len(p.Failures) > 0 {
+		delete(p.Failures, t.ProgressKey())
+	}
+}
+
 // FailureCount returns how many runs of a task have failed.
 func (p *Progress) FailureCount(t TaskID) int { return len(p.Failures[t.ProgressKey()]) }
 
@@ -215,14 +232,14 @@
 	default:
 		return errors.Errorf("state %q", p.State)
 	}
-	for key, bits := range p.Done {
+	for key, done := range p.Done {
 		at, err := parseNumbers(key, 2)
 		if err != nil {
 			return err
 		}
 		count, ok := spec.taskCount(at[0], at[1])
-		if !ok || len(bits) != (count+7)/8 {
-			return errors.Errorf("bitmap %s of %d bytes", key, len(bits))
+		if !ok || len(done) != (count+7)/8 {
+			return errors.Errorf("bitmap %s of %d bytes", key, len(done))
 		}
 	}
 	if err := checkTaskKeys(p.Failures, spec); err != nil {
--- a/job/spec.go
+++ b/job/spec.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -13,9 +14,19 @@
 // Limits of a job. They bound the memory that one request can take at an
 // entry; the jobs of users stay two orders of magnitude below.
 const (
-	MaxSteps        = 256
+	MaxSteps = 256
+	// MaxTasks is the most tasks of all occurrences.
 	MaxTasks        = 20_000
 	MaxPayloadBytes = 4000
+	// MaxAmount is the most of one resource that a task may request, in the units of Step: no
+	// VM has as much, and sums over many tasks do not overflow.
+	MaxAmount = 1 << 36
+	// MaxTimeMS bounds the first due time, before and after 1970, and the interval: 200 years
+	// in milliseconds, which a time.Duration holds.
+	MaxTimeMS = 200 * 365 * 24 * 3_600_000
+	// maxEstimate bounds the estimate of a run time, so that the sum over MaxSteps is a
+	// time.Duration.
+	maxEstimate = 30 * 24 * time.Hour
 )
 
 // IDLength is the length of a job id: 64 bits in hexadecimal.
@@ -92,18 +103,32 @@
 // their own.
 func (s *Step) IsShort() bool { return !s.LongRunning && !s.Fills }
 
-// Estimate returns the submitter's estimate of a task's run time.
-func (s *Step) Estimate() time.Duration { return time.Duration(s.EstimateMS) * time.Millisecond }
+// Estimate returns the submitter's estimate of a task's run time, at most maxEstimate.
+func (s *Step) Estimate() time.Duration {
+	return time.Duration(min(s.EstimateMS, maxEstimate.Milliseconds())) * time.Millisecond
+}
 
 // OccurrenceCount returns how many times the steps run.
 func (s *Spec) OccurrenceCount() int { return max(s.Occurrences, 1) }
 
+// TasksPerOccurrence returns the number of tasks of all steps.
+func (s *Spec) TasksPerOccurrence() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // DueMS returns when an occurrence is due, milliseconds since 1970, or 0 for a
-// job that is due at once.
+// job that is due at once. An occurrence in the far future is due at math.MaxInt64.
 func (s *Spec) DueMS(occurrence int) int64 {
 	if s.Occurrences == 0 {
 		return 0
 	}
+	if s.IntervalMS > 0 && int64(occurrence) > (math.MaxInt64-max(s.FirstDueMS, 0))/s.IntervalMS {
+		return math.MaxInt64
+	}
 	return s.FirstDueMS + int64(occurrence)*s.IntervalMS
 }
 
@@ -130,8 +155,39 @@
 	return true
 }
 
-// Validate returns ErrInvalid annotated with the first mistake of the job, or nil.
+// Validate returns ErrInvalid annotated with the first mistake of a submitted job, or nil.
 func (s *Spec) Validate() error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if tasks := s.TasksPerOccurrence(); s.OccurrenceCount() > MaxTasks/tasks {
+		return errors.Annotatef(ErrInvalid, "%d occurrences of %d tasks, at most %d tasks in all", s.OccurrenceCount(), tasks, MaxTasks)
+	}
+	if max(s.FirstDueMS, -s.FirstDueMS, s.IntervalMS) > MaxTimeMS || s.FirstDueMS == math.MinInt64 {
+		return errors.Annotatef(ErrInvalid, "first due at %d ms with an interval of %d ms, at most %d", s.FirstDueMS, s.IntervalMS, int64(MaxTimeMS))
+	}
+	for i := range s.Steps {
+		if step := &s.Steps[i]; max(step.CPUMilli, step.MemoryMiB, step.Accelerators) > MaxAmount {
+			return errors.Annotatef(ErrInvalid, "step %d requests more than any VM has", i)
+		}
+	}
+	return nil
+}
+
+// Clamp limits the numbers of a stored job to what Validate allows, for jobs that an earlier
+// version accepted. It does not change which VM can run a task, nor the number of occurrences.
+func (s *Spec) Clamp() {
+	s.FirstDueMS = min(max(s.FirstDueMS, -MaxTimeMS), MaxTimeMS)
+	s.IntervalMS = min(s.IntervalMS, MaxTimeMS)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		step.CPUMilli, step.MemoryMiB, step.Accelerators = min(step.CPUMilli, MaxAmount), min(step.MemoryMiB, MaxAmount), min(step.Accelerators, MaxAmount)
+	}
+}
+
+// Check returns ErrInvalid annotated with the first mistake for which a stored job can't be
+// processed, or nil.
+func (s *Spec) Check() error {
 	if !ValidID(s.ID) {
 		return errors.Annotatef(ErrInvalid, "id %q is not %d hexadecimal digits", s.ID, IDLength)
 	}
@@ -151,8 +207,8 @@
 		}
 		tasks += s.Steps[i].Count
 	}
-	if tasks*s.OccurrenceCount() > MaxTasks {
-		return errors.Annotatef(ErrInvalid, "%d tasks, at most %d", tasks*s.OccurrenceCount(), MaxTasks)
+	if tasks > MaxTasks {
+		return errors.Annotatef(ErrInvalid, "%d tasks, at most %d", tasks, MaxTasks)
 	}
 	return nil
 }
--- a/node/load.go
+++ b/node/load.go
@@ -213,5 +213,6 @@
 	if id := strings.TrimPrefix(p.Key, jobPrefix); spec.ID != id {
 		return nil, errors.Errorf("%s is of job %q", p.Key, spec.ID)
 	}
-	return spec, errors.Annotate(spec.Validate(), p.Key)
+	spec.Clamp()
+	return spec, errors.Annotate(spec.Check(), p.Key)
 }
