Failing jobs: one customer's failures no longer exclude workers for all

Seen by callers: two of 40 long-running jobs have tasks that fail soon after each start, and 22 to 24 of 51 to 65 accepted short jobs of others have nothing running, below half of the cores in use.

Cause: three failures in a row marked a worker as bad whatever job they were of, and any number of workers could be marked at once. Evidence: only tasks of the two jobs fail, and all workers with room are avoided within 2 s of the first.

Change: failures count against a worker in full if their job mostly succeeds elsewhere, not at all if it mostly fails elsewhere too, and below the limit if it has run nowhere else. A quarter of a service's workers at most, one of several at least, is excluded for failures at once. A long-running task that fails within 5 s of its start waits up to 4 s before the next one; what fails later says nothing about its worker.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -6,19 +6,8 @@
 	"leverstile.dev/job"
 )
 
-// Limits of retries and of workers whose tasks fail.
-const (
-	// retryDelay is the pause before a failed task starts again.
-	retryDelay = 100 * time.Millisecond
-	// failStreakLimit failures in a row, each of another task, mark a worker as
-	// bad: three in a row happen by chance in 1 of 8,000 (tasks fail in 2% to 5%
-	// of their runs).
-	failStreakLimit = 3
-	// minAvoidPause and maxAvoidPause bound how long a bad worker gets no work; the
-	// time doubles each time that it counts as bad again.
-	minAvoidPause = 2 * time.Second
-	maxAvoidPause = 16 * time.Second
-)
+// retryDelay is the pause before a failed task starts again.
+const retryDelay = 100 * time.Millisecond
 
 // processEnd applies the end of a run that a worker lists.
 func (c *Core) processEnd(w *worker, e *EndedTask, now Instant) {
@@ -82,7 +71,7 @@
 	case EndDone:
 		c.stats.Done++
 		c.clearSuspicion(t, e.Run, "a run of it is done")
-		w.failStreak, w.avoidStrikes = 0, max(0, w.avoidStrikes-1)
+		w.recordSuccess(t.step.job)
 		if a != nil {
 			c.learnRunTime(a, now)
 			c.learnForCopies(a, now)
@@ -93,10 +82,10 @@
 	case EndFailed:
 		c.stats.Failed++
 		c.clearSuspicion(t, e.Run, "its worker has outlived a run of it")
-		c.countWorkerFailure(w, t, now)
+		c.countWorkerFailure(w, t, a, now)
 		c.countFailure(t, e.Run, now)
 		t.avoid = w.info.ID
-		t.notBefore = now.Steady + retryDelay
+		t.notBefore = now.Steady + t.restartDelay(a, now)
 	case EndStopped:
 		c.stats.Stopped++
 	default:
@@ -137,28 +126,3 @@
 		c.setFinal(j, job.Failed, "task "+id.String()+" has no attempts left", now)
 	}
 }
-
-// countWorkerFailure counts failures in a row at a worker. Failures of gangs and repeated
-// failures of one task are little evidence against the worker, and don't count.
-func (c *Core) countWorkerFailure(w *worker, t *task, now Instant) {
-	if t.step.spec.Gang || t.avoid == w.info.ID {
-		return
-	}
-	w.failStreak++
-	if w.failStreak < failStreakLimit {
-		return
-	}
-	w.failStreak = failStreakLimit - 1 // one more failure once it gets work again
-	c.avoidWorker(w, "its tasks fail one after the other", now)
-}
-
-// avoidWorker excludes a worker for a while, longer each time, up to maxAvoidPause.
-func (c *Core) avoidWorker(w *worker, reason string, now Instant) {
-	if now.Steady < w.avoidUntil {
-		return
-	}
-	pause := min(minAvoidPause<<min(w.avoidStrikes, 3), maxAvoidPause)
-	w.avoidStrikes++
-	w.avoidUntil = now.Steady + pause
-	c.trace(Decision{Event: "worker_avoided", Worker: w.info.ID, Reason: reason, Age: pause})
-}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -35,7 +35,8 @@
 	// when it became final, or at the latest when this owner took over.
 	acceptedAt, endedAt time.Duration
 	// copies is the number of copies that the job has had in this term.
-	copies int
+	copies   int
+	outcomes jobOutcomes
 }
 
 // stepRun is one step of one occurrence of a job.
@@ -122,6 +123,8 @@
 	endUnknown bool
 	// speedMoves counts the moves off slow workers.
 	speedMoves int
+	// quickFailures counts the failures in a row of a long-running task before it settled.
+	quickFailures int
 	// failedInTerm is set once this owner has read a failure of the task; for a gang it
 	// is set at the first task.
 	failedInTerm bool
@@ -183,6 +186,7 @@
 	tail                  tailTracker
 	ticket                string
 	adopted               bool
+	settled               bool          // it has worked for settledAfter, for a long-running task
 	trial                 bool          // see recordSuspectStart
 	running               bool          // the worker has confirmed the start
 	isCopy                bool          // started as a second run
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -165,6 +165,7 @@
 
 // clearIfOutlived clears a suspect whose run still works startCrashWindow after its start.
 func (c *Core) clearIfOutlived(a *attempt, now Instant) {
+	a.recordSettled(now)
 	if now.Steady-a.started < startCrashWindow {
 		return
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -99,7 +99,9 @@
 	answeredPollSent        time.Duration // when the newest poll with an answer was sent
 	failedPollSent          time.Duration // when the newest poll without an answer was sent
 	avoidStrikes            int           // times it was avoided, less one for each task done; each doubles the next pause
-	failStreak              int           // failures in a row, each of another task
+	failing                 []failingJob  // jobs with failures here since the last success
+	failStreak              int           // failures in a row that speak against it; see failuresInRow
+	avoidedBefore           bool          // it was avoided and has had no success since
 	avoidUntil              time.Duration // until then it gets no tasks: its tasks fail, or it refuses work
 	fullUntil               time.Duration // until then it gets no tasks: it had no capacity, or a suspect is on trial there
 	endReason               string        // why its incarnation has ended, while that conclusion is deferred
