Queues: an older configuration does not bring a check of capacity back

Seen by callers: nothing yet; found while reading the change of removed queues. A next owner whose configuration is older than the one that the previous owner had took over whether workers check their capacity from it, and could start tasks beyond the capacity of workers that no longer check.

Change: while the stored settings of a queue are newer than the configuration, a service stays unchecked if either says so.

Measured: TestOlderConfigurationKeepsUncheckedCapacity failed before and passes.

--- a/dispatch/queues.go
+++ b/dispatch/queues.go
@@ -21,6 +21,14 @@
 	stale  bool
 }
 
+// newest returns the newest version in which the settings of a known queue changed.
+func (r *queueRecords) newest() (version int64) {
+	for _, v := range r.versions {
+		version = max(version, v)
+	}
+	return version
+}
+
 // SetConfig applies a version of the configuration. A queue that was removed keeps its last
 // settings while it has unfinished jobs.
 func (c *Core) SetConfig(config *job.Config) {
@@ -34,8 +42,9 @@
 		listed[config.Queues[i].Name] = true
 		c.setQueue(job.QueueRecord{Version: config.Version, Queue: config.Queues[i]})
 	}
+	older := config.Version < c.queueRecords.newest()
 	for _, s := range config.Services {
-		c.unguarded[s.Name] = s.CapacityUnchecked
+		c.unguarded[s.Name] = s.CapacityUnchecked || older && c.unguarded[s.Name]
 	}
 	if !first { // the stored jobs are added after the first configuration
 		c.forgetRemovedQueues(listed)
--- a/dispatch/queues_test.go
+++ b/dispatch/queues_test.go
@@ -201,6 +201,26 @@
 	}
 }
 
+// TestOlderConfigurationKeepsUncheckedCapacity guards against an owner with an older configuration
+// than the previous one that relies on a check which the workers no longer make.
+func TestOlderConfigurationKeepsUncheckedCapacity(t *testing.T) {
+	config := func(version int64, unchecked bool) *job.Config {
+		return &job.Config{Version: version, Queues: []job.Queue{{Name: "q", Service: "svc", CapacityUnchecked: unchecked}}, Services: []job.Service{{Name: "svc", CapacityUnchecked: unchecked}}}
+	}
+	o := &ownerSequence{t: t, config: config(7, true)}
+	o.takeOver()
+	o.store()
+	o.config = config(5, false)
+	o.takeOver()
+	if !o.core.unguarded["svc"] {
+		t.Error("the owner relies on a check that version 7 has removed")
+	}
+	o.core.SetConfig(config(8, false))
+	if o.core.unguarded["svc"] {
+		t.Error("version 8 does not apply")
+	}
+}
+
 // TestCapacityCheckFollowsTheService guards against starts beyond the capacity of workers that
 // stop to check it, when only a removed queue uses their service.
 func TestCapacityCheckFollowsTheService(t *testing.T) {
