Wide gangs: crashes count for the members that were at the worker

Seen by callers: a gang of 20 on 24 workers is shown as failed after three to five crashes of workers that it did not cause.

Cause: the crashes at the start of a gang were counted at its first task, whichever member was at the worker. A gang at nearly all workers meets nearly each crash.

Change: a stored crash names the members that were at the worker, and a gang has the count of the member that was at most of them. A crash without members, as earlier versions store it, counts for each.

--- a/dispatch/lostincarnation.go
+++ b/dispatch/lostincarnation.go
@@ -206,7 +206,7 @@
 			c.dropStarts(t, r.Run)
 		case t.crashes > 0:
 			c.dropStarts(t, r.Run)
-			c.countInconclusive(t, r.Run, "it was started shortly before its worker's incarnation ended: "+l.end.String())
+			c.countInconclusive(t, r.Run, t.membersOf(r), "it was started shortly before its worker's incarnation ended: "+l.end.String())
 			c.giveUpIfCrasher(t, false, now)
 		default:
 			// A record of the start stays, so that the next owner has the possible crash too.
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -98,13 +98,13 @@
 	if t != nil && l.inherited {
 		t.previousTermStartKnown = true
 	}
-	if t == nil || !t.step.job.progress.RecordCrash(t.id(), job.Crash{Run: r.Run, Inconclusive: r.inconclusive()}) {
+	if t == nil || !t.step.job.progress.RecordCrash(t.id(), job.Crash{Run: r.Run, Inconclusive: r.inconclusive(), Members: t.membersOf(r)}) {
 		return
 	}
 	j := t.step.job
 	j.progress.DropStarts(t.id(), r.Run)
 	for _, run := range t.possibleCrashRuns {
-		c.countInconclusive(t, run, "it may have been started where a worker was lost before")
+		c.countInconclusive(t, run, nil, "it may have been started where a worker was lost before")
 	}
 	c.setPossibleCrashes(t, nil)
 	c.markChanged(j)
@@ -134,10 +134,20 @@
 	c.setFinal(j, job.Failed, fmt.Sprintf("task %s: %d workers in a row crashed when it was started", t.id(), n.Conclusive), now)
 }
 
+// membersOf returns the member of a gang that a run is of, nil for other tasks.
+func (t *task) membersOf(r LostRun) []int {
+	id, err := job.ParseTaskID(r.Task)
+	if err != nil || !t.step.spec.Gang {
+		return nil
+	}
+	return []int{id.Index}
+}
+
 // countInconclusive counts a start of a suspect that may have crashed its worker, without proof.
-func (c *Core) countInconclusive(t *task, run uint64, reason string) {
+// Members are those of a gang at that worker, as far as they are known.
+func (c *Core) countInconclusive(t *task, run uint64, members []int, reason string) {
 	j := t.step.job
-	if !j.progress.RecordCrash(t.id(), job.Crash{Run: run, Inconclusive: true}) {
+	if !j.progress.RecordCrash(t.id(), job.Crash{Run: run, Inconclusive: true, Members: members}) {
 		return
 	}
 	c.markChanged(j)
--- a/job/progress.go
+++ b/job/progress.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"fmt"
 	"math/bits"
 	"slices"
@@ -70,6 +71,14 @@
 	// set for a start that may have been ordered when its owner and a worker were
 	// lost: then Run is a number that no start has.
 	Inconclusive bool `json:"unsure,omitempty"`
+	// Members holds the members of a gang's run that were at the worker, by their index; none
+	// if that is unknown, as in records of earlier versions.
+	Members []int `json:"members,omitempty"`
+}
+
+// implicates reports whether a member of a gang was at the worker that crashed, or may have been.
+func (c *Crash) implicates(member int) bool {
+	return len(c.Members) == 0 || slices.Contains(c.Members, member)
 }
 
 // StepKey is the key of a step in Progress.Done.
@@ -136,19 +145,34 @@
 func (p *Progress) FailureCount(t TaskID) int { return len(p.Failures[t.ProgressKey()]) }
 
 // RecordCrash records once that a worker crashed at the start of a run, and reports
-// whether the record is new.
+// whether the record is new. A further crash at the same run of a gang adds its members.
 func (p *Progress) RecordCrash(t TaskID, crash Crash) bool {
 	if p.Crashes == nil {
 		p.Crashes = map[string][]Crash{}
 	}
 	key := t.ProgressKey()
-	if slices.ContainsFunc(p.Crashes[key], func(c Crash) bool { return c.Run == crash.Run }) {
-		return false
+	if i := slices.IndexFunc(p.Crashes[key], func(c Crash) bool { return c.Run == crash.Run }); i >= 0 {
+		return p.Crashes[key][i].addMembers(crash.Members)
 	}
 	p.Crashes[key] = append(p.Crashes[key], crash)
 	return true
 }
 
+// addMembers adds the members that it lacks, and reports whether there are any. It stays a crash
+// of unknown members if it is one.
+func (c *Crash) addMembers(members []int) bool {
+	if len(c.Members) == 0 {
+		return false
+	}
+	before := len(c.Members)
+	for _, m := range members {
+		if !slices.Contains(c.Members, m) {
+			c.Members = append(c.Members, m)
+		}
+	}
+	return len(c.Members) > before
+}
+
 // MarkCrashIsolated records that no other worker crashed around the time of a run's crash,
 // and reports whether the crash is still counted.
 func (p *Progress) MarkCrashIsolated(t TaskID, run uint64) bool {
@@ -195,11 +219,30 @@
 	All, Conclusive, Isolated int
 }
 
-// CrashCount returns how often in a row the worker of a task crashed at its start.
+// CrashCount returns how often in a row the worker of a task crashed at its start. For a gang,
+// whose members start together, it is that of the member at whose workers most crashes were: a
+// wide gang meets most crashes, but a crash says nothing about its members elsewhere.
 func (p *Progress) CrashCount(t TaskID) CrashCount {
 	list := p.Crashes[t.ProgressKey()]
-	n := CrashCount{All: len(list)}
+	most := countCrashes(list, -1)
 	for _, c := range list {
+		for _, member := range c.Members {
+			if n := countCrashes(list, member); n.compare(most) > 0 {
+				most = n
+			}
+		}
+	}
+	return most
+}
+
+// countCrashes counts the crashes that implicate a member; -1 stands for none of the known ones.
+func countCrashes(list []Crash, member int) (n CrashCount) {
+	for i := range list {
+		c := &list[i]
+		if !c.implicates(member) {
+			continue
+		}
+		n.All++
 		if !c.Inconclusive {
 			n.Conclusive++
 		}
@@ -210,6 +253,10 @@
 	return n
 }
 
+func (n CrashCount) compare(o CrashCount) int {
+	return cmp.Or(cmp.Compare(n.Conclusive, o.Conclusive), cmp.Compare(n.Isolated, o.Isolated), cmp.Compare(n.All, o.All))
+}
+
 // NewestCrash returns the highest run number among the task's crashes, 0 without any.
 func (p *Progress) NewestCrash(t TaskID) uint64 {
 	newest := uint64(0)
