Copies: the mutation that hides failures meets more of them

Cause: the mutation is detected only where a copy starts beside a run that uses the last attempt. The oracle and the safeguards are the same.

Change: this mutation plays with half of the runs failing.

--- a/dispatch/sim_copies_test.go
+++ b/dispatch/sim_copies_test.go
@@ -262,9 +262,10 @@
 	}
 	for name, mutate := range map[string]func(s *sim){
 		"all steps are taken for speculative": func(s *sim) { s.copyAllSteps = true },
-		"failures are not counted":            func(s *sim) { s.forgetFailures = true },
-		"replaced owners start copies":        func(s *sim) { s.params.OwnerTTL = s.params.OwnerHorizon },
-		"ends are acknowledged too early":     func(s *sim) { s.ackEarly = true },
+		// More failures use up the attempts of more tasks beside a copy.
+		"failures are not counted":        func(s *sim) { s.forgetFailures, s.failShare = true, 0.5 },
+		"replaced owners start copies":    func(s *sim) { s.params.OwnerTTL = s.params.OwnerHorizon },
+		"ends are acknowledged too early": func(s *sim) { s.ackEarly = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(mutationSeeds) {
