--- a/review/harness-2/case_avail.go
+++ b/review/harness-2/case_avail.go
@@ -6,14 +6,17 @@
 	"time"
 )
 
-// The case: a standing job that fills and allows one of its tasks to be away, one task on each
-// worker; then an urgent job whose tasks lack only memory.
+// The case: a standing job that fills and allows one of its tasks to be away, three tasks on each
+// worker; then an urgent job, four of whose tasks lack only memory.
 const (
 	availWorkers  = 4
 	standingJob   = "00000000b0000001"
 	urgentJob     = "00000000b0000002"
-	standingMemMB = 40000
-	urgentMemMB   = 30000
+	standingTasks = 12
+	perWorker     = 3
+	standingMemMB = 13000
+	urgentTasks   = 16
+	urgentMemMB   = 6400
 	mayMiss       = 1
 	standingWarm  = 8 * time.Second
 	urgentWork    = 2 * time.Second
@@ -29,7 +32,7 @@
 		if strings.HasPrefix(task, standingJob) {
 			return taskShape{cpu: 1000, memMB: standingMemMB, longRunning: true, fills: true, checkpoints: true}
 		}
-		return taskShape{cpu: 2000, memMB: urgentMemMB, work: urgentWork}
+		return taskShape{cpu: 1000, memMB: urgentMemMB, work: urgentWork}
 	}
 	for n := range availWorkers {
 		if _, err := startWorker(s, env.record, n+1, "render", 16000, 64000, shape); err != nil {
@@ -43,19 +46,19 @@
 	if err != nil {
 		return failed, err
 	}
-	standing := fmt.Sprintf(`{"spec":"standing","steps":[{"count":%d,"cpu":1000,"mem_mb":%d,"estimated_ms":500,"checkpointing":true,"long_running":true,"fills":true,"image":"feed","anti_affinity":1,"may_miss":%d}]}`,
-		availWorkers, standingMemMB, mayMiss)
+	standing := fmt.Sprintf(`{"spec":"standing","steps":[{"count":%d,"cpu":1000,"mem_mb":%d,"estimated_ms":500,"checkpointing":true,"long_running":true,"fills":true,"image":"feed","anti_affinity":%d,"may_miss":%d}]}`,
+		standingTasks, standingMemMB, perWorker, mayMiss)
 	status, _ := call("POST", entries[0].front, "jobs.example", "/s/"+standingJob, standing)
 	env.record.add("%s, with may_miss %d, is sent: %d", standingJob, mayMiss, status)
 	if status/100 != 2 {
 		return failed, fmt.Errorf("the standing job was answered with %d", status)
 	}
 	time.Sleep(standingWarm)
-	if n := atWork(env, standingJob); n != availWorkers {
-		return failed, fmt.Errorf("%d of %d standing tasks run", n, availWorkers)
+	if n := atWork(env, standingJob); n != standingTasks {
+		return failed, fmt.Errorf("%d of %d standing tasks run", n, standingTasks)
 	}
 	if env.trouble {
-		urgent := fmt.Sprintf(`{"spec":"urgent","steps":[{"count":%d,"cpu":2000,"mem_mb":%d,"estimated_ms":%d}]}`, availWorkers, urgentMemMB, urgentWork.Milliseconds())
+		urgent := fmt.Sprintf(`{"spec":"urgent","steps":[{"count":%d,"cpu":1000,"mem_mb":%d,"estimated_ms":%d}]}`, urgentTasks, urgentMemMB, urgentWork.Milliseconds())
 		status, _ := call("POST", entries[1].front, "jobs.example", "/u/"+urgentJob, urgent)
 		env.record.add("%s is sent: %d", urgentJob, status)
 	}
--- a/review/harness-2/case_gang.go
+++ b/review/harness-2/case_gang.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// The case: a gang of which each task takes a whole worker, on a queue whose placement policy
+// The case: a gang whose tasks spread over as many workers, on a queue whose placement policy
 // must be asked, and which allows each worker. There is more than twice the capacity.
 const (
 	gangWorkers   = 66
@@ -14,7 +14,8 @@
 	gangJob       = "00000000c0000001"
 	gangWork      = 2 * time.Second
 	gangWait      = 40 * time.Second
-	gangCPU       = 16000
+	gangCPU       = 1800
+	gangWorkerCPU = 16000
 	gangEstimates = 2000
 )
 
@@ -37,7 +38,7 @@
 	shared := newGangs()
 	var workers []*worker
 	for n := range gangWorkers {
-		w, err := startWorker(s, env.record, n+1, "render", gangCPU, 64000, shape)
+		w, err := startWorker(s, env.record, n+1, "render", gangWorkerCPU, 64000, shape)
 		if err != nil {
 			return failed, err
 		}
@@ -52,7 +53,7 @@
 	if err != nil {
 		return failed, err
 	}
-	body := fmt.Sprintf(`{"spec":"gang","steps":[{"count":%d,"cpu":%d,"mem_mb":500,"estimated_ms":%d,"gang":true}]}`, size, gangCPU, gangEstimates)
+	body := fmt.Sprintf(`{"spec":"gang","steps":[{"count":%d,"cpu":%d,"mem_mb":500,"estimated_ms":%d,"gang":true,"anti_affinity":1}]}`, size, gangCPU, gangEstimates)
 	status, _ := call("POST", entries[0].front, "jobs.example", "/q/"+gangJob, body)
 	env.record.add("%s, a gang of %d, is sent: %d", gangJob, size, status)
 	if status/100 != 2 {
@@ -72,7 +73,7 @@
 	}
 	policy.mu.Lock()
 	env.record.add("after %v: %d %s; %d calls of the policy; the workers use %d of %d millicores, the gang needs %d",
-		gangWait, status, state, policy.calls, used, gangWorkers*gangCPU, size*gangCPU)
+		gangWait, status, state, policy.calls, used, gangWorkers*gangWorkerCPU, size*gangCPU)
 	policy.mu.Unlock()
 	return broken, nil
 }
