Placement policy: calls are chosen when they are sent, and the queue drains

Cause: each waiting step made its request at once, and requests queued at a mutex of the process. The validity of tickets counted from the request. Once the queue was longer than the validity less the margin, each answer was out of date on arrival, its step asked again behind all others, and the queue never became shorter.

Change: the core holds the steps that wait and sends one call at a time, chosen when the previous one has ended: the most urgent step by then, workers that take its tasks by then, times from the send. Steps that are over, cancelled or served drop out. Jobs are refused while the policy needs more than 2 s for the steps that wait. A recorded start is not sent with a ticket that has expired.

Why it works: nothing ages before it is sent, so an answer is out of date only if its own decision took longer than the validity, and such tickets are used on arrival.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -18,6 +18,9 @@
 	// retry.
 	minAdmitRetry = 1 * time.Second
 	maxAdmitRetry = 10 * time.Second
+	// maxPolicyWait is how long a job may wait for the placement policy: capacity must not
+	// stay unused for longer than 3 s beside a job that has nothing running.
+	maxPolicyWait = 2 * time.Second
 )
 
 // Admission is the owner's decision on a job that is not recorded yet.
@@ -40,8 +43,10 @@
 	if !known || k == nil || c.jobs[spec.ID] != nil || c.deposed || len(c.unresolved) > 0 || spec.Occurrences > 0 {
 		return Admission{}
 	}
-	var a Admission
-	if s := firstOf(spec, (*job.Step).IsLongRunning); s != nil {
+	a := c.admitToPolicy(q, spec, now)
+	if a.Refused {
+		// no further check
+	} else if s := firstOf(spec, (*job.Step).IsLongRunning); s != nil {
 		a = c.admitLongRunning(k, q, s, now)
 	} else if s := firstOf(spec, (*job.Step).IsShort); s != nil {
 		a = c.admitShort(k, q, spec, s)
@@ -124,21 +129,48 @@
 	if k.waiting == 0 {
 		return Admission{}
 	}
+	useful := c.usefulWait(q, spec)
+	wait := float64(k.waiting+int64(s.Count)*s.CPUMilli) / max(k.starts.mean, 1)
+	if wait < useful.Seconds() {
+		return Admission{}
+	}
+	return Admission{Refused: true, Reason: "short tasks wait longer for room than it is of use", RetryAfter: time.Duration(min(wait, maxAdmitRetry.Seconds()) * float64(time.Second))}
+}
+
+// usefulWait returns how late a job may start and still be of use by its end.
+func (c *Core) usefulWait(q job.Queue, spec *job.Spec) time.Duration {
 	j := &jobState{spec: spec}
 	for i := range spec.Steps {
 		j.steps = append(j.steps, &stepRun{job: j, spec: &spec.Steps[i], index: i})
 	}
 	chain := c.totalCriticalPath(j)
-	useful := lateFactor*(time.Duration(float64(chain)*q.Stretch)+q.TargetLatency) - chain
-	wait := float64(k.waiting+int64(s.Count)*s.CPUMilli) / max(k.starts.mean, 1)
-	if wait < useful.Seconds() {
+	return lateFactor*(time.Duration(float64(chain)*q.Stretch)+q.TargetLatency) - chain
+}
+
+// admitToPolicy refuses a job that would wait too long for the placement policy. The policy
+// decides on one call after the other, so that admitted jobs can exceed what it decides on
+// however much capacity the workers have.
+func (c *Core) admitToPolicy(q job.Queue, spec *job.Spec, now Instant) Admission {
+	if q.Advice == nil {
 		return Admission{}
 	}
-	return Admission{Refused: true, Reason: "short tasks wait longer for room than it is of use", RetryAfter: time.Duration(min(wait, maxAdmitRetry.Seconds()) * float64(time.Second))}
+	limit := maxPolicyWait
+	if firstOf(spec, (*job.Step).IsShort) != nil {
+		limit = min(limit, c.usefulWait(q, spec))
+	}
+	wait := c.policy.wait(q.Priority, now)
+	if wait <= limit {
+		return Admission{}
+	}
+	return Admission{Refused: true, Reason: "the placement policy has too many steps to decide on", RetryAfter: wait}
 }
 
-// Crowded reports whether short tasks have waited for capacity for longer than crowdedAfter.
+// Crowded reports whether entries must ask for the admission of short jobs: short tasks have
+// waited for capacity for longer than crowdedAfter, or will wait as long for the placement policy.
 func (c *Core) Crowded(now Instant) bool {
+	if c.policy.wait(leastUrgent, now) > crowdedAfter {
+		return true
+	}
 	for _, k := range c.reservedCapacity {
 		if k.waiting > 0 && now.Steady-k.waitingSince > crowdedAfter {
 			return true
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -8,16 +8,15 @@
 	"leverstile.dev/job"
 )
 
-// Limits of calls to the placement policy, a service that decides which workers may run a
-// step and issues a ticket for each of them.
+// Limits of tickets, which the placement policy issues for the tasks of a step at a worker.
 const (
-	// adviceWorkers is how many workers one call asks about: the users expect calls
-	// about 30 workers within a job's time.
-	adviceWorkers = 30
-	// ticketMargin is how long a ticket must still be valid when it is used.
-	ticketMargin = 300 * time.Millisecond
-	// adviceRetry is the pause after a call that failed.
-	adviceRetry = 300 * time.Millisecond
+	// ticketMargin is how long a ticket must still be valid when it is used, at most
+	// ticketMarginShare of its validity.
+	ticketMargin      = 300 * time.Millisecond
+	ticketMarginShare = 0.25
+	// lateTicketUse is how long a ticket may be used that has expired on arrival if its
+	// validity is counted from the call; see ticketEnd.
+	lateTicketUse = 100 * time.Millisecond
 	// enoughTickets is how many workers with tickets suffice; no more are requested.
 	enoughTickets = 8
 )
@@ -26,121 +25,146 @@
 type AdviceRequest struct {
 	Task    job.TaskID // identifies the step; its Index is not used
 	Workers []WorkerID
-	Terms   job.AdviceTerms
+	// Timeout bounds the call.
+	Timeout time.Duration
+	terms   job.AdviceTerms
 	sent    time.Duration
 }
 
+// Advice is the policy's answer to a request.
+type Advice struct {
+	Tickets []Ticket
+	// Validity is for how long the tickets are valid; 0 if the answer does not tell it.
+	Validity time.Duration
+}
+
 // Ticket allows a step's tasks at one incarnation of a worker.
 type Ticket struct {
 	Worker WorkerID
 	Text   string
 }
 
-// advice is what the placement policy answered for a step.
-type advice struct {
-	tickets map[WorkerID]heldTicket
+// stepAdvice is what is known of the policy's decisions on a step. They are final: a worker
+// that was granted or refused once stays so.
+type stepAdvice struct {
+	// granted holds the workers that may run the step, in ascending order of their ids.
+	granted []*grant
+	byID    map[WorkerID]*grant
 	// refused workers must not run the step.
-	refused map[WorkerID]bool
-	pending bool
-	retryAt time.Duration
+	refused  map[WorkerID]bool
+	failures int // consecutive failed calls
+	retryAt  time.Duration
+	// searchedAt is when workers to ask about were last searched in vain.
+	searchedAt time.Duration
+}
+
+// grant is a worker that may run a step, with its newest ticket.
+type grant struct {
+	worker WorkerID
+	ticket string
+	until  time.Duration // 0 if there is no valid ticket
+	margin time.Duration
 }
 
-type heldTicket struct {
-	text  string
-	until time.Duration
+// valid reports whether the ticket can be used at a steady time.
+func (g *grant) valid(at time.Duration) bool { return g != nil && g.until > at+g.margin }
+
+func newStepAdvice() *stepAdvice {
+	return &stepAdvice{byID: map[WorkerID]*grant{}, refused: map[WorkerID]bool{}}
+}
+
+// record adds the decision on one worker.
+func (a *stepAdvice) record(id WorkerID, ticket string, until, margin time.Duration) {
+	g := a.byID[id]
+	if g == nil {
+		g = &grant{worker: id}
+		a.byID[id] = g
+		at, _ := slices.BinarySearchFunc(a.granted, id, func(g *grant, id WorkerID) int { return cmp.Compare(g.worker, id) })
+		a.granted = slices.Insert(a.granted, at, g)
+	}
+	g.ticket, g.until, g.margin = ticket, until, margin
+	delete(a.refused, id)
 }
 
-// workersWithTicket returns the workers that have a ticket for a step, and requests more
-// tickets if there are few.
-func (c *Core) workersWithTicket(s *stepRun, pool []*worker, terms job.AdviceTerms, now Instant) []*worker {
+// workersWithTicket returns the workers that get new tasks of a service and have a ticket for
+// a step that is valid at a steady time.
+func (c *Core) workersWithTicket(s *stepRun, service string, at time.Duration, now Instant) []*worker {
 	if s.advice == nil {
-		s.advice = &advice{tickets: map[WorkerID]heldTicket{}, refused: map[WorkerID]bool{}}
+		return nil
 	}
 	var allowed []*worker
-	for _, w := range pool {
-		if s.advice.tickets[w.info.ID].until > now.Steady+ticketMargin {
+	for _, g := range s.advice.granted {
+		if !g.valid(at) {
+			continue
+		}
+		if w := c.workers[g.worker]; w != nil && c.inPool(w, service, now) {
 			allowed = append(allowed, w)
 		}
 	}
-	if len(allowed) < min(s.ready, enoughTickets) {
-		c.requestAdvice(s, pool, terms, now)
-	}
 	return allowed
 }
 
-// requestAdvice requests tickets for the workers that would be chosen first.
-func (c *Core) requestAdvice(s *stepRun, pool []*worker, terms job.AdviceTerms, now Instant) {
-	a := s.advice
-	if a.pending || now.Steady < a.retryAt {
-		return
+// AdviceDone processes the answer to a request, or that there was none (ok is false), and
+// requests the next call.
+func (c *Core) AdviceDone(req AdviceRequest, answer Advice, ok bool, now Instant) {
+	c.policy.callEnded(req, ok, now)
+	if t := c.findTask(req.Task); t != nil && t.step.advice != nil {
+		t.step.advice.callEnded(req, answer, ok, now)
 	}
-	type rated struct {
-		id    WorkerID
-		score float64
-	}
-	var list []rated
-	for _, w := range pool {
-		if a.refused[w.info.ID] || a.tickets[w.info.ID].until > now.Steady+ticketMargin || !s.allowed(w) || !w.fits(s.amount()) {
-			continue
-		}
-		if score, ok := c.score(s, w, false); ok {
-			list = append(list, rated{w.info.ID, score})
-		}
-	}
-	if len(list) == 0 {
-		return
-	}
-	slices.SortStableFunc(list, func(x, y rated) int { return cmp.Compare(y.score, x.score) })
-	req := AdviceRequest{Terms: terms, sent: now.Steady, Task: job.TaskID{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.index}}
-	for _, r := range list[:min(adviceWorkers, len(list))] {
-		req.Workers = append(req.Workers, r.id)
+	d := Decision{Event: "advice_taken", Job: req.Task.Job, Task: req.Task, Age: now.Steady - req.sent}
+	if !ok {
+		d.Event = "advice_failed"
 	}
-	a.pending = true
-	c.adviceRequests = append(c.adviceRequests, req)
+	c.trace(d)
+	c.callPolicy(now)
 }
 
-// TakeAdviceRequests returns the requests for advice since the last call.
-func (c *Core) TakeAdviceRequests() []AdviceRequest {
-	requests := c.adviceRequests
-	c.adviceRequests = nil
-	return requests
-}
-
-// AdviceDone processes the tickets that the placement policy granted for a request; ok is
-// false if it did not answer.
-func (c *Core) AdviceDone(req AdviceRequest, granted []Ticket, ok bool, now Instant) {
-	t := c.findTask(req.Task)
-	if t == nil || t.step.advice == nil {
-		return
-	}
-	a := t.step.advice
-	a.pending = false
+func (a *stepAdvice) callEnded(req AdviceRequest, answer Advice, ok bool, now Instant) {
 	if !ok {
-		a.retryAt = now.Steady + adviceRetry
-		c.trace(Decision{Event: "advice_failed", Job: req.Task.Job, Task: req.Task})
+		a.retryAt = now.Steady + adviceRetry<<min(a.failures, maxRetryDoublings)
+		a.failures++
 		return
 	}
+	a.failures = 0
 	for _, id := range req.Workers {
-		a.refused[id] = true
+		if a.byID[id] == nil {
+			a.refused[id] = true
+		}
+	}
+	validity := req.terms.Validity
+	if answer.Validity > 0 {
+		validity = answer.Validity
 	}
-	for _, g := range granted {
-		delete(a.refused, g.Worker)
-		a.tickets[g.Worker] = heldTicket{g.Text, req.sent + req.Terms.Validity}
+	margin := min(ticketMargin, time.Duration(ticketMarginShare*float64(validity)))
+	for _, t := range answer.Tickets {
+		a.record(t.Worker, t.Text, ticketEnd(req.sent, validity, margin, now), margin)
 	}
-	c.trace(Decision{Event: "advice_taken", Job: req.Task.Job, Task: req.Task, Age: now.Steady - req.sent})
+}
+
+// ticketEnd returns until when a ticket is valid, counted from the call. If the decision took
+// longer than the validity, the policy can only have issued the ticket later than the call
+// came: it is used at once, or not at all. A worker refuses the start if that was too late.
+func ticketEnd(sent, validity, margin time.Duration, now Instant) time.Duration {
+	return max(sent+validity, now.Steady+min(validity, margin+lateTicketUse))
 }
 
 // ticketFor returns the ticket of a worker, empty if the queue needs none.
 func (s *stepRun) ticketFor(w *worker) string {
-	if s.advice == nil {
+	if s.advice == nil || s.advice.byID[w.info.ID] == nil {
 		return ""
 	}
-	return s.advice.tickets[w.info.ID].text
+	return s.advice.byID[w.info.ID].ticket
+}
+
+// hasValidTicket reports whether the ticket of a start can still be used, if it needs one.
+func (a *attempt) hasValidTicket(now Instant) bool {
+	s := a.task.step
+	return s.advice == nil || a.ticket == "" || s.advice.byID[a.worker.info.ID].valid(now.Steady)
 }
 
 // dropTicket deletes a ticket that a worker refused.
 func (c *Core) dropTicket(a *attempt) {
-	if s := a.task.step; s.advice != nil {
-		delete(s.advice.tickets, a.worker.info.ID)
+	if s := a.task.step; s.advice != nil && s.advice.byID[a.worker.info.ID] != nil {
+		s.advice.byID[a.worker.info.ID].until = 0
 	}
 }
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -119,6 +119,46 @@
 	}
 }
 
+// BenchmarkPassWithPolicy measures a scheduling pass at 2,000 workers with steps that wait for the
+// placement policy, and the answer to a call with the choice of the next one.
+func BenchmarkPassWithPolicy(b *testing.B) {
+	for _, steps := range []int{20, 100, 400} {
+		core := benchCore(b, 2000)
+		now := Instant{Steady: 2 * time.Second}
+		core.Renewed(now.Steady)
+		core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, MaxAttempts: 3, Advice: &policyTerms}}})
+		for i := range steps {
+			core.AddJob(simpleJob(2_000_000+i, 8), nil, false, now)
+		}
+		core.Schedule(now)
+		b.Run(fmt.Sprintf("pass/steps=%d", steps), func(b *testing.B) {
+			for b.Loop() {
+				now.Steady += 8 * time.Millisecond
+				core.Renewed(now.Steady)
+				core.Schedule(now)
+			}
+		})
+		b.Run(fmt.Sprintf("answer/steps=%d", steps), func(b *testing.B) {
+			requests := core.TakeAdviceRequests()
+			for b.Loop() {
+				now.Steady += 100 * time.Millisecond
+				core.Renewed(now.Steady)
+				core.AdviceDone(requests[0], Advice{}, true, now) // all workers are refused
+				if requests = core.TakeAdviceRequests(); len(requests) == 0 {
+					b.StopTimer()
+					core.Schedule(now)
+					for _, s := range core.openSteps {
+						s.advice = newStepAdvice()
+					}
+					core.Schedule(now)
+					requests = core.TakeAdviceRequests()
+					b.StartTimer()
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkListMixed measures a list of serving and fill tasks whose readings change, so that the
 // model is updated and paces are distributed again.
 func BenchmarkListMixed(b *testing.B) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -136,6 +136,7 @@
 	repeated []*jobState
 	refusals refusals
 	overload overload
+	policy   policyQueue
 	// ratedScratch is a buffer that choosers reuse, one at a time; candidateScratch is
 	// one that scheduling passes reuse.
 	ratedScratch     ratedWorkers
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -59,7 +59,8 @@
 // short reports whether the step's tasks end by themselves and capacity is reserved for them.
 func (s *stepRun) short() bool { return s.spec.IsShort() }
 
-// recordDemand records the demand of the short steps of a pass, after it.
+// recordDemand records the demand of the short steps of a pass, after it. Steps that wait for
+// the placement policy lack no capacity.
 func (c *Core) recordDemand(list []candidate, now Instant) {
 	for _, k := range c.reservedCapacity {
 		if k.waiting == 0 {
@@ -68,7 +69,7 @@
 		k.waiting = 0
 	}
 	for _, x := range list {
-		if !x.step.short() || x.rank.class != rankOnTime {
+		if !x.step.short() || x.rank.class != rankOnTime || x.step.awaitsPolicy {
 			continue
 		}
 		if k := c.reservedCapacityOf(x.queue.Service); k.largest.fits(x.step) {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -56,7 +56,8 @@
 	gangRun         uint64
 	perWork         map[*worker]int // attempts by worker, only with MaxPerWorker
 	checkpoint      checkpoint      // of a gang
-	advice          *advice         // of the placement policy, if the queue has one
+	advice          *stepAdvice     // of the placement policy, if the queue has one
+	awaitsPolicy    bool            // it lacked tickets in the latest pass
 	waitLoggedAt    time.Duration   // when it was last logged that the step waits
 	runTimeSamples  int             // samples of its tasks' run time; see addMeasurement
 	shortestRunTime time.Duration   // the shortest run time measured
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,6 +23,7 @@
 		return
 	}
 	c.sendRecordedStarts(now)
+	c.policy.waiting = c.policy.waiting[:0]
 	list := c.candidates(now)
 	if len(list) == 0 {
 		c.recordDemand(nil, now)
@@ -40,20 +41,26 @@
 			pools[x.queue.Service] = p
 		}
 		if x.queue.Advice != nil {
-			p = &pool{workers: c.workersWithTicket(x.step, p.workers, *x.queue.Advice, now)}
+			p = &pool{workers: c.workersWithTicket(x.step, x.queue.Service, now.Steady, now), whole: p}
 		}
 		if x.step.spec.Gang {
 			c.placeGang(x.step, p, now)
 		} else {
 			c.placeStep(x.step, p, now)
 		}
+		if x.queue.Advice != nil {
+			c.awaitPolicy(x, p.whole, now)
+		}
 	}
 	c.recordDemand(list, now)
+	c.callPolicy(now)
 }
 
 // pool holds the workers on which a scheduling pass may place a step's tasks.
 type pool struct {
 	workers []*worker
+	// whole is the pool of the service, if workers are only those with a ticket for a step.
+	whole *pool
 	// use is the share of their processors that is taken, determined once per pass when a
 	// step first needs it; useKnown is set then. A pass changes it by a few per cent.
 	use      float64
@@ -63,6 +70,9 @@
 }
 
 func (p *pool) usedShare() float64 {
+	if p.whole != nil {
+		return p.whole.usedShare()
+	}
 	if !p.useKnown {
 		p.use, p.useKnown = poolUse(p.workers), true
 	}
@@ -76,8 +86,7 @@
 		c.placeSuspects(s, p, now)
 	}
 	x := s.shape(queue.Service, c.viewOf(s, p, now))
-	refusable := queue.Advice == nil // with advice, the pool is the step's own
-	if refusable && c.stillRefused(s, x, now) {
+	if c.stillRefused(s, x, now) {
 		c.freeCapacity(s, queue.Priority, p.workers, now)
 		return
 	}
@@ -95,7 +104,7 @@
 			w = chosen.best("")
 		}
 		if w == nil {
-			if refusable {
+			if p.whole == nil {
 				c.refusals.recordRefused(x)
 			}
 			c.freeCapacity(s, queue.Priority, p.workers, now)
@@ -156,7 +165,11 @@
 			reason = "no worker has the processors"
 		}
 	}
-	if excluded := c.countExclusions(c.serviceOf(s.job.spec), now).String(); excluded != "" {
+	service := c.serviceOf(s.job.spec)
+	if s.awaitsPolicy {
+		reason = c.policyWaitReason(s, service, now)
+	}
+	if excluded := c.countExclusions(service, now).String(); excluded != "" {
 		reason += "; workers that get nothing: " + excluded
 	}
 	c.trace(Decision{Event: "step_waits", Job: s.job.spec.ID, Reason: reason, Age: now.Steady - s.job.idleSince})
--- a/dispatch/sim_shapes_test.go
+++ b/dispatch/sim_shapes_test.go
@@ -54,6 +54,9 @@
 // simQueues returns the queues of the configuration.
 func (s *sim) simQueues() []job.Queue {
 	queues := []job.Queue{{Name: "q", Service: "svc", MaxAttempts: s.maxAttempts, Stretch: s.stretch}}
+	if s.policy != nil {
+		queues[0].Advice, queues[0].TargetLatency = &s.policy.terms, time.Second
+	}
 	if s.shapedJobs {
 		queues = append(queues, job.Queue{Name: simOtherService, Service: simOtherService, MaxAttempts: s.maxAttempts, Stretch: s.stretch})
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -78,6 +78,7 @@
 	checkpointFaults
 	copyFaults
 	shapes
+	policy  *simPolicy // nil if no queue consults one
 	adopted int
 	closed  int // entries found closed at takeovers
 	trace   []string
@@ -412,6 +413,9 @@
 }
 
 func (s *sim) dispatch(o *simOwner) {
+	for _, req := range o.core.TakeAdviceRequests() {
+		s.policy.call(o, req)
+	}
 	for _, order := range o.core.TakeOrders() {
 		if order.Kind == OrderStart {
 			if s.alterStart != nil {
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -230,6 +230,9 @@
 	case w.running[o.Task] != nil:
 		return Answer{Outcome: OutcomeOld, ClockMS: clock}
 	}
+	if !w.sim.policy.valid(o) {
+		return Answer{Outcome: OutcomeNoTicket, ClockMS: clock}
+	}
 	if w.sim.chance(w.sim.noCapacityShare) {
 		w.sim.refused++
 		return Answer{Outcome: OutcomeNoCapacity, ClockMS: clock}
--- a/dispatch/startrecord.go
+++ b/dispatch/startrecord.go
@@ -41,7 +41,8 @@
 func (c *Core) HasUnsentStarts() bool { return len(c.unsentStarts) > 0 }
 
 // sendRecordedStarts sends the starts whose records the store holds by now. One that has
-// waited longer than startWindow, or whose worker gets no more starts, is released.
+// waited longer than startWindow, whose ticket has expired, or whose worker gets no more starts,
+// is released.
 func (c *Core) sendRecordedStarts(now Instant) {
 	list := c.unsentStarts
 	c.unsentStarts = nil
@@ -49,8 +50,8 @@
 		a := u.attempt
 		switch {
 		case a.task.attempt != a || a.stopping:
-		case now.Steady-a.placedAt > startWindow || a.worker.info.Draining || c.evacuated[a.worker.info.DataCentre]:
-			c.logGivenUp("start_not_sent", a, "its record was not stored in time, or its worker gets no more starts", "", now.Steady-a.placedAt)
+		case now.Steady-a.placedAt > startWindow || !a.hasValidTicket(now) || a.worker.info.Draining || c.evacuated[a.worker.info.DataCentre]:
+			c.logGivenUp("start_not_sent", a, "its record was not stored in time, its ticket has expired, or its worker gets no more starts", "", now.Steady-a.placedAt)
 			c.release(a, now)
 		case a.task.step.job.persisted < u.version:
 			c.unsentStarts = append(c.unsentStarts, u)
--- a/node/contact.go
+++ b/node/contact.go
@@ -198,17 +198,16 @@
 	o.lastAlive = max(o.lastAlive, now)
 }
 
-// requestAdvice makes one call to the placement policy, once no other is in flight.
+// requestAdvice makes one call to the placement policy. The core requests the next one only
+// after this has ended.
 func (o *owner) requestAdvice(req dispatch.AdviceRequest) {
-	o.adviceMu.Lock()
-	tickets, err := o.node.advisor.Advise(o.ctx, req)
-	o.adviceMu.Unlock()
+	answer, err := o.node.advisor.Advise(o.ctx, req)
 	if o.ctx.Err() != nil {
 		return
 	}
 	if err != nil {
 		o.node.log.Warn().Str("event", "advice_unanswered").Str("task", req.Task.String()).Err(err).Msg("")
 	}
-	o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.AdviceDone(req, tickets, err == nil, now) })
+	o.locked(func(c *dispatch.Core, now dispatch.Instant) { c.AdviceDone(req, answer, err == nil, now) })
 	signal(o.wake)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -97,6 +97,7 @@
 	n.ownerGauge("leverstile_copies_wasted_core_seconds_total", func(c *dispatch.Core) float64 { return c.Stats().CopiesWastedCoreSeconds })
 	n.ownerGauge("leverstile_tasks_suspected", func(c *dispatch.Core) float64 { return float64(c.Suspects()) })
 	n.ownerGauge("leverstile_crashers_given_up", func(c *dispatch.Core) float64 { return float64(c.Stats().CrashersGivenUp) })
+	n.registerPolicyMetrics()
 	n.ownerGauge("leverstile_overload_step", func(c *dispatch.Core) float64 {
 		load, _ := c.Load()
 		return float64(load)
@@ -120,6 +121,18 @@
 	}
 }
 
+// registerPolicyMetrics exposes the load of the placement policy while this entry is the owner.
+func (n *Node) registerPolicyMetrics() {
+	for name, read := range map[string]func(l dispatch.PolicyLoad) float64{
+		"leverstile_policy_waiting_steps":             func(l dispatch.PolicyLoad) float64 { return float64(l.Waiting) },
+		"leverstile_policy_wait_seconds":              func(l dispatch.PolicyLoad) float64 { return l.Wait.Seconds() },
+		`leverstile_policy_calls{outcome="answered"}`: func(l dispatch.PolicyLoad) float64 { return float64(l.Decided) },
+		`leverstile_policy_calls{outcome="failed"}`:   func(l dispatch.PolicyLoad) float64 { return float64(l.Failed) },
+	} {
+		n.ownerGauge(name, func(c *dispatch.Core) float64 { return read(c.PolicyLoad(n.instant())) })
+	}
+}
+
 // milliPerCore is the number of millicores in a core.
 const milliPerCore = 1000
 
--- a/node/owner.go
+++ b/node/owner.go
@@ -86,10 +86,7 @@
 	pollerEnded chan struct{} // a poller has ended because its worker is gone
 	ctx         context.Context
 	stop        context.CancelCauseFunc
-	// adviceMu serializes calls to the placement policy, which takes one call of a VM
-	// at a time.
-	adviceMu sync.Mutex
-	running  sync.WaitGroup
+	running     sync.WaitGroup
 	// lastAlive is when the process was last observed to run.
 	lastAlive time.Duration
 	// waveRecords are the stored records of maintenance waves at the takeover, by key.
--- a/node/store.go
+++ b/node/store.go
@@ -39,7 +39,7 @@
 
 // Advisor calls the placement policy of a queue.
 type Advisor interface {
-	Advise(ctx context.Context, req dispatch.AdviceRequest) ([]dispatch.Ticket, error)
+	Advise(ctx context.Context, req dispatch.AdviceRequest) (dispatch.Advice, error)
 }
 
 // VMs asks the platform to start the maintenance of VMs.
