Placement policy: steps ask for the workers that they need and can use

Cause: the need was counted in tickets up to a constant, not in tasks that can start. While eight workers had a ticket no more were requested, though a gang needed 32 or the eight were full; a request named 30 workers at most; and a grant was forgotten when its ticket expired.

Change: a step lacks tickets while the usable workers that have one do not take all its tasks. A call asks about what is missing, by the share granted so far, up to 100 workers. Decisions are kept for good; the tickets of a gang are collected at granted workers by calls right after each other, renewing those that would expire meanwhile. A gang whose tickets can't be valid at the same time is refused with 429. Preemption, moves and the use of the pool no longer look only at workers with a ticket; a worker that was preempted for a step without a ticket takes no fills until it comes. Gangs that wait are logged.

Why it works: what is requested follows from what is missing, so that each call brings the step closer to its start or learns for good what the policy refuses.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -39,17 +39,12 @@
 // is one whose capacity can't be determined.
 func (c *Core) Admit(spec *job.Spec, now Instant) Admission {
 	q, known := c.queues[spec.Queue]
-	k := c.reservedCapacity[q.Service]
-	if !known || k == nil || c.jobs[spec.ID] != nil || c.deposed || len(c.unresolved) > 0 || spec.Occurrences > 0 {
+	if !known || c.jobs[spec.ID] != nil || c.deposed || len(c.unresolved) > 0 || spec.Occurrences > 0 {
 		return Admission{}
 	}
 	a := c.admitToPolicy(q, spec, now)
-	if a.Refused {
-		// no further check
-	} else if s := firstOf(spec, (*job.Step).IsLongRunning); s != nil {
-		a = c.admitLongRunning(k, q, s, now)
-	} else if s := firstOf(spec, (*job.Step).IsShort); s != nil {
-		a = c.admitShort(k, q, spec, s)
+	if !a.Refused {
+		a = c.admitToCapacity(q, spec, now)
 	}
 	if a.Refused {
 		a.RetryAfter = min(max(a.RetryAfter, minAdmitRetry), maxAdmitRetry)
@@ -58,6 +53,21 @@
 	return a
 }
 
+// admitToCapacity decides whether a job will find capacity on the workers in time.
+func (c *Core) admitToCapacity(q job.Queue, spec *job.Spec, now Instant) Admission {
+	k := c.reservedCapacity[q.Service]
+	if k == nil {
+		return Admission{}
+	}
+	if s := firstOf(spec, (*job.Step).IsLongRunning); s != nil {
+		return c.admitLongRunning(k, q, s, now)
+	}
+	if s := firstOf(spec, (*job.Step).IsShort); s != nil {
+		return c.admitShort(k, q, spec, s)
+	}
+	return Admission{}
+}
+
 // firstOf returns the first step of a kind that waits for no other, or nil.
 func firstOf(spec *job.Spec, kind func(*job.Step) bool) *job.Step {
 	for i := range spec.Steps {
@@ -154,21 +164,38 @@
 	if q.Advice == nil {
 		return Admission{}
 	}
+	for i := range spec.Steps {
+		if s := &spec.Steps[i]; s.Gang && !collectable(q.Advice, c.fewestWorkers(q.Service, s), 1) {
+			return Admission{Refused: true, Reason: "the placement policy decides too slowly for so wide a gang", RetryAfter: maxAdmitRetry}
+		}
+	}
 	limit := maxPolicyWait
 	if firstOf(spec, (*job.Step).IsShort) != nil {
 		limit = min(limit, c.usefulWait(q, spec))
 	}
-	wait := c.policy.wait(q.Priority, now)
+	wait := c.policyWait(q.Priority, now)
 	if wait <= limit {
 		return Admission{}
 	}
 	return Admission{Refused: true, Reason: "the placement policy has too many steps to decide on", RetryAfter: wait}
 }
 
+// fewestWorkers returns how many workers of a service the tasks of a step need at least.
+func (c *Core) fewestWorkers(service string, s *job.Step) int {
+	amount, most := amountOf(s), 1
+	for _, w := range c.workersByService[service] {
+		most = max(most, min(countFits(w.info.CPUMilli, amount.cpu), countFits(w.info.MemoryMiB, amount.memory), countFits(w.info.Accelerators, amount.accelerators)))
+	}
+	if s.MaxPerWorker > 0 {
+		most = min(most, s.MaxPerWorker)
+	}
+	return ceilDiv(s.Count, most)
+}
+
 // Crowded reports whether entries must ask for the admission of short jobs: short tasks have
 // waited for capacity for longer than crowdedAfter, or will wait as long for the placement policy.
 func (c *Core) Crowded(now Instant) bool {
-	if c.policy.wait(leastUrgent, now) > crowdedAfter {
+	if c.policyWait(leastUrgent, now) > crowdedAfter {
 		return true
 	}
 	for _, k := range c.reservedCapacity {
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -17,8 +17,6 @@
 	// lateTicketUse is how long a ticket may be used that has expired on arrival if its
 	// validity is counted from the call; see ticketEnd.
 	lateTicketUse = 100 * time.Millisecond
-	// enoughTickets is how many workers with tickets suffice; no more are requested.
-	enoughTickets = 8
 )
 
 // AdviceRequest asks the placement policy which of these workers may run a step.
@@ -54,8 +52,14 @@
 	refused  map[WorkerID]bool
 	failures int // consecutive failed calls
 	retryAt  time.Duration
-	// searchedAt is when workers to ask about were last searched in vain.
-	searchedAt time.Duration
+	// calls counts the calls since the step last had enough tickets.
+	calls int
+	// tooSlow is set if the tickets of a gang expire before all can be collected.
+	tooSlow bool
+	// searchAt is when workers to ask about are searched again, searches how often in a row
+	// there were none.
+	searchAt time.Duration
+	searches int
 }
 
 // grant is a worker that may run a step, with its newest ticket.
@@ -89,27 +93,37 @@
 // workersWithTicket returns the workers that get new tasks of a service and have a ticket for
 // a step that is valid at a steady time.
 func (c *Core) workersWithTicket(s *stepRun, service string, at time.Duration, now Instant) []*worker {
+	return c.grantedWorkers(s, service, now, func(g *grant) bool { return g.valid(at) })
+}
+
+// grantedWorkers returns the workers that get new tasks of a service and that the policy has
+// granted a step, in the order of their ids, if use is true for the grant.
+func (c *Core) grantedWorkers(s *stepRun, service string, now Instant, use func(g *grant) bool) []*worker {
 	if s.advice == nil {
 		return nil
 	}
-	var allowed []*worker
+	var granted []*worker
 	for _, g := range s.advice.granted {
-		if !g.valid(at) {
+		if !use(g) {
 			continue
 		}
 		if w := c.workers[g.worker]; w != nil && c.inPool(w, service, now) {
-			allowed = append(allowed, w)
+			granted = append(granted, w)
 		}
 	}
-	return allowed
+	return granted
 }
 
+// anyGrant accepts grants with and without a valid ticket.
+func anyGrant(*grant) bool { return true }
+
 // AdviceDone processes the answer to a request, or that there was none (ok is false), and
 // requests the next call.
 func (c *Core) AdviceDone(req AdviceRequest, answer Advice, ok bool, now Instant) {
 	c.policy.callEnded(req, ok, now)
 	if t := c.findTask(req.Task); t != nil && t.step.advice != nil {
-		t.step.advice.callEnded(req, answer, ok, now)
+		granted, refused := t.step.advice.callEnded(req, answer, ok, now)
+		c.policy.recordGrants(granted, refused)
 	}
 	d := Decision{Event: "advice_taken", Job: req.Task.Job, Task: req.Task, Age: now.Steady - req.sent}
 	if !ok {
@@ -119,26 +133,37 @@
 	c.callPolicy(now)
 }
 
-func (a *stepAdvice) callEnded(req AdviceRequest, answer Advice, ok bool, now Instant) {
+// callEnded records the answer to a call and returns how many workers were granted and refused
+// that were undecided before.
+func (a *stepAdvice) callEnded(req AdviceRequest, answer Advice, ok bool, now Instant) (granted, refused int) {
 	if !ok {
 		a.retryAt = now.Steady + adviceRetry<<min(a.failures, maxRetryDoublings)
 		a.failures++
-		return
+		return 0, 0
 	}
 	a.failures = 0
+	decided := 0
 	for _, id := range req.Workers {
 		if a.byID[id] == nil {
 			a.refused[id] = true
+			decided++
 		}
 	}
 	validity := req.terms.Validity
 	if answer.Validity > 0 {
 		validity = answer.Validity
 	}
-	margin := min(ticketMargin, time.Duration(ticketMarginShare*float64(validity)))
+	margin, before := marginOf(validity), len(a.granted)
 	for _, t := range answer.Tickets {
 		a.record(t.Worker, t.Text, ticketEnd(req.sent, validity, margin, now), margin)
 	}
+	granted = len(a.granted) - before
+	return granted, decided - granted
+}
+
+// marginOf returns how long a ticket must still be valid when it is used.
+func marginOf(validity time.Duration) time.Duration {
+	return min(ticketMargin, time.Duration(ticketMarginShare*float64(validity)))
 }
 
 // ticketEnd returns until when a ticket is valid, counted from the call. If the decision took
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -119,41 +119,57 @@
 	}
 }
 
+// policyBenchCore returns a core with 2,000 workers, all of which run long-running tasks, and steps
+// that wait for the placement policy.
+func policyBenchCore(b *testing.B, steps int, shape func(s *job.Step)) (*Core, Instant) {
+	b.Helper()
+	core := benchCore(b, 2000)
+	now := Instant{Steady: 2 * time.Second}
+	core.Renewed(now.Steady)
+	core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, MaxAttempts: 3, Advice: &policyTerms}}})
+	for i := range steps {
+		spec := simpleJob(2_000_000+i, 8)
+		shape(&spec.Steps[0])
+		core.AddJob(spec, nil, false, now)
+	}
+	core.Schedule(now)
+	return core, now
+}
+
 // BenchmarkPassWithPolicy measures a scheduling pass at 2,000 workers with steps that wait for the
-// placement policy, and the answer to a call with the choice of the next one.
+// placement policy, and the answer to a call with the choice of the next one: steps of eight tasks,
+// steps larger than any worker, and gangs of 250 spread over as many workers.
 func BenchmarkPassWithPolicy(b *testing.B) {
-	for _, steps := range []int{20, 100, 400} {
-		core := benchCore(b, 2000)
-		now := Instant{Steady: 2 * time.Second}
-		core.Renewed(now.Steady)
-		core.SetConfig(&job.Config{Version: 2, Queues: []job.Queue{{Name: "q", Service: "svc", Stretch: 2, MaxAttempts: 3, Advice: &policyTerms}}})
-		for i := range steps {
-			core.AddJob(simpleJob(2_000_000+i, 8), nil, false, now)
-		}
-		core.Schedule(now)
-		b.Run(fmt.Sprintf("pass/steps=%d", steps), func(b *testing.B) {
+	shapes := map[string]func(s *job.Step){
+		"small": func(*job.Step) {}, "unfit": func(s *job.Step) { s.CPUMilli = 20_000 },
+		"gang": func(s *job.Step) { s.Count, s.Gang, s.MaxPerWorker = 250, true, 1 },
+	}
+	for _, x := range []struct {
+		shape string
+		steps int
+	}{{"small", 20}, {"small", 100}, {"small", 400}, {"unfit", 400}, {"gang", 20}} {
+		b.Run(fmt.Sprintf("pass/%s/steps=%d", x.shape, x.steps), func(b *testing.B) {
+			core, now := policyBenchCore(b, x.steps, shapes[x.shape])
 			for b.Loop() {
 				now.Steady += 8 * time.Millisecond
 				core.Renewed(now.Steady)
 				core.Schedule(now)
 			}
 		})
-		b.Run(fmt.Sprintf("answer/steps=%d", steps), func(b *testing.B) {
-			requests := core.TakeAdviceRequests()
+		b.Run(fmt.Sprintf("answer/%s/steps=%d", x.shape, x.steps), func(b *testing.B) {
+			core, now := policyBenchCore(b, x.steps, shapes[x.shape])
 			for b.Loop() {
 				now.Steady += 100 * time.Millisecond
 				core.Renewed(now.Steady)
-				core.AdviceDone(requests[0], Advice{}, true, now) // all workers are refused
-				if requests = core.TakeAdviceRequests(); len(requests) == 0 {
-					b.StopTimer()
-					core.Schedule(now)
+				requests := core.TakeAdviceRequests()
+				if len(requests) == 0 { // all workers of all steps are refused
 					for _, s := range core.openSteps {
 						s.advice = newStepAdvice()
 					}
-					core.Schedule(now)
-					requests = core.TakeAdviceRequests()
-					b.StartTimer()
+					core.callPolicy(now)
+					continue
 				}
+				core.AdviceDone(requests[0], Advice{}, true, now)
 			}
 		})
 	}
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -114,6 +114,9 @@
 
 // endFaults ends all faults.
 func (s *sim) endFaults() {
+	if s.policy != nil {
+		s.policy.slowness, s.policy.failShare = 1, 0
+	}
 	s.endMoreFaults()
 	s.lossShare, s.failShare, s.storeDown = 0, 0, false
 	for dc := range s.evacuated {
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -3,7 +3,7 @@
 // placeGang starts all tasks of a gang at once, or none. A suspect gang is one with
 // members that may have crashed their workers; it is started apart from other suspects.
 func (c *Core) placeGang(s *stepRun, p *pool, now Instant) {
-	if s.ready < s.remaining || s.gangRun != 0 {
+	if !s.gangReady() {
 		return
 	}
 	for _, t := range s.tasks {
@@ -16,6 +16,7 @@
 	}
 	chosen, apart := c.chooseGangApart(s, p, now)
 	if chosen == nil {
+		c.logWaiting(s, p.workers, now)
 		return
 	}
 	for _, w := range chosen {
@@ -38,6 +39,9 @@
 	}
 }
 
+// gangReady reports whether all members of a gang can be started, and none is active.
+func (s *stepRun) gangReady() bool { return s.ready >= s.remaining && s.gangRun == 0 }
+
 // chooseGangApart chooses workers as chooseGang does; members of a suspect gang go to
 // workers where no other suspect was just started, unless the gang has waited for that
 // longer than starvedAfter.
@@ -75,23 +79,10 @@
 
 // fitGang returns workers with capacity for all tasks, or nil; it changes no worker.
 func (c *Core) fitGang(s *stepRun, pool []*worker, now Instant) []*worker {
-	amount := s.amount()
 	chosen := make([]*worker, 0, len(s.tasks))
-	skipSlow := s.avoidsSlow(now)
-	skipReserved := c.avoidsReserved(s, now)
+	v := c.plainView(s, now)
 	for _, w := range pool {
-		if now.Steady < w.slowUntil && skipSlow || w.isReserved && skipReserved || now.Steady < w.fullUntil || !s.allowed(w) {
-			continue
-		}
-		taken := resources{}
-		for here := 0; len(chosen) < len(s.tasks); here++ {
-			if s.spec.MaxPerWorker > 0 && s.perWork[w]+here >= s.spec.MaxPerWorker {
-				break
-			}
-			taken = taken.add(amount, 1)
-			if !w.fits(taken) {
-				break
-			}
+		for range c.gangSlots(s, w, v, len(s.tasks)-len(chosen), now) {
 			chosen = append(chosen, w)
 		}
 	}
@@ -100,3 +91,26 @@
 	}
 	return chosen
 }
+
+// gangSlots returns how many members of a gang a worker takes, at most so many.
+func (c *Core) gangSlots(s *stepRun, w *worker, v view, most int, now Instant) int {
+	if now.Steady < w.slowUntil && v.avoidsSlow || w.isReserved && v.avoidsReserved || now.Steady < w.fullUntil || !s.allowed(w) {
+		return 0
+	}
+	return s.slotsByCapacity(w, most)
+}
+
+// slotsByCapacity returns how many more tasks of a step fit a worker and the step's spread, at
+// most so many.
+func (s *stepRun) slotsByCapacity(w *worker, most int) int {
+	if s.spec.MaxPerWorker > 0 {
+		most = min(most, s.spec.MaxPerWorker-s.perWork[w])
+	}
+	amount, taken := s.amount(), resources{}
+	for slots := range max(most, 0) {
+		if taken = taken.add(amount, 1); !w.fits(taken) {
+			return slots
+		}
+	}
+	return max(most, 0)
+}
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -63,9 +63,15 @@
 	c.stop(a, reason, now)
 }
 
+// hasCapacityElsewhere reports whether a worker other than its own takes a task. Where the placement
+// policy decides, only workers that it has granted count.
 func (c *Core) hasCapacityElsewhere(t *task, now Instant) bool {
-	service := c.serviceOf(t.step.job.spec)
-	return c.choose(t, c.poolOf(service, now), c.plainView(t.step, now), now) != nil
+	q := c.settingsOf(t.step.job.spec)
+	workers := c.poolOf(q.Service, now)
+	if q.Advice != nil {
+		workers = c.grantedWorkers(t.step, q.Service, now, anyGrant)
+	}
+	return c.choose(t, workers, c.plainView(t.step, now), now) != nil
 }
 
 func (c *Core) workersInOrder() []*worker {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -65,6 +65,8 @@
 	// step first needs it; useKnown is set then. A pass changes it by a few per cent.
 	use      float64
 	useKnown bool
+	// fills is whether a worker runs fills, determined in the same way.
+	fills, fillsKnown bool
 	// withoutSuspects is the result of suspectFree, nil until a step of the pass needs it.
 	withoutSuspects *suspectFreePool
 }
@@ -79,6 +81,14 @@
 	return p.use
 }
 
+// hasFills reports whether a worker of the pool runs fills.
+func (p *pool) hasFills() bool {
+	if !p.fillsKnown {
+		p.fills, p.fillsKnown = slices.ContainsFunc(p.workers, func(w *worker) bool { return w.load.fillCPU > 0 }), true
+	}
+	return p.fills
+}
+
 // placeStep starts as many ready tasks of a step as there is capacity for.
 func (c *Core) placeStep(s *stepRun, p *pool, now Instant) {
 	queue := c.settingsOf(s.job.spec)
@@ -87,7 +97,7 @@
 	}
 	x := s.shape(queue.Service, c.viewOf(s, p, now))
 	if c.stillRefused(s, x, now) {
-		c.freeCapacity(s, queue.Priority, p.workers, now)
+		c.freeCapacity(s, queue.Priority, p, now)
 		return
 	}
 	var chosen *chooser
@@ -107,7 +117,7 @@
 			if p.whole == nil {
 				c.refusals.recordRefused(x)
 			}
-			c.freeCapacity(s, queue.Priority, p.workers, now)
+			c.freeCapacity(s, queue.Priority, p, now)
 			return
 		}
 		c.place(t, w, c.newRun(), now)
@@ -139,10 +149,14 @@
 }
 
 // freeCapacity preempts fills for a step that fits no worker, if that is due, and logs
-// why the step waits.
-func (c *Core) freeCapacity(s *stepRun, priority int, pool []*worker, now Instant) {
-	c.preempt(s, priority, pool, now)
-	c.logWaiting(s, pool, now)
+// why the step waits. A worker that the placement policy has granted needs no valid ticket for that.
+func (c *Core) freeCapacity(s *stepRun, priority int, p *pool, now Instant) {
+	workers := p.workers
+	if p.whole != nil {
+		workers = c.grantedWorkers(s, c.serviceOf(s.job.spec), now, anyGrant)
+	}
+	c.preempt(s, priority, workers, now)
+	c.logWaiting(s, workers, now)
 }
 
 // logWaiting logs, at most once per waitingPause, why ready tasks of a step do not start.
@@ -237,7 +251,7 @@
 // worker takes none.
 func (c *Core) rate(s *stepRun, w *worker, v view, now Instant) (float64, bool) {
 	slow := now.Steady < w.slowUntil
-	if slow && v.avoidsSlow || w.isReserved && v.avoidsReserved || now.Steady < w.fullUntil || !w.fits(s.amount()) || !s.allowed(w) {
+	if slow && v.avoidsSlow || w.isReserved && v.avoidsReserved || now.Steady < w.fullUntil || s.spec.Fills && now.Steady < w.keptUntil || !w.fits(s.amount()) || !s.allowed(w) {
 		return 0, false
 	}
 	score, ok := c.score(s, w, v.starved)
--- a/dispatch/policyqueue_test.go
+++ b/dispatch/policyqueue_test.go
@@ -188,3 +188,31 @@
 		}
 	}
 }
+
+// TestFaultsWithPolicy plays all faults of faultsRun and gangs on a queue whose policy grants half of
+// the VMs, fails to answer and becomes slow at times: nothing runs twice, and all jobs end.
+func TestFaultsWithPolicy(t *testing.T) {
+	seeds := uint64(8)
+	if testing.Short() {
+		seeds = 2
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := faultsRun(seed, func(s *sim) {
+				terms := policyTerms
+				terms.Validity = []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second}[seed%3]
+				p := s.withPolicy(terms)
+				p.failShare = 0.1
+				p.grants = func(_ string, w WorkerID) bool { return w[1]%2 == 0 } // by the place in the id
+				s.gangJobs, s.delayShare, s.notSentShare = true, 0.02, 0.02
+				s.extra = func(s *sim) { p.slowness = []float64{1, 1, 1, 10}[s.rng.IntN(4)] }
+				s.settleMore = 30 * time.Second
+			})
+			checkAll(t, s)
+			if s.policy.calls == 0 || s.policy.rejected > 0 {
+				t.Errorf("%d calls of the policy, %d were rejected", s.policy.calls, s.policy.rejected)
+			}
+		})
+	}
+}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -13,6 +13,9 @@
 	preemptPause = 700 * time.Millisecond
 	// preemptAtOnce is the maximum number of a step's tasks for which capacity is freed at once.
 	preemptAtOnce = 4
+	// keptForTicket is how long a worker takes no fills after it was preempted for a step that
+	// needs a ticket: the fill that was stopped would take its place before the ticket comes.
+	keptForTicket = 2 * time.Second
 	// preemptRetry is the minimum time between two searches for victims for one step;
 	// each walks over all workers, and what runs where changes little meanwhile.
 	preemptRetry = 100 * time.Millisecond
@@ -32,6 +35,9 @@
 		}
 		s.preemptedAt = now.Steady
 		w.noPreemptionUntil = now.Steady + preemptPause
+		if s.advice != nil {
+			w.keptUntil = now.Steady + keptForTicket
+		}
 		for _, a := range victims {
 			c.move(a, "makes room for more urgent work", now)
 		}
@@ -41,15 +47,10 @@
 // cheapestVictims returns the worker where the fewest fills must stop for one
 // task of the step, and those fills.
 func (c *Core) cheapestVictims(s *stepRun, priority int, pool []*worker, now Instant) (*worker, []*attempt) {
-	amount := s.amount()
 	var best *worker
 	var bestVictims []*attempt
 	for _, w := range pool {
-		if now.Steady < w.noPreemptionUntil || !s.allowed(w) || !w.fits(resources{cpu: amount.cpu, accelerators: amount.accelerators}) {
-			continue
-		}
-		lacking := w.used.memory + amount.memory - w.info.MemoryMiB
-		victims := c.victims(w, priority, lacking)
+		victims := c.victimsAt(s, w, priority, now)
 		if victims != nil && (best == nil || len(victims) < len(bestVictims)) {
 			best, bestVictims = w, victims
 		}
@@ -57,6 +58,15 @@
 	return best, bestVictims
 }
 
+// victimsAt returns the fills that must stop at a worker for one task of the step, or nil.
+func (c *Core) victimsAt(s *stepRun, w *worker, priority int, now Instant) []*attempt {
+	amount := s.amount()
+	if now.Steady < w.noPreemptionUntil || !s.allowed(w) || !w.fits(resources{cpu: amount.cpu, accelerators: amount.accelerators}) {
+		return nil
+	}
+	return c.victims(w, priority, w.used.memory+amount.memory-w.info.MemoryMiB)
+}
+
 // victims returns fills of less urgent queues that together hold the lacking
 // memory, the most slowed ones first; nil if there are not enough.
 func (c *Core) victims(w *worker, priority int, lacking int64) []*attempt {
--- a/dispatch/refusals.go
+++ b/dispatch/refusals.go
@@ -119,7 +119,7 @@
 // get tasks again: it is back in the pool, or no longer full or slow.
 func (c *Core) recordUnblocked(service string, now Instant) {
 	for _, w := range c.workersByService[service] {
-		g := placementBlocks{inPool: c.inPool(w, service, now), full: now.Steady < w.fullUntil, slow: now.Steady < w.slowUntil}
+		g := placementBlocks{inPool: c.inPool(w, service, now), full: now.Steady < max(w.fullUntil, w.keptUntil), slow: now.Steady < w.slowUntil}
 		if g.inPool && !w.placementBlocks.inPool || !g.full && w.placementBlocks.full || !g.slow && w.placementBlocks.slow {
 			c.refusals.recordChange(w, false)
 		}
--- a/dispatch/sim_policy_test.go
+++ b/dispatch/sim_policy_test.go
@@ -17,9 +17,11 @@
 	grants func(step string, w WorkerID) bool // nil grants all
 	// slowness is a factor of the time that calls take.
 	slowness float64
-	queue    map[*simOwner][]*simAdvice // the first one is being decided
-	waiting  map[*simOwner]int
-	tickets  map[simTicket]time.Duration // until when each is valid
+	// failShare of the calls get no answer.
+	failShare float64
+	queue     map[*simOwner][]*simAdvice // the first one is being decided
+	waiting   map[*simOwner]int
+	tickets   map[simTicket]time.Duration // until when each is valid
 
 	calls, rejected, refusedStarts int
 	asked                          []simPolicyCall
@@ -92,7 +94,7 @@
 			p.begin(p.queue[a.owner][0])
 		}
 		p.sim.later(time.Millisecond, func() {
-			if !a.over {
+			if !a.over && !p.sim.chance(p.failShare) {
 				a.over = true
 				a.done(answer, true)
 			}
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -70,7 +70,7 @@
 		w, separate := c.workerForSuspect(t, p, now)
 		if w == nil {
 			s.suspectRetryAt = now.Steady + suspectRetryInterval
-			c.freeCapacity(s, c.settingsOf(s.job.spec).Priority, p.workers, now)
+			c.freeCapacity(s, c.settingsOf(s.job.spec).Priority, p, now)
 			return
 		}
 		separate = separate && !w.startedRecently(now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -109,6 +109,7 @@
 	load                    workerLoad
 	sample                  sample
 	noPreemptionUntil       time.Duration // until then no more fill tasks are preempted here
+	keptUntil               time.Duration // until then it takes no fill tasks; see keptForTicket
 	fillAcceptance          float64       // see rateFillAcceptance
 	cordoned                bool          // its VM waits for maintenance: no new tasks
 	endedByMaintenance      bool          // the maintenance of its VM has ended this incarnation
--- a/node/policy_test.go
+++ b/node/policy_test.go
@@ -65,3 +65,13 @@
 		t.Errorf("%+v", stats)
 	}
 }
+
+// TestWideGangWithPolicy guards against a gang that spreads over more workers than one request
+// used to name, and that never starts.
+func TestWideGangWithPolicy(t *testing.T) {
+	const members = 32
+	c := newPolicyCell(t, wiretest.NewPolicy(10*time.Millisecond, time.Millisecond, 3*time.Second), members+2)
+	c.submit(0, id(1), fmt.Sprintf(`{"spec":"s","steps":[{"count":%d,"cpu":500,"mem_mb":100,"gang":true,"anti_affinity":1}]}`, members))
+	c.awaitState(0, id(1), "succeeded")
+	c.checkRuns()
+}
