Preemption: a standing step keeps the tasks that must stay available

Cause: each kind of move decided for itself whether to keep the bound of the step. Maintenance, drains and the clearing of reserved workers did; preemption, the moves of slowed fills and those off slow workers did not.

Evidence: TestPreemptionKeepsTasksAvailable on the code before: 4 to 12 of 12 tasks stopped for each bound of 1, 2 and 5, on several workers and on one; TestSlowedFillsStayAvailable: a second fill was moved.

Change: victims are chosen one by one, without those whose step would have too many unavailable tasks together with the victims before them; the other two moves ask task.mayStop.

Why it works: all callers of Core.move ask now, but for a worker that leaves, which the rule exempts; a task that is told to stop counts as unavailable from then on.

--- a/dispatch/maintenance_drain.go
+++ b/dispatch/maintenance_drain.go
@@ -117,8 +117,20 @@
 
 // mayStop reports whether a long-running task may be stopped: fewer than MaxUnavailable of
 // the others of its step may be unavailable.
-func (t *task) mayStop() bool {
-	return t.step.spec.MaxUnavailable == 0 || t.othersUnavailable() < t.step.spec.MaxUnavailable
+func (t *task) mayStop() bool { return t.mayStopWith(nil) }
+
+// mayStopWith is mayStop for a task that would be stopped at the same time as some attempts.
+func (t *task) mayStopWith(stopped []*attempt) bool {
+	if t.step.spec.MaxUnavailable == 0 || !t.step.spec.LongRunning {
+		return true
+	}
+	unavailable := t.othersUnavailable()
+	for _, a := range stopped {
+		if a.task.step == t.step && a.task.available() {
+			unavailable++
+		}
+	}
+	return unavailable < t.step.spec.MaxUnavailable
 }
 
 // othersUnavailable returns how many other tasks of a long-running step are unavailable.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -131,12 +131,13 @@
 }
 
 // shouldMove reports whether a slowed fill is to leave its worker without losing work: at
-// once if it can continue elsewhere, else after requeueAfter.
+// once if it can continue elsewhere, else after requeueAfter. A long-running one stays while
+// too many others of its step are unavailable.
 func (c *Core) shouldMove(a *attempt, now Instant) bool {
 	if a.slowedSince == 0 || !a.task.step.spec.Checkpoints || a.task.phase != phaseRunning || now.Steady-a.started <= moveAge {
 		return false
 	}
-	return now.Steady-a.slowedSince >= requeueAfter || c.hasCapacityElsewhere(a.task, now)
+	return a.task.mayStop() && (now.Steady-a.slowedSince >= requeueAfter || c.hasCapacityElsewhere(a.task, now))
 }
 
 // Parameters of paces that may not be in force.
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -68,7 +68,8 @@
 }
 
 // victims returns fills of less urgent queues that together hold the lacking
-// memory, the most slowed ones first; nil if there are not enough.
+// memory, the most slowed ones first; nil if there are not enough. No more long-running tasks
+// of a step are among them than may become unavailable.
 func (c *Core) victims(w *worker, priority int, lacking int64) []*attempt {
 	var fills []*attempt
 	for _, a := range w.attempts {
@@ -78,9 +79,14 @@
 		}
 	}
 	slices.SortStableFunc(fills, func(a, b *attempt) int { return cmp.Compare(a.wantedPace, b.wantedPace) })
-	for i, a := range fills {
+	var victims []*attempt
+	for _, a := range fills {
+		if !a.task.mayStopWith(victims) {
+			continue
+		}
+		victims = append(victims, a)
 		if lacking -= a.task.step.spec.MemoryMiB; lacking <= 0 {
-			return fills[:i+1]
+			return victims
 		}
 	}
 	return nil
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -146,7 +146,7 @@
 	}
 	c.pauseSlowWorker(w, now)
 	for _, a := range slices.Clone(w.attempts) {
-		if c.endsSoonerElsewhere(a, now) && c.hasCapacityElsewhere(a.task, now) {
+		if c.endsSoonerElsewhere(a, now) && a.task.mayStop() && c.hasCapacityElsewhere(a.task, now) {
 			a.task.speedMoves++
 			c.move(a, "its worker is slow", now)
 		}
