Placement policy: steps that wait for capacity do not count as work of the policy

Fills were preempted at a granted worker while others with capacity were still undecided. A ticket stayed with a step whose queue no longer consults the policy. The time given to a call ignored that the policy was known to be slow, so that each second call failed in a slow spell.

Change: only steps for which the last search found workers to ask about count for admission and are left out of the demand for capacity; nothing is preempted for them. Advice ends with the queue's terms. A call may take its expected time and the slack.

Measured: TestHopelessStepsDoNotBlockThePolicy and TestNoPreemptionWhileThePolicyIsAsked failed on (the policy taken to be busy for 4.3 s, a fill stopped), and pass.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -69,7 +69,7 @@
 		k.waiting = 0
 	}
 	for _, x := range list {
-		if !x.step.short() || x.rank.class != rankOnTime || x.step.awaitsPolicy {
+		if !x.step.short() || x.rank.class != rankOnTime || x.step.awaitsDecision() {
 			continue
 		}
 		if k := c.reservedCapacityOf(x.queue.Service); k.largest.fits(x.step) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,7 +40,9 @@
 			p = &pool{workers: c.poolOf(x.queue.Service, now)}
 			pools[x.queue.Service] = p
 		}
-		if x.queue.Advice != nil {
+		if x.queue.Advice == nil {
+			x.step.advice, x.step.awaitsPolicy = nil, false // a configuration may have ended it
+		} else {
 			p = &pool{workers: c.workersWithTicket(x.step, x.queue.Service, now.Steady, now), whole: p}
 		}
 		if x.step.spec.Gang {
@@ -149,13 +151,16 @@
 }
 
 // freeCapacity preempts fills for a step that fits no worker, if that is due, and logs
-// why the step waits. A worker that the placement policy has granted needs no valid ticket for that.
+// why the step waits. A worker that the placement policy has granted needs no valid ticket for
+// that, but none is preempted while the policy may still grant one with capacity.
 func (c *Core) freeCapacity(s *stepRun, priority int, p *pool, now Instant) {
 	workers := p.workers
 	if p.whole != nil {
 		workers = c.grantedWorkers(s, c.serviceOf(s.job.spec), now, anyGrant)
 	}
-	c.preempt(s, priority, workers, now)
+	if !s.awaitsDecision() {
+		c.preempt(s, priority, workers, now)
+	}
 	c.logWaiting(s, workers, now)
 }
 
--- a/dispatch/policyqueue.go
+++ b/dispatch/policyqueue.go
@@ -11,7 +11,7 @@
 // Limits of calls to the placement policy, a service that decides which workers may run a
 // step. It takes one call of a VM at a time.
 const (
-	// adviceSlack is how much longer than its terms a call may take. It doubles with each
+	// adviceSlack is how much longer than expected a call may take. It doubles with each
 	// consecutive call that failed, up to maxAdviceSlack: a policy that is slow still decides
 	// on calls that were given up, and the next one waits for that.
 	adviceSlack    = 600 * time.Millisecond
@@ -89,7 +89,7 @@
 	q.calling = true
 	q.callEnds = now.Steady + callTime(terms, workers, q.slowness)
 	slack := min(adviceSlack<<min(q.failures, maxRetryDoublings), maxAdviceSlack)
-	return nominalTime(terms, workers) + slack
+	return callTime(terms, workers, q.slowness) + slack
 }
 
 func (q *policyQueue) callEnded(req AdviceRequest, ok bool, now Instant) {
@@ -121,7 +121,7 @@
 		wait = max(q.callEnds-now.Steady, 0)
 	}
 	for _, x := range q.waiting {
-		if x.queue.Priority <= priority && x.step.awaitsPolicy && x.step.needsTickets() {
+		if x.queue.Priority <= priority && x.step.awaitsDecision() && x.step.needsTickets() {
 			wait += c.decisionTime(x)
 		}
 	}
@@ -135,6 +135,10 @@
 	return collectTime(x.queue.Advice, max(asked, 1), c.policy.slowness)
 }
 
+// awaitsDecision reports whether a decision of the policy may let tasks of the step start: it lacks
+// tickets, and the last search found workers to ask about. Otherwise it waits for capacity.
+func (s *stepRun) awaitsDecision() bool { return s.awaitsPolicy && s.advice.searches == 0 }
+
 // needsTickets reports whether a step that waits for the policy still does.
 func (s *stepRun) needsTickets() bool {
 	return s.ready > 0 && !s.job.cancelled && !s.job.progress.State.Final()
--- a/dispatch/policyqueue_test.go
+++ b/dispatch/policyqueue_test.go
@@ -216,3 +216,22 @@
 		})
 	}
 }
+
+// TestQueueWithoutPolicyAnyMore guards against tickets that are sent, and waited for, after a
+// configuration has ended the consultation of the policy.
+func TestQueueWithoutPolicyAnyMore(t *testing.T) {
+	core, now := idleCore(t, 2)
+	config := func(version int64, terms *job.AdviceTerms) {
+		core.SetConfig(&job.Config{Version: version, Queues: []job.Queue{{Name: "q", Service: "svc", MaxAttempts: 9, Stretch: 2, Advice: terms}}})
+	}
+	config(2, &policyTerms)
+	core.AddJob(simpleJob(1, 1), nil, false, now)
+	core.Schedule(now)
+	req := core.TakeAdviceRequests()[0]
+	config(3, nil)
+	core.Schedule(now)
+	core.AdviceDone(req, Advice{Tickets: []Ticket{{req.Workers[0], "t"}}}, true, now)
+	if list := starts(core); len(list) != 1 || list[0].Ticket != "" {
+		t.Errorf("starts %+v, want one without a ticket", list)
+	}
+}
--- a/dispatch/ticketplan_test.go
+++ b/dispatch/ticketplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -399,3 +400,57 @@
 		t.Error("a granted worker does not count")
 	}
 }
+
+// TestNoPreemptionWhileThePolicyIsAsked guards against fills that are stopped at a granted worker while
+// others have capacity that the policy has not decided on.
+func TestNoPreemptionWhileThePolicyIsAsked(t *testing.T) {
+	w := newTicketWorld(t, 40, policyTerms)
+	for i := range 10 {
+		spec := simpleJob(100+i, 1)
+		spec.Queue = "fills"
+		spec.Steps[0].Fills, spec.Steps[0].Checkpoints, spec.Steps[0].MemoryMiB, spec.Steps[0].EstimateMS = true, true, 7900, 600_000
+		w.core.AddJob(spec, nil, false, w.now)
+	}
+	w.run(5*time.Second, func() bool { return len(w.running) == 10 })
+	fills := maps.Clone(w.running)
+	spec := wideJob(1, 1, 0, false)
+	w.core.AddJob(spec, nil, false, w.now)
+	w.core.Schedule(w.now)
+	for _, at := range fills {
+		w.core.jobs[spec.ID].steps[0].advice.record(at, "", 0, 0)
+	}
+	if !w.run(10*time.Second, func() bool { return w.runningOf(spec.ID) == 1 }) {
+		t.Error("the task does not run")
+	}
+	for task, at := range fills {
+		if w.running[task] != at {
+			t.Errorf("%s was stopped at %s", task, at)
+		}
+	}
+}
+
+// TestHopelessStepsDoNotBlockThePolicy guards against steps that no worker takes and that count as work
+// of the policy: their number would have all other jobs refused.
+func TestHopelessStepsDoNotBlockThePolicy(t *testing.T) {
+	w := newTicketWorld(t, 20, policyTerms)
+	w.grants = func(id WorkerID) bool { return id < "w0010" }
+	for i := range 60 {
+		gang := wideJob(100+i, 200, 0, true)
+		large := wideJob(200+i, 1, 0, false)
+		large.Steps[0].CPUMilli = 5000
+		w.core.AddJob(gang, nil, false, w.now)
+		w.core.AddJob(large, nil, false, w.now)
+	}
+	spread := wideJob(400, 15, 1, false) // ten workers are granted
+	w.core.AddJob(spread, nil, false, w.now)
+	w.run(5*time.Second, func() bool { return false })
+	if wait := w.core.policyWait(leastUrgent, w.now); wait > 0 {
+		t.Errorf("the policy is taken to be busy for %v", wait)
+	}
+	spec := wideJob(1, 4, 0, false)
+	began := w.now.Steady
+	w.startWide("beside hopeless steps", spec, false)
+	if took := w.now.Steady - began; took > time.Second {
+		t.Errorf("a step started after %v", took)
+	}
+}
