Demo of jobs: the tasks of its long-running job keep running

Cause: the demo's stand-in workers ended each run after 0.1 s, those of long-running tasks too; they were started again at once. An explanation between an end and the next start shows no running task.

Change: runs of the long-running job work longer than the demo takes. The test is unchanged.

--- a/cmd/leverstile/jobsdemo.go
+++ b/cmd/leverstile/jobsdemo.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,7 +51,7 @@
 	defer store.Server.Close()
 	store.PutQueue(1, "pricing", "vendline")
 	for i := range demoJobWorkers {
-		w := wiretest.NewWorker(store, fmt.Sprintf("worker-%d", i), "vendline", demoTaskTime)
+		w := wiretest.StartWorker(store, wiretest.WorkerOptions{ID: fmt.Sprintf("worker-%d", i), Service: "vendline", Work: demoWork})
 		defer w.Server.Close()
 	}
 	d := &jobsDemo{out: out}
@@ -65,6 +66,14 @@
 	return d.runScenario(ctx)
 }
 
+// demoWork returns how long a run of a task works: those of the long-running job outlast the demo.
+func demoWork(task string) time.Duration {
+	if strings.HasPrefix(task, demoLongRunningID) {
+		return time.Hour
+	}
+	return demoTaskTime
+}
+
 type jobsDemo struct {
 	out     io.Writer
 	clients []jobsv1connect.JobsClient
