--- /dev/null
+++ b/dispatch/owner_loss_test.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"leverstile.dev/job"
+)
+
+const (
+	// lossAt is when workers are lost in a lossPlay; all tasks run by then.
+	lossAt = 6 * time.Second
+	// lossNoticed is the longest time from the loss of a worker until the store has its sealed
+	// entry: two unanswered polls, the pauses between them, and a write.
+	lossNoticed = 1500 * time.Millisecond
+	// takeoverTime is the time that a change of owner may add to the wait for lost workers: the
+	// owner's lease at the store, and 0.1 s to read the state.
+	takeoverTime = simTTL + 100*time.Millisecond
+	// elapsedDelay is the longest time of an owner that its successor does not count: up to a tick
+	// of the core, the pause between writes, and a write.
+	elapsedDelay = 160 * time.Millisecond
+	// lossWatched is how long a play goes on once all tasks run again.
+	lossWatched = 6 * time.Second
+)
+
+// lossPlay plays the loss of workers beside changes of owner.
+type lossPlay struct {
+	workers int // lost, of ten
+	lose    lossKind
+	change  ownerChange
+	// The first change is after the loss by first, negative before it; each later one after the
+	// previous one by every.
+	changes      int
+	first, every time.Duration
+	// storeDown: the store is down from 1 s after the first change, for 3 s.
+	storeDown bool
+	alter     func(s *sim)
+}
+
+// lossKind is how workers are lost.
+type lossKind struct {
+	name string
+	lose func(s *sim, i int)
+}
+
+// ownerChange is how an owner is replaced.
+type ownerChange struct {
+	name    string
+	replace func(s *sim)
+}
+
+var lossKinds = []lossKind{
+	{"gone", func(s *sim, i int) { s.lose(i) }},
+	{"dark", func(s *sim, i int) { s.lose(i); s.workers[i].cut = true }},
+	{"cut off", func(s *sim, i int) { s.workers[i].cut = true }},
+	{"cut off for 4 s", func(s *sim, i int) {
+		w := s.workers[i]
+		w.cut = true
+		s.later(4*time.Second, func() { w.cut = false })
+	}},
+	{"back under another id", func(s *sim, i int) { s.crash(i) }},
+}
+
+var ownerChanges = []ownerChange{
+	{"killed", func(s *sim) { s.owner.dead = true }},
+	{"cut off from the store", func(s *sim) { s.owner.storeUnreachable = true }},
+	{"frozen", func(s *sim) {
+		o := s.owner
+		o.paused = true
+		s.later(4*time.Second, func() { o.paused = false })
+	}},
+	{"restarted", func(s *sim) { s.restart(1) }},
+	{"replaced as planned", func(s *sim) { s.handOver() }},
+}
+
+// lose ends a worker for good; its entry lapses three seconds later.
+func (s *sim) lose(i int) {
+	w := s.workers[i]
+	w.advance()
+	s.oracle.crashed(w)
+	w.alive, w.running = false, map[job.TaskID]*simRun{}
+	s.entries = append(s.entries, oldEntry{w.info, s.now, s.now + 3*time.Second})
+}
+
+// lossResult is what a lossPlay shows.
+type lossResult struct {
+	broken []string
+	// waited is the longest time from the loss until a task of a lost worker ran at another one,
+	// takeovers the number of takeovers until then; all is false if some task never did.
+	waited    time.Duration
+	takeovers int
+	all       bool
+}
+
+func (p lossPlay) String() string {
+	return fmt.Sprintf("%d workers %s, owner %s %d times, first at %v, every %v, store down %v", p.workers, p.lose.name, p.change.name, p.changes, p.first, p.every, p.storeDown)
+}
+
+func (p lossPlay) play(seed uint64) lossResult {
+	s := newSim(seed, 10)
+	s.deadRefuse, s.stopBeforeHandover, s.longPolls = true, true, true
+	if p.alter != nil {
+		p.alter(s)
+	}
+	s.run(time.Second)
+	// A task at each worker has the owner poll all of them; those of lost workers can't run elsewhere.
+	everywhere := longRunningJob(1, len(s.workers))
+	everywhere.Steps[0].MaxPerWorker = 1
+	s.submit(everywhere)
+	s.run(time.Second)
+	spec := longRunningJob(2, 16)
+	spec.Steps[0].MaxPerWorker = 3
+	s.submit(spec)
+	next, left := lossAt+p.first, p.changes
+	change := func() {
+		for left > 0 && s.now >= next {
+			p.change.replace(s)
+			left, next = left-1, next+p.every
+		}
+	}
+	for s.now < lossAt {
+		change()
+		s.step()
+	}
+	lost := map[job.TaskID]bool{}
+	for i := range p.workers {
+		for id := range s.workers[i].running {
+			lost[id] = id.Job == spec.ID
+		}
+		p.lose.lose(s, i)
+	}
+	if p.storeDown {
+		s.later(p.first+time.Second, func() { s.storeDown = true })
+		s.later(p.first+4*time.Second, func() { s.storeDown = false })
+	}
+	result := lossResult{}
+	before := s.takeovers
+	for end := s.now + 60*time.Second; s.now < end && len(s.oracle.broken) == 0; {
+		change()
+		s.step()
+		if !result.all && s.runAgain(lost) {
+			result.all, result.waited, result.takeovers = true, s.now-lossAt, s.takeovers-before
+			end = s.now + lossWatched
+		}
+	}
+	result.broken = s.oracle.broken
+	return result
+}
+
+// runAgain reports whether all tasks run at workers that can be reached.
+func (s *sim) runAgain(tasks map[job.TaskID]bool) bool {
+	for id, awaited := range tasks {
+		runs := !awaited || slices.ContainsFunc(s.workers, func(w *simWorker) bool { return w.alive && !w.cut && w.running[id] != nil })
+		if !runs {
+			return false
+		}
+	}
+	return true
+}
+
+// lossSweep returns the number of seeds of each lossPlay, the numbers of lost workers and the step of
+// the moment at which the owner is replaced.
+func lossSweep() (seeds uint64, workers []int, step time.Duration) {
+	if testing.Short() {
+		return 1, []int{4}, 1500 * time.Millisecond
+	}
+	return 2, []int{1, 4}, 500 * time.Millisecond
+}
+
+// longestWait returns the longest wait of the plays of all seeds, and fails for broken guarantees.
+func longestWait(t *testing.T, p lossPlay) (waited time.Duration, takeovers int) {
+	t.Helper()
+	seeds, _, _ := lossSweep()
+	for seed := range seeds {
+		r := p.play(seed)
+		for _, b := range r.broken {
+			t.Errorf("%v, seed %d: %s", p, seed, b)
+		}
+		if !r.all {
+			t.Errorf("%v, seed %d: a task never runs again", p, seed)
+		}
+		if r.waited > waited {
+			waited, takeovers = r.waited, r.takeovers
+		}
+	}
+	return waited, takeovers
+}
+
+// TestLostWorkersDelayTheirTasksOnceWhileOwnersChange guards against a wait for the leases of lost
+// workers that each change of owner begins anew.
+func TestLostWorkersDelayTheirTasksOnceWhileOwnersChange(t *testing.T) {
+	_, counts, step := lossSweep()
+	for _, lose := range lossKinds[:3] {
+		for _, workers := range counts {
+			alone, _ := longestWait(t, lossPlay{workers: workers, lose: lose, change: ownerChanges[0]})
+			for _, change := range ownerChanges {
+				for _, changes := range []int{1, 2, 10} {
+					for first := lossNoticed; first <= 5*time.Second; first += step {
+						p := lossPlay{workers: workers, lose: lose, change: change, changes: changes, first: first, every: simTTL + time.Second}
+						waited, takeovers := longestWait(t, p)
+						if limit := alone + time.Duration(takeovers)*(takeoverTime+elapsedDelay); waited > limit {
+							t.Errorf("%v: a task ran again %v after the loss, %d takeovers later, want at most %v; without a change %v", p, waited, takeovers, limit, alone)
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- a/dispatch/reserved_test.go
+++ b/dispatch/reserved_test.go
@@ -229,6 +229,27 @@
 	}
 }
 
+// TestLostTaskTakesReservedCapacityAtOnce guards against a task that waits for reserved capacity after
+// it has waited for the leases of its lost worker.
+func TestLostTaskTakesReservedCapacityAtOnce(t *testing.T) {
+	core, now := reservingCore(t, 40)
+	spec := longRunningJob(1, 3)
+	spec.Steps[0].MaxPerWorker = 1
+	core.AddJob(spec, nil, false, now)
+	core.Schedule(now)
+	starts(core)
+	for _, w := range core.sortedWorkers {
+		w.isReserved = true
+	}
+	lost := core.jobs[spec.ID].steps[0].tasks[0].attempt
+	core.reservedCapacityOf("svc").workers = len(core.sortedWorkers)
+	core.releaseLost(lost.worker, []*attempt{lost}, "its leases are over", now)
+	core.Schedule(now)
+	if n := len(starts(core)); n != 1 {
+		t.Errorf("%d starts of the lost task, want 1", n)
+	}
+}
+
 // TestUrgentLongRunningTasksTakeReservedCapacity: capacity is not reserved from a queue that goes
 // before all short tasks.
 func TestUrgentLongRunningTasksTakeReservedCapacity(t *testing.T) {
