Logs and gauges of waits for lost workers

Cause: the log told neither for how long a new owner waits for a worker that it can't reach, nor that a step waits beside capacity which is reserved; the same reason stood for interference.

Change: recovery_waits for each unresolved worker that is unreached, with its tasks and the time left; step_waits counts the workers with room that are reserved; gauges of unresolved workers and of the longest wait.

Measured: TestWaitsForLostWorkersAreLogged, which the code before does not compile with or pass.

--- a/dispatch/owner_loss_test.go
+++ b/dispatch/owner_loss_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -209,3 +210,33 @@
 		}
 	}
 }
+
+// TestWaitsForLostWorkersAreLogged guards against waits whose reason the log does not tell: for the
+// leases of a lost worker, and for capacity that is reserved.
+func TestWaitsForLostWorkersAreLogged(t *testing.T) {
+	var log []Decision
+	now := Instant{Steady: time.Second}
+	core := recoveredCore(now, RosterEntry{ID: "w1", Address: "a", Closed: true, Tasks: []string{"j.0.0.0"}})
+	core.trace = func(d Decision) { log = append(log, d) }
+	for range unreachedAfter {
+		core.PollDone(PollRequest{Worker: "w1"}, PollReply{}, OutcomeUnknown, now)
+	}
+	find := func(event, reason string, age time.Duration) {
+		t.Helper()
+		if !slices.ContainsFunc(log, func(d Decision) bool {
+			return d.Event == event && strings.Contains(d.Reason, reason) && d.Age == age
+		}) {
+			t.Errorf("no %s with %q: %v", event, reason, log)
+		}
+	}
+	find("recovery_waits", "1 tasks wait", core.params.RecoveryWait)
+
+	core, now = reservingCore(t, 40)
+	core.trace = func(d Decision) { log = append(log, d) }
+	for _, w := range core.sortedWorkers {
+		w.isReserved = true
+	}
+	core.AddJob(longRunningJob(1, 1), nil, false, now)
+	core.Schedule(now)
+	find("step_waits", "40 workers with room are reserved for short tasks", 0)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -171,10 +172,13 @@
 	}
 	s.waitLoggedAt = now.Steady
 	reason, fits := "no worker takes work", false
+	avoidsReserved, reserved := c.avoidsReserved(s, now), 0
 	for _, w := range pool {
 		amount := s.amount()
 		switch {
 		case !s.allowed(w):
+		case w.fits(amount) && w.isReserved && avoidsReserved:
+			reserved++
 		case w.fits(amount):
 			reason = "it would hurt the tasks on each worker with room, or has no processor time there"
 			fits = true
@@ -188,6 +192,9 @@
 	if s.awaitsPolicy {
 		reason = c.policyWaitReason(s, service, now)
 	}
+	if reserved > 0 {
+		reason += fmt.Sprintf("; %d workers with room are reserved for short tasks", reserved)
+	}
 	if excluded := c.countExclusions(service, now).String(); excluded != "" {
 		reason += "; workers that get nothing: " + excluded
 	}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -225,6 +225,7 @@
 	w.unansweredCalls++
 	if w.failedPolls == unreachedAfter {
 		c.trace(Decision{Event: "worker_unreached", Worker: w.info.ID, Reason: outcome.String()})
+		c.logAwaited(w.info.ID, now)
 	}
 	return min(pollRetryMin<<min(w.failedPolls, 4), pollRetryMax)
 }
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -205,6 +206,28 @@
 // Recovering returns the number of workers of the previous owner that have not answered yet.
 func (c *Core) Recovering() int { return len(c.unresolved) }
 
+// RecoveryLeft returns the longest time for which an unresolved worker may still be waited for.
+func (c *Core) RecoveryLeft(now Instant) time.Duration {
+	var left time.Duration
+	for _, u := range c.unresolved {
+		left = max(left, u.until-now.Steady)
+	}
+	return left
+}
+
+// logAwaited logs what waits for an unresolved worker that does not answer, and for how long.
+func (c *Core) logAwaited(id WorkerID, now Instant) {
+	u, waits := c.unresolved[id]
+	if !waits {
+		return
+	}
+	reason := fmt.Sprintf("%d tasks wait until its leases are over", len(u.tasks))
+	if u.open {
+		reason = "all tasks that may have started wait until its leases are over"
+	}
+	c.trace(Decision{Event: "recovery_waits", Worker: id, Reason: reason, Age: max(u.until-now.Steady, 0)})
+}
+
 // recoverySlack is added to the wait for the previous owner's leases, for the
 // difference of clock rates and the duration of calls.
 const recoverySlack = 400 * time.Millisecond
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -97,6 +97,8 @@
 	n.ownerGauge("leverstile_copies_wasted_core_seconds_total", func(c *dispatch.Core) float64 { return c.Stats().CopiesWastedCoreSeconds })
 	n.ownerGauge("leverstile_tasks_suspected", func(c *dispatch.Core) float64 { return float64(c.Suspects()) })
 	n.ownerGauge("leverstile_crashers_given_up", func(c *dispatch.Core) float64 { return float64(c.Stats().CrashersGivenUp) })
+	n.ownerGauge("leverstile_recovery_unresolved_workers", func(c *dispatch.Core) float64 { return float64(c.Recovering()) })
+	n.ownerGauge("leverstile_recovery_wait_seconds", func(c *dispatch.Core) float64 { return c.RecoveryLeft(n.instant()).Seconds() })
 	n.registerPolicyMetrics()
 	n.ownerGauge("leverstile_overload_step", func(c *dispatch.Core) float64 {
 		load, _ := c.Load()
