Reserved capacity: the task of a lost worker takes it at once

Callers saw: a long-running task of a lost worker stood still beside free capacity (LOST), with and without a change of owner.

Cause: a long-running task takes capacity that is reserved for short tasks after it has been ready for 4 s. The task of a lost worker is ready only after the leases there are over, 5.2 s after the loss, so that both waits added up to 9.2 s; the users allow 9.

Evidence: step_waits names workers with room that are reserved, for the 4 s between recovery_done and the starts; TestLostTaskTakesReservedCapacityAtOnce failed before.

Change: a task whose last run ended without a report takes reserved capacity as soon as it is ready.

Why it works: the wait is to keep capacity for short tasks while nothing has happened; a task that was at work has waited already.

--- a/dispatch/reserved.go
+++ b/dispatch/reserved.go
@@ -171,7 +171,8 @@
 		return false
 	}
 	for _, t := range s.tasks {
-		if t.phase == phaseReady && now.Steady-t.readySince > reservedAfterTaskWait {
+		// The task of a lost worker has waited until its leases were over.
+		if t.phase == phaseReady && (t.endUnknown || now.Steady-t.readySince > reservedAfterTaskWait) {
 			return false
 		}
 	}
