Tests of odd entries of other writers

Cause: a report of other operators: one entry that is nested deeply, holds a number too large or a port out of range ended the machines that read the list, or they stopped following it.

The soak has another writer leave, replace and remove them.

Not tried: processes with the memory of the smallest VM.

--- a/node/damagedrecords_test.go
+++ b/node/damagedrecords_test.go
@@ -113,3 +113,36 @@
 	}
 	return value
 }
+
+// TestOddEntriesEndNoNode guards against a node that ends, or stops following the list of workers,
+// after another writer left an entry that is nested deeply or holds numbers out of range: in bulk,
+// replaced again and again, and in place of the records of owners.
+func TestOddEntriesEndNoNode(t *testing.T) {
+	c := newCell(t, 0, 1)
+	odd := wiretest.OddEntries(20_000)
+	for i, e := range odd {
+		c.store.Put(fmt.Sprintf("servers/i-odd-%d", i), e.Value)
+	}
+	c.nodes = append(c.nodes, c.startNode("entry-0"))
+	c.runJobs(1, 5)
+	for i := range 3 * len(odd) {
+		c.store.Put("servers/i-replaced", odd[i%len(odd)].Value)
+	}
+	c.workers = append(c.workers, wiretest.NewWorker(c.store, "i-after", "svc", 100*time.Millisecond))
+	c.workers[1].OnRun(c.recordRun)
+	next := 10
+	c.await("a start at the worker that is listed after the odd entries", func() bool {
+		next++
+		c.runJobs(next, next+1)
+		return len(c.workers[1].Starts()) > 0
+	})
+	for _, key := range []string{"roster/00000", "roster/00001", "seals", "elapsed", "learnt", "unheard", "queues", "settled"} {
+		c.store.Put("ls/own/"+key, odd[0].Value)
+	}
+	c.nodes[0].stop()
+	c.nodes = append(c.nodes, c.startNode("entry-1"))
+	c.awaitOwner(1)
+	c.submit(1, id(next+2), oneTask)
+	c.awaitState(1, id(next+2), "succeeded")
+	c.checkRuns()
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -41,9 +41,32 @@
 		time.Sleep(between(rng, time.Second, 4*time.Second))
 		faultSeries(rng, end, 2*time.Second, 7*time.Second, w.ownerFault)
 	})
+	running.Go(func() {
+		odd := wiretest.OddEntries(oddDepth)
+		faultSeries(w.rng(5), end, 100*time.Millisecond, time.Second, func(seed uint64) { w.oddEntry(seed, odd) })
+	})
 	running.Wait()
 }
 
+// oddDepth is how deep the entries of another writer are nested, oddEntryKeys how many it keeps.
+const (
+	oddDepth     = 20_000
+	oddEntryKeys = 4
+)
+
+// oddEntry has another writer leave an odd entry among those of the workers, where others are
+// replaced and removed.
+func (w *world) oddEntry(seed uint64, odd []wiretest.OddEntry) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	key, e := fmt.Sprintf("servers/odd-%d", rng.IntN(oddEntryKeys)), odd[rng.IntN(len(odd))]
+	if rng.IntN(4) == 0 {
+		w.store.Delete(key)
+		return
+	}
+	w.logFault(key, "entry: "+e.Name, 0)
+	w.store.Put(key, e.Value)
+}
+
 // rng returns one of the seed's random streams. Which process or call a fault affects still
 // depends on timing; the series themselves do not.
 func (w *world) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, stream)) }
