Seals in the roster: lost workers are waited for once, however many owners change

Callers saw: long-running tasks of lost workers had no run for 16 to 34 s, beside free capacity, when owners changed (LOST).

Cause: knowledge of one owner that ended with it. A next owner can't tell a worker that was lost under its predecessor from one that the predecessor, cut off from the store, may still extend leases at. So it waited for the longest right to extend, 10.1 s, for each worker that it could not reach, and each change began the wait anew.

The stored entry of a worker that does not answer bounds its leases, and no owner extends one there before the store has the entry without the seal. The elapsed time, measured by owners one after the other, is stored while tasks wait. An unbroken sequence of owners that keep to seals is recorded, so that versions can be mixed.

Why it works: an owner that reads a seal knows the last lease, whatever became of its predecessors; the time runs on from owner to owner and never ahead.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -129,6 +129,7 @@
 	// unknownPending is set while tasks in phaseUnknown wait for settleUnknown.
 	unknownPending bool
 	roster         roster
+	seals          seals
 	// evacuated holds the data centres whose workers get no new tasks.
 	evacuated map[string]bool
 	openSteps []*stepRun // steps with tasks that may start
@@ -263,7 +264,7 @@
 		workers: map[WorkerID]*worker{}, workersByVM: map[string][]*worker{}, incarnationsByName: map[string]*sameIDIncarnations{}, workersByService: map[string][]*worker{}, workersByRack: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slowCounts: map[string]*slowCount{}, ended: map[WorkerID]bool{}, recordedStarts: map[WorkerID][]recordedStart{}, unresolved: map[WorkerID]unresolvedWorker{},
 		roster: newRoster(), dirty: map[*jobState]uint64{}, waves: map[int64]*waveState{}, trace: trace,
 		model: newInterference(), demand: fillDemand{}, reservedCapacity: map[string]*reservedCapacity{}, runTimesByKey: map[runTimeKey]*runTimes{},
-		copyRules: copies.DefaultRules(), lateCopies: map[runTimeKey]*copies.Record{},
+		seals: seals{from: term}, copyRules: copies.DefaultRules(), lateCopies: map[runTimeKey]*copies.Record{},
 	}
 }
 
@@ -315,7 +316,8 @@
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
 	}
-	c.updateClosed()
+	c.updateEntries()
+	c.updateSeals(now)
 	c.roster.updateParts()
 	c.moveOffLeaving(now)
 	c.tickMaintenance(now)
--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -74,7 +74,7 @@
 		return exclusionStaleClock
 	case c.unguarded[w.info.Service] && c.params.MaxWorkerListAge > 0 && now.Steady-c.listedAt > c.params.MaxWorkerListAge:
 		return exclusionStaleCapacity
-	case !w.recorded:
+	case !w.recorded || w.sealed:
 		return exclusionUnrecorded
 	default:
 		return exclusionNone
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// workersLostBeforeOwners cuts workers off, and ends the owner once it has noticed that.
+func workersLostBeforeOwners(s *sim) {
+	s.longRunning = true
+	s.extra = func(s *sim) {
+		w := s.workers[s.rng.IntN(len(s.workers))]
+		w.cut = true
+		s.later(2*time.Second+s.within(6*time.Second), func() { w.cut = false })
+		s.later(time.Second+s.within(1500*time.Millisecond), func() { s.restart(1 + s.rng.IntN(3)) })
+	}
+}
+
 func lateWatches(s *sim) { s.lateWatches = true }
 
 func rereads(s *sim) {
@@ -166,6 +177,10 @@
 			name: "owners hand over", setup: handovers, played: func(s *sim) int { return s.handovers },
 			without: "an owner stops before it ends its lease", unguard: func(s *sim) { s.stopBeforeHandover, s.extra = false, (*sim).handOver },
 		},
+		{
+			name: "owners are lost after workers", setup: workersLostBeforeOwners, played: func(s *sim) int { return s.restarts },
+			without: "closed entries name what may run", unguard: func(s *sim) { s.dropTasks = true },
+		},
 		{
 			name: "owners hear of jobs late and twice", setup: lateWatches, played: func(*sim) int { return 1 },
 			without: "a replaced owner takes in no new jobs", unguard: func(s *sim) { s.params.OwnerTTL = s.params.OwnerHorizon },
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -164,7 +164,7 @@
 func (c *Core) startUnanswered(a *attempt, o Order, now Instant) {
 	c.stats.Unanswered++
 	again := a.ackClock == 0 && !a.stopping && a.tries < maxStartTries && a.worker.clockNow(now) < a.deadline &&
-		!a.worker.info.Draining && !c.evacuated[a.worker.info.DataCentre]
+		!a.worker.sealed && !a.worker.info.Draining && !c.evacuated[a.worker.info.DataCentre]
 	c.logTask("start_unanswered", a.task, a.worker, a.run, "")
 	if !again {
 		return // the next list after the deadline shows whether it runs
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -47,7 +47,9 @@
 	// polls only ask for its lists, so that its leases expire.
 	if (w.synced || w.partlyRead) && w.failedPolls == 0 {
 		r.DeadlineMS = c.deadlineIn(w, c.params.TaskLease-w.clockError(now), now)
-		if !idle && !w.mustAcknowledge() {
+		if w.sealed {
+			r.Wait = pollWaitSealed
+		} else if !idle && !w.mustAcknowledge() {
 			r.Wait = w.pollWait(c.overload.load, !c.params.NoCopies)
 			if wait := w.pollWaitForRecentRuns(now); wait < r.Wait {
 				r.Wait, r.ForLease = wait, true
@@ -141,6 +143,7 @@
 		c.sync(w, request, reply, now)
 	}
 	w.advanceStoredEnd()
+	c.updateEntry(w)
 	c.followEnds(w)
 	if len(w.ends) > 0 || !fresh || w.mustAcknowledge() && w.acknowledgement(now) == 0 {
 		return pollPauseUnstoredEnds
@@ -226,6 +229,7 @@
 	if w.failedPolls == unreachedAfter {
 		c.trace(Decision{Event: "worker_unreached", Worker: w.info.ID, Reason: outcome.String()})
 		c.logAwaited(w.info.ID, now)
+		c.updateEntry(w)
 	}
 	return min(pollRetryMin<<min(w.failedPolls, 4), pollRetryMax)
 }
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -24,20 +24,22 @@
 	slices.SortFunc(list, func(a, b RosterEntry) int { return cmp.Compare(a.ID, b.ID) }) // workers are kept in this order
 	for _, e := range list {
 		if first, duplicate := c.unresolved[e.ID]; duplicate {
-			c.recoverDuplicate(first, e)
+			c.recoverDuplicate(first, e, now)
 			continue
 		}
-		u := unresolvedWorker{until: now.Steady + c.recoveryWaitFor(e.ID), open: !e.Closed, tasks: map[string]bool{}}
+		u := unresolvedWorker{until: c.recoveryEnd(e, now), open: !e.Closed, tasks: map[string]bool{}}
 		for _, id := range e.Tasks {
 			u.tasks[id] = true
 		}
 		c.unresolved[e.ID] = u
+		e.sealed = c.trusts(e.Seal)
 		c.roster.set(e)
 		if e.Closed {
 			c.roster.storedTasks[e.ID] = parseTasks(e.Tasks)
 		}
 		c.recoverLost(e, now)
-		c.addWorker(WorkerInfo{ID: e.ID, Address: e.Address, VM: e.VM}, now).recorded = u.open
+		w := c.addWorker(WorkerInfo{ID: e.ID, Address: e.Address, VM: e.VM}, now)
+		w.recorded, w.sealed = u.open, e.sealed
 		if u.open {
 			c.openUnresolved++
 		}
@@ -50,7 +52,10 @@
 // recoverDuplicate merges a second entry of a worker: the worker was dropped from one part of
 // the roster and added to another, and the first part was not written since. The tasks of both
 // entries may run there.
-func (c *Core) recoverDuplicate(u unresolvedWorker, e RosterEntry) {
+func (c *Core) recoverDuplicate(u unresolvedWorker, e RosterEntry, now Instant) {
+	u.until = max(u.until, c.recoveryEnd(e, now))
+	e.sealed = c.trusts(e.Seal)
+	c.workers[e.ID].sealed = c.workers[e.ID].sealed || e.sealed
 	for _, id := range e.Tasks {
 		u.tasks[id] = true
 	}
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -21,6 +21,10 @@
 	Tasks  []string `json:"tasks,omitempty"`
 	// RecentRuns are the runs of which one may have crashed the worker, if it has crashed.
 	RecentRuns []LostRun `json:"young,omitempty"`
+	// Seal is set while no owner extends leases at the worker.
+	Seal *Seal `json:"seal,omitempty"`
+	// sealed is set if the entry is to be stored with a seal.
+	sealed bool
 	// part is the number of the part that holds the entry.
 	part int
 }
@@ -33,9 +37,10 @@
 type RosterPart struct {
 	Number int
 	Value  []byte
-	// open are the workers with open entries in the part, closed the tasks in closed entries.
-	open   []WorkerID
-	closed map[WorkerID]taskSet
+	// open are the workers with open entries in the part, unsealed those without a seal, closed
+	// the tasks in closed entries.
+	open, unsealed []WorkerID
+	closed         map[WorkerID]taskSet
 }
 
 // taskSet is a set of tasks.
@@ -129,30 +134,41 @@
 	r.markStale(e.part)
 }
 
-// updateClosed closes the entries of workers that get no starts, and reopens them
-// afterwards. Otherwise all tasks wait after a takeover for a worker that left long ago,
-// since any of them may have been started there: ten seconds in 2 of 27 takeovers of a day
-// with rolling restarts.
-func (c *Core) updateClosed() {
+// updateEntries updates the entries of all workers; see updateEntry.
+func (c *Core) updateEntries() {
 	for _, w := range c.sortedWorkers {
-		e, ok := c.roster.entries[w.info.ID]
-		if _, waits := c.unresolved[w.info.ID]; !ok || waits {
-			continue // what the previous owner started there is not known yet
-		}
-		if closed := c.getsNoStarts(w); closed != e.Closed {
-			w.recorded = false // until an open entry is stored
-			e.Closed, e.Tasks = closed, nil
-			delete(c.roster.storedTasks, w.info.ID)
-			c.roster.put(e)
-		}
+		c.updateEntry(w)
+	}
+}
+
+// updateEntry closes the entry of a worker that gets no starts, and reopens it afterwards.
+// Otherwise all tasks wait after a takeover for a worker that left long ago, since any of them may
+// have been started there: ten seconds in 2 of 27 takeovers of a day with rolling restarts. The
+// entry of a worker that does not answer is sealed; see Seal.
+func (c *Core) updateEntry(w *worker) {
+	e, ok := c.roster.entries[w.info.ID]
+	if !ok {
+		return
+	}
+	closed, sealed := w.getsNoStarts() || e.Closed && !w.synced, w.mustSeal(e)
+	if c.Awaits(w.info.ID) {
+		closed = e.Closed // what the previous owner started there is not known yet
+	}
+	if closed != e.Closed {
+		w.recorded = false // until an open entry is stored
+		e.Tasks = nil
+		delete(c.roster.storedTasks, w.info.ID)
+	}
+	if closed != e.Closed || sealed != e.sealed {
+		e.Closed, e.sealed = closed, sealed
+		c.roster.put(e)
 	}
 }
 
 // getsNoStarts reports whether a worker gets no starts for longer than it takes to
 // write the roster.
-func (c *Core) getsNoStarts(w *worker) bool {
-	silent := w.unreached() && w.unansweredCalls >= unreachedAfter
-	return w.info.Draining || !w.listed || silent || w.endReason != ""
+func (w *worker) getsNoStarts() bool {
+	return w.info.Draining || !w.listed || w.isSilent() || w.endReason != ""
 }
 
 // tasksAt returns the tasks that may be running at a worker, or whose end the
@@ -215,6 +231,11 @@
 		if !e.Closed {
 			part.open = append(part.open, id)
 		}
+		if e.Seal = c.sealOf(e); e.Seal == nil {
+			part.unsealed = append(part.unsealed, id)
+		} else {
+			c.workers[id].sealed = true
+		}
 		name, born := e.ID.split()
 		e.ID, e.Born = WorkerID(name), born
 		list = append(list, e)
@@ -234,6 +255,11 @@
 				w.recorded = true
 			}
 		}
+		for _, id := range part.unsealed {
+			if w := c.workers[id]; w != nil {
+				w.sealed = false
+			}
+		}
 		for id, tasks := range part.closed {
 			if e, ok := c.roster.entries[id]; ok && e.Closed {
 				c.roster.storedTasks[id] = tasks
--- /dev/null
+++ b/dispatch/seal.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Seal bounds the leases at a worker that its owner can't reach. While the stored entry of a worker
+// has one, no owner extends a lease there: an owner gives the worker no deadline before the store
+// has an entry without the seal. So the next owner waits for the last leases only, however its
+// predecessors ended.
+type Seal struct {
+	// Term is the term of the owner that stored the seal.
+	Term uint64 `json:"term"`
+	// ExpiresMS is the elapsed time, see seals, from which no lease lasts at the worker.
+	ExpiresMS int64 `json:"expires_ms"`
+}
+
+// seals holds what an owner needs to read the seals of its predecessors and to set its own.
+//
+// The elapsed time is the time that successive owners have measured, each on its steady clock. A
+// new owner goes on from the newest stored reading. It runs behind the real time by what passes
+// between that reading and the takeover, so that a seal never expires too early.
+type seals struct {
+	// base is the elapsed time at the steady time start.
+	base, start time.Duration
+	// from is the first term of owners that count the same elapsed time and keep to seals.
+	from uint64
+	// needed is the steady time until which a next owner may wait for a seal, storedAt is when a
+	// reading was last encoded for the store. due is set if another one is to be stored.
+	needed, storedAt time.Duration
+	due              bool
+}
+
+// elapsedInterval is the minimum time between two stored readings of the elapsed time. A next owner
+// does not count the time since the newest one.
+const elapsedInterval = 100 * time.Millisecond
+
+// elapsedRecord is a reading of the elapsed time as it is stored.
+type elapsedRecord struct {
+	MS int64 `json:"ms"`
+	// From is the first term of owners that count this time.
+	From uint64 `json:"from"`
+}
+
+// RecoverSeals reads the stored reading of the elapsed time, nil if there is none. It precedes
+// Recover. from is the first term of an unbroken sequence of owners that keep to seals, up to this
+// one; seals of earlier terms don't count.
+func (c *Core) RecoverSeals(value []byte, from uint64, now Instant) error {
+	c.seals = seals{start: now.Steady, from: c.term, storedAt: now.Steady}
+	if value == nil {
+		return nil
+	}
+	var r elapsedRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return err
+	}
+	c.seals.base = time.Duration(r.MS) * time.Millisecond
+	c.seals.from = max(from, r.From)
+	return nil
+}
+
+// elapsedAt returns the elapsed time at a steady time.
+func (c *Core) elapsedAt(t time.Duration) time.Duration { return c.seals.base + t - c.seals.start }
+
+// ElapsedDue reports whether a reading of the elapsed time is to be stored, for a next owner.
+func (c *Core) ElapsedDue() bool { return c.seals.due }
+
+// Elapsed returns a reading of the elapsed time for the store, nil if none is due.
+func (c *Core) Elapsed(now Instant) ([]byte, error) {
+	if !c.seals.due {
+		return nil, nil
+	}
+	c.seals.due, c.seals.storedAt = false, now.Steady
+	return json.Marshal(elapsedRecord{MS: c.elapsedAt(now.Steady).Milliseconds(), From: c.seals.from})
+}
+
+// updateSeals determines whether a reading of the elapsed time is due: while tasks wait for the
+// leases of a worker with a seal.
+func (c *Core) updateSeals(now Instant) {
+	c.seals.needed = 0
+	for _, w := range c.sortedWorkers {
+		if e := c.roster.entries[w.info.ID]; e.sealed && (len(w.attempts) > 0 || c.Awaits(w.info.ID)) {
+			c.seals.needed = max(c.seals.needed, c.leasesEnd(w))
+		}
+	}
+	c.seals.due = c.seals.due || now.Steady < c.seals.needed+elapsedInterval && now.Steady-c.seals.storedAt >= elapsedInterval
+}
+
+// sealOf returns the seal to store with an entry, nil if the entry is not sealed.
+func (c *Core) sealOf(e RosterEntry) *Seal {
+	if !e.sealed {
+		return nil
+	}
+	end := c.elapsedAt(c.leasesEnd(c.workers[e.ID]))
+	return &Seal{Term: c.term, ExpiresMS: max(end, 0).Milliseconds() + 1}
+}
+
+// leasesEnd returns the steady time from which no lease lasts at a worker, unless this owner extends
+// one.
+func (c *Core) leasesEnd(w *worker) time.Duration {
+	end := time.Duration(0)
+	if w.lastDeadline > 0 {
+		end = w.passes(w.lastDeadline)
+	}
+	if w.info.ID.Born() != 0 && w.leaseSent > 0 {
+		end = max(end, c.nextIncarnationLeaseEnd(w)+startWindow) // a start may be sent again within its window
+	}
+	if u, waits := c.unresolved[w.info.ID]; waits {
+		end = max(end, u.until)
+	}
+	return end
+}
+
+// trusts reports whether all owners since a seal was stored have kept to it.
+func (c *Core) trusts(s *Seal) bool { return s != nil && s.Term >= c.seals.from }
+
+// recoveryEnd returns the steady time from which no lease of earlier owners lasts at the worker of a
+// stored entry.
+func (c *Core) recoveryEnd(e RosterEntry, now Instant) time.Duration {
+	longest := now.Steady + c.recoveryWaitFor(e.ID)
+	if !c.trusts(e.Seal) {
+		return longest
+	}
+	left := time.Duration(e.Seal.ExpiresMS)*time.Millisecond - c.elapsedAt(now.Steady)
+	return min(longest, now.Steady+max(left, 0)+clockMargin)
+}
+
+// mustSeal reports whether the stored entry of a worker is to have a seal: while the worker does not
+// answer, and until its lists are read.
+func (w *worker) mustSeal(e RosterEntry) bool {
+	return w.isSilent() || e.sealed && !w.synced && !w.partlyRead
+}
+
+// isSilent reports whether the worker did not answer the newest calls.
+func (w *worker) isSilent() bool { return w.unreached() && w.unansweredCalls >= unreachedAfter }
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -56,8 +56,13 @@
 // worker's id can have taken from calls meant for this one. Their deadlines are far ahead on its
 // clock, so that they last for as long as a worker accepts.
 func (c *Core) nextIncarnationExpired(w *worker, now Instant) bool {
+	return now.Steady > c.nextIncarnationLeaseEnd(w)
+}
+
+// nextIncarnationLeaseEnd returns the steady time from which none of these leases lasts.
+func (c *Core) nextIncarnationLeaseEnd(w *worker) time.Duration {
 	longest := time.Duration(float64(c.params.MaxTaskLease)/clockRate) + clockMargin
-	return now.Steady > w.leaseSent+maxCallDelay+longest
+	return w.leaseSent + maxCallDelay + longest
 }
 
 // releaseAllLost releases all attempts at a worker: none of them can be running.
--- a/dispatch/sim_worker_test.go
+++ b/dispatch/sim_worker_test.go
@@ -20,7 +20,9 @@
 	failsAll bool // all its runs fail
 	// cutAbove, if set, loses only calls of later terms: the next owner can't reach a
 	// worker that this one reaches.
-	cutAbove  uint64
+	cutAbove uint64
+	// cutBelow, if set, loses the calls of this term and those before.
+	cutBelow  uint64
 	term      uint64
 	lease     int64
 	running   map[job.TaskID]*simRun
--- a/dispatch/startrecord.go
+++ b/dispatch/startrecord.go
@@ -50,7 +50,7 @@
 		a := u.attempt
 		switch {
 		case a.task.attempt != a || a.stopping:
-		case now.Steady-a.placedAt > startWindow || !a.hasValidTicket(now) || a.worker.info.Draining || c.evacuated[a.worker.info.DataCentre]:
+		case now.Steady-a.placedAt > startWindow || !a.hasValidTicket(now) || a.worker.sealed || a.worker.info.Draining || c.evacuated[a.worker.info.DataCentre]:
 			c.logGivenUp("start_not_sent", a, "its record was not stored in time, its ticket has expired, or its worker gets no more starts", "", now.Steady-a.placedAt)
 			c.release(a, now)
 		case a.task.step.job.persisted < u.version:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,6 +21,9 @@
 	// others only for ends and to renew the lease; see also pollWaitCopies.
 	pollWaitWatched = 450 * time.Millisecond
 	pollWaitDefault = 1500 * time.Millisecond
+	// pollWaitSealed is the wait of polls that extend no lease, since the worker's stored entry
+	// may be sealed: the next one may extend it.
+	pollWaitSealed = 100 * time.Millisecond
 	// unansweredPollTime is the time that an unanswered poll takes beyond its wait until the
 	// next one renews the lease: its timeout, the pause, and a poll that renews no lease.
 	unansweredPollTime = 900 * time.Millisecond
@@ -121,6 +124,7 @@
 	overTarget              time.Duration   // how long a task was over its target, by the newest list
 	paceScale               float64         // factor on the paces of its fill tasks, from 0.05 to 1
 	recorded                bool            // the stored roster has an open entry of it; see roster
+	sealed                  bool            // the stored entry may have a seal; see Seal
 	placementBlocks         placementBlocks // as of the latest pass
 }
 
@@ -221,13 +225,23 @@
 // deadlinePassed reports whether the worker's clock has passed a deadline even if
 // it runs as slowly as allowed.
 func (w *worker) deadlinePassed(deadline int64, now Instant) bool {
+	return now.Steady > w.passes(deadline)
+}
+
+// passes returns the steady time by which the worker's clock has passed a deadline, even if it runs
+// as slowly as allowed.
+func (w *worker) passes(deadline int64) time.Duration {
 	left := time.Duration(float64(deadline-w.clock)/clockRate) * time.Millisecond
-	return now.Steady > w.clockAt+left+clockMargin
+	return w.clockAt + left + clockMargin
 }
 
 // deadlineIn returns a deadline on the worker's clock that is the given time ahead,
-// but not beyond the owner's right to give orders; 0 if that right has ended.
+// but not beyond the owner's right to give orders; 0 if that right has ended, or the stored entry of
+// the worker may be sealed.
 func (c *Core) deadlineIn(w *worker, ahead time.Duration, now Instant) int64 {
+	if w.sealed {
+		return 0
+	}
 	clock := w.clockNow(now)
 	deadline := min(clock+min(ahead, c.params.MaxTaskLease).Milliseconds(), w.minClockAt(c.validUntil))
 	if deadline <= clock {
--- a/node/election.go
+++ b/node/election.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 	"github.com/rs/xid"
+	"golang.org/x/sync/errgroup"
 
 	"leverstile.dev/dispatch"
 	"leverstile.dev/kv"
@@ -231,13 +232,28 @@
 	// endedTerm is the term of the previous owner if that was an earlier process of this
 	// entry, which has ended; 0 otherwise.
 	endedTerm uint64
+	// sealsFrom is the first term of the unbroken sequence of owners that keep to seals.
+	sealsFrom uint64
 }
 
 // acquire tries to become the owner. It returns nil without an error if
 // another entry won.
 func (e *election) acquire(ctx context.Context, s leadState) (*ownership, error) {
-	term, termRev, err := e.readTerm(ctx)
-	if err != nil {
+	var (
+		term    uint64
+		termRev int64
+		seals   sealsRecord
+		group   errgroup.Group
+	)
+	group.Go(func() (err error) {
+		term, termRev, err = e.readTerm(ctx)
+		return err
+	})
+	group.Go(func() (err error) {
+		seals, err = e.readSeals(ctx)
+		return err
+	})
+	if err := group.Wait(); err != nil {
 		return nil, err
 	}
 	sent := e.node.clock()
@@ -257,6 +273,12 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	seals = seals.next(won.lead.Term)
+	won.sealsFrom = seals.From
+	sealsValue, err := json.Marshal(seals)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	res, err := e.node.store.Do(ctx, kv.Txn{
 		If: []kv.Compare{
 			{Key: leadKey, Missing: s.modRevision == 0, ModRevision: s.modRevision},
@@ -266,6 +288,7 @@
 			kv.Put(leadKey, value, lease),
 			kv.Put(termKey, strconv.AppendUint(nil, won.lead.Term+dispatch.TokensPerTerm-1, 10), 0),
 			kv.Put(chainKey, value, 0),
+			kv.Put(sealsKey, sealsValue, 0),
 		},
 	})
 	if err != nil {
--- a/node/load.go
+++ b/node/load.go
@@ -53,6 +53,7 @@
 	}
 	core := dispatch.New(o.recoveryParams(s.own.pairs), o.own.lead.Term, n.logDecision)
 	now := n.instant()
+	o.recoverSeals(core, s.own.pairs, now)
 	o.rosterMarked = n.readRoster(core, s.own.pairs, now)
 	n.recoverRecords(core, s.own.pairs)
 	o.loadWaveRecords(s.own.pairs)
--- a/node/owner.go
+++ b/node/owner.go
@@ -181,7 +181,9 @@
 }
 
 // changed reports whether the core has changes that the store lacks.
-func changed(c *dispatch.Core) bool { return c.Dirty() || c.RosterStale() || c.QueuesStale() }
+func changed(c *dispatch.Core) bool {
+	return c.Dirty() || c.RosterStale() || c.QueuesStale() || c.ElapsedDue()
+}
 
 func (o *owner) now() dispatch.Instant { return o.node.instant() }
 
--- a/node/record.go
+++ b/node/record.go
@@ -87,8 +87,15 @@
 		if queues != nil {
 			capacity--
 		}
+		if o.core.ElapsedDue() {
+			capacity--
+		}
 		records, err = o.core.Records(capacity)
 	}
+	var elapsed []byte
+	if err == nil {
+		elapsed, err = o.core.Elapsed(o.now())
+	}
 	var models []byte
 	if now := o.now(); err == nil && o.core.ModelsDue(now) {
 		models, err = o.core.EncodeModels(now)
@@ -106,7 +113,7 @@
 		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
 		return false
 	}
-	if len(records) == 0 && len(roster) == 0 && unread == nil && queues == nil && wave == nil && !settled {
+	if len(records) == 0 && len(roster) == 0 && unread == nil && queues == nil && elapsed == nil && wave == nil && !settled {
 		// The stored models are due at each idle flush; the removal of old records must not
 		// wait for a flush without them.
 		if removed := o.removeExpired(ctx); !removed || models == nil {
@@ -118,6 +125,9 @@
 	if queues != nil {
 		ops = append(ops, kv.Put(queuesKey, queues, 0))
 	}
+	if elapsed != nil {
+		ops = append(ops, kv.Put(elapsedKey, elapsed, 0))
+	}
 	if settled {
 		ops = append(ops, kv.Put(settledKey, strconv.AppendUint(nil, o.own.lead.Term, 10), 0))
 	}
--- a/node/store.go
+++ b/node/store.go
@@ -80,6 +80,10 @@
 	// settledKey holds the term of the last owner that had resolved all workers of its
 	// predecessors: none of them can extend a lease any more.
 	settledKey = "ls/own/settled"
+	// sealsKey holds, as sealsRecord, since which term owners keep to the seals in the roster,
+	// and elapsedKey the elapsed time by which these expire.
+	sealsKey   = "ls/own/seals"
+	elapsedKey = "ls/own/elapsed"
 	// learntKey holds the owner's stored models: the estimates of run times and interference,
 	// and the demand of short tasks.
 	learntKey = "ls/own/learnt"
