Idle workers are polled while most of the polled ones are silent

Cause: an owner gives up runs at silent workers only while it reaches at least half of the others, and counts those that it has polled within 3 s. Workers without tasks are polled once a minute.

Change: while most of the counted workers are silent, idle ones whose answer is older than 2 s are polled too.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -103,8 +103,10 @@
 	// unstoredEnds are the workers with ends that are not stored yet.
 	unstoredEnds map[*worker]bool
 	reach        reach
-	slowCounts   map[string]*slowCount // by service
-	checkCounts  checkCounts
+	// reachUndecided is set while most workers that were polled recently are silent.
+	reachUndecided bool
+	slowCounts     map[string]*slowCount // by service
+	checkCounts    checkCounts
 	// incarnationsByName holds the incarnations of each worker's id.
 	incarnationsByName map[string]*sameIDIncarnations
 	// ended holds incarnations that have ended and may still be listed.
@@ -316,6 +318,7 @@
 	for _, w := range c.workersInOrder() {
 		c.tickWorker(w, now)
 	}
+	c.updateReach(now)
 	c.updateEntries(now)
 	c.roster.updateParts()
 	c.moveOffLeaving(now)
--- a/dispatch/owner_loss_test.go
+++ b/dispatch/owner_loss_test.go
@@ -350,3 +350,35 @@
 		})
 	}
 }
+
+// TestMostBusyWorkersAreLostBesideIdleOnes guards against tasks that wait until idle workers, which
+// are rarely polled, show that the owner reaches others.
+func TestMostBusyWorkersAreLostBesideIdleOnes(t *testing.T) {
+	s := newSim(0, 10)
+	s.run(time.Second)
+	spec := longRunningJob(1, 16)
+	spec.Steps[0].MaxPerWorker = 3
+	s.submit(spec)
+	s.run(lossAt)
+	busy := 0
+	lost := map[job.TaskID]bool{}
+	for _, w := range s.workers {
+		if len(w.running) == 0 {
+			continue
+		}
+		if busy++; busy > 2 { // the others stay
+			w.cut = true
+			for id := range w.running {
+				lost[id] = true
+			}
+		}
+	}
+	since := s.now
+	for !s.runAgain(lost) && s.now < since+time.Minute {
+		s.step()
+	}
+	const leases = 6 * time.Second // 5 s at a clock that runs 2% slow, two polls, one tick
+	if waited := s.now - since; waited > leases {
+		t.Errorf("%d tasks at %d of %d busy workers ran again %v after the loss, want at most %v", len(lost), busy-2, busy, waited, leases)
+	}
+}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -38,7 +38,7 @@
 	}
 	// A worker whose last task has ended gets one more poll, so that it forgets the end.
 	idle := w.synced && len(w.attempts) == 0 && len(w.unexpected) == 0 && len(w.ends) == 0 && w.acknowledgedEnd >= w.storedEnd
-	if idle && now.Steady-w.clockAt < idleClockAge {
+	if idle && now.Steady-w.clockAt < c.idlePollAge() {
 		return PollPlan{Pause: idlePause}
 	}
 	r := PollRequest{Worker: id, Address: w.info.Address, Token: c.tokenOf(w), Seen: w.acknowledgement(now)}
@@ -63,6 +63,14 @@
 	return PollPlan{Request: r, Send: true}
 }
 
+// idlePollAge returns the age of the newest answer from which a worker without tasks is polled.
+func (c *Core) idlePollAge() time.Duration {
+	if c.reachUndecided {
+		return idleReachAge
+	}
+	return idleClockAge
+}
+
 // needsNoPolls reports whether no queue uses the worker's service and no run of this
 // owner or the previous one can be there. Another writer may list workers of services
 // that do not exist; the owner does not call their addresses.
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// idleReachAge is the age from which the answer of a worker without tasks is renewed while the owner
+// can't tell whether it reaches at least half of the workers: it is less than reachedWithin.
+const idleReachAge = 2 * time.Second
+
+// updateReach records whether most of the workers that were polled recently are silent. Then those
+// without tasks are polled, too: a rack with most of the tasks may be lost beside idle workers.
+func (c *Core) updateReach(now Instant) {
+	r := &c.reach
+	c.reachUndecided = r.known && r.at == now.Steady && r.counts[contactSilent] > r.counts[contactReached]
+}
+
 // reach counts workers by the owner's contact with them at one time, so that a tick
 // with many silent workers does not count all others for each of them.
 type reach struct {
