--- a/node/record.go
+++ b/node/record.go
@@ -62,6 +62,57 @@
 	}
 }
 
+// flushBatch is what one write of the owner stores.
+type flushBatch struct {
+	records []dispatch.Record
+	roster  []dispatch.RosterPart
+	wave    *dispatch.WaveRecord
+	// The encoded records of queues, of the elapsed time, of unread workers and of the models; nil
+	// if they are not to be written.
+	queues, elapsed, unread, models []byte
+	// settled is set if the owner records that it has resolved all workers of its predecessors.
+	settled bool
+}
+
+// isEmpty reports whether nothing needs a write. The models are written with the next one.
+func (b *flushBatch) isEmpty() bool {
+	return len(b.records) == 0 && len(b.roster) == 0 && b.unread == nil && b.queues == nil && b.elapsed == nil && b.wave == nil && !b.settled
+}
+
+// collect takes from the core what is to be written, up to the size of one write.
+func (o *owner) collect(c *dispatch.Core) (b flushBatch, err error) {
+	now := o.now()
+	b.settled = !o.settledStored && c.Recovering() == 0
+	if b.queues, err = c.QueueRecords(); err != nil {
+		return b, err
+	}
+	if b.roster, err = c.Roster(maxFlushRosterParts); err != nil {
+		return b, err
+	}
+	if b.elapsed, err = c.Elapsed(now); err != nil {
+		return b, err
+	}
+	capacity := maxFlushRecords - len(b.roster)
+	for _, other := range []bool{b.settled, b.queues != nil, b.elapsed != nil} {
+		if other {
+			capacity--
+		}
+	}
+	if b.records, err = c.Records(capacity); err != nil {
+		return b, err
+	}
+	if c.ModelsDue(now) {
+		if b.models, err = c.EncodeModels(now); err != nil {
+			return b, err
+		}
+	}
+	if b.unread, err = c.Unread(); err != nil {
+		return b, err
+	}
+	b.wave, err = c.DirtyWave()
+	return b, err
+}
+
 // flush writes what has changed, up to the size of one write. It reports whether the store
 // accepted the write, or there was nothing to write.
 func (o *owner) flush(ctx context.Context) bool {
@@ -72,109 +123,72 @@
 		o.mu.Unlock()
 		return false
 	}
-	settled := !o.settledStored && o.core.Recovering() == 0
-	queues, err := o.core.QueueRecords()
-	var roster []dispatch.RosterPart
-	if err == nil {
-		roster, err = o.core.Roster(maxFlushRosterParts)
-	}
-	var records []dispatch.Record
-	if err == nil {
-		capacity := maxFlushRecords - len(roster)
-		if settled {
-			capacity--
-		}
-		if queues != nil {
-			capacity--
-		}
-		if o.core.ElapsedDue() {
-			capacity--
-		}
-		records, err = o.core.Records(capacity)
-	}
-	var elapsed []byte
-	if err == nil {
-		elapsed, err = o.core.Elapsed(o.now())
-	}
-	var models []byte
-	if now := o.now(); err == nil && o.core.ModelsDue(now) {
-		models, err = o.core.EncodeModels(now)
-	}
-	var unread []byte
-	if err == nil {
-		unread, err = o.core.Unread()
-	}
-	var wave *dispatch.WaveRecord
-	if err == nil {
-		wave, err = o.core.DirtyWave()
-	}
+	batch, err := o.collect(o.core)
 	o.mu.Unlock()
 	if err != nil {
 		o.node.log.Error().Str("event", "record_unwritable").Err(err).Msg("")
 		return false
 	}
-	if len(records) == 0 && len(roster) == 0 && unread == nil && queues == nil && elapsed == nil && wave == nil && !settled {
+	if batch.isEmpty() {
 		// The stored models are due at each idle flush; the removal of old records must not
 		// wait for a flush without them.
-		if removed := o.removeExpired(ctx); !removed || models == nil {
+		if removed := o.removeExpired(ctx); !removed || batch.models == nil {
 			return removed
 		}
 	}
 	began := o.node.clock()
-	ops := append(o.recordOps(records, roster, unread, models), o.node.waveOps(wave)...)
-	if queues != nil {
-		ops = append(ops, kv.Put(queuesKey, queues, 0))
-	}
-	if elapsed != nil {
-		ops = append(ops, kv.Put(elapsedKey, elapsed, 0))
-	}
-	if settled {
-		ops = append(ops, kv.Put(settledKey, strconv.AppendUint(nil, o.own.lead.Term, 10), 0))
-	}
-	ok := o.write(ctx, ops)
+	ok := o.write(ctx, o.operations(&batch))
 	o.node.metrics.flush.UpdateDuration(time.Now().Add(began - o.node.clock()))
-	if !ok {
-		return false
+	if ok {
+		o.recordStored(&batch)
 	}
-	o.rosterMarked = o.rosterMarked || len(roster) > 0
-	o.settledStored = o.settledStored || settled
+	return ok
+}
+
+// recordStored records that the store holds a batch.
+func (o *owner) recordStored(b *flushBatch) {
+	o.rosterMarked = o.rosterMarked || len(b.roster) > 0
+	o.settledStored = o.settledStored || b.settled
 	startsWait := false
 	o.locked(func(c *dispatch.Core, _ dispatch.Instant) {
-		c.Persisted(records)
+		c.Persisted(b.records)
 		startsWait = c.HasUnsentStarts()
-		c.RosterStored(roster)
-		c.UnreadStored(unread)
-		c.QueuesStored(queues)
-		if wave != nil {
-			c.WavePersisted(wave)
+		c.RosterStored(b.roster)
+		c.UnreadStored(b.unread)
+		c.QueuesStored(b.queues)
+		if b.wave != nil {
+			c.WavePersisted(b.wave)
 		}
 	})
-	if len(roster) > 0 || startsWait {
+	if len(b.roster) > 0 || startsWait {
 		signal(o.wake)
 	}
-	return true
 }
 
-// recordOps returns the writes of the given records of jobs, parts of the roster, unread
-// workers and stored models.
-func (o *owner) recordOps(records []dispatch.Record, roster []dispatch.RosterPart, unread, models []byte) []kv.Op {
+// operations returns the writes of a batch.
+func (o *owner) operations(b *flushBatch) []kv.Op {
 	var ops []kv.Op
-	if unread != nil {
-		ops = append(ops, kv.Put(unreadKey, unread, 0))
-	}
-	if len(roster) > 0 && !o.rosterMarked {
+	if len(b.roster) > 0 && !o.rosterMarked {
 		ops = append(ops, kv.Put(rosterKey, []byte(rosterInParts), 0))
 	}
-	for _, part := range roster {
+	for _, part := range b.roster {
 		ops = append(ops, kv.Put(rosterPartKey(part.Number), part.Value, 0))
 	}
-	if models != nil {
-		ops = append(ops, kv.Put(learntKey, models, 0))
-	}
-	for _, r := range records {
+	for _, r := range b.records {
 		ops = append(ops, kv.Put(progressPrefix+r.Job, r.Value, 0))
 	}
-	return ops
+	for _, single := range []struct {
+		key   string
+		value []byte
+	}{{unreadKey, b.unread}, {learntKey, b.models}, {queuesKey, b.queues}, {elapsedKey, b.elapsed}} {
+		if single.value != nil {
+			ops = append(ops, kv.Put(single.key, single.value, 0))
+		}
+	}
+	if b.settled {
+		ops = append(ops, kv.Put(settledKey, strconv.AppendUint(nil, o.own.lead.Term, 10), 0))
+	}
+	return append(ops, o.node.waveOps(b.wave)...)
 }
 
 // write makes one transaction, under the conditions that this is still the owner and that no
