Logs of a takeover's parts, of what an owner knows as it ends, and of why a worker is awaited

Cause: logs could not tell the hypotheses of the incident apart: how long election, lease and reading the state took, what an owner knew of silent workers as it ended, why its successor waits for a worker. Change: owner_begin names the predecessor and has vacant and acquire, recovery_done has the time since the state was read, owner_end has the silent workers and the longest lease there, recovery_waits has the reason. The key of the owner's writes keeps its whole record, so that a next owner knows its predecessor also once the lease is over. Measured: go test -short ./node ./dispatch passes.

--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -15,6 +15,8 @@
 	// open is set if any task may run there, else only those in tasks.
 	open  bool
 	tasks map[string]bool
+	// reason tells why the leases there are awaited until then.
+	reason string
 }
 
 // Recover reads the previous owner's roster, before any job is added. A task that one
@@ -27,7 +29,7 @@
 			c.recoverDuplicate(first, e, now)
 			continue
 		}
-		u := unresolvedWorker{until: c.recoveryEnd(e, now), open: !e.Closed, tasks: map[string]bool{}}
+		u := unresolvedWorker{until: c.recoveryEnd(e, now), open: !e.Closed, tasks: map[string]bool{}, reason: c.recoveryReason(e)}
 		for _, id := range e.Tasks {
 			u.tasks[id] = true
 		}
@@ -100,9 +102,9 @@
 	case c.openUnresolved > 0:
 		return
 	case len(c.unresolved) == 0:
-		c.trace(Decision{Event: "recovery_done", Worker: id, Reason: reason})
+		c.trace(Decision{Event: "recovery_done", Worker: id, Reason: reason, Age: now.Steady - c.seals.start})
 	default:
-		c.trace(Decision{Event: "recovery_partly_done", Worker: id, Reason: reason + "; tasks that may run at silent workers still wait"})
+		c.trace(Decision{Event: "recovery_partly_done", Worker: id, Reason: reason + "; tasks that may run at silent workers still wait", Age: now.Steady - c.seals.start})
 	}
 	c.unknownPending = true
 	c.settleUnknown(now)
@@ -230,7 +232,7 @@
 	if u.open {
 		reason = "all tasks that may have started wait until its leases are over"
 	}
-	c.trace(Decision{Event: "recovery_waits", Worker: id, Reason: reason, Age: max(u.until-now.Steady, 0)})
+	c.trace(Decision{Event: "recovery_waits", Worker: id, Reason: reason, Detail: u.reason, Age: max(u.until-now.Steady, 0)})
 }
 
 // recoverySlack is added to the wait for the previous owner's leases, for the
--- a/dispatch/seal.go
+++ b/dispatch/seal.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 )
 
@@ -122,6 +123,30 @@
 	return min(longest, now.Steady+max(left, 0)+clockMargin)
 }
 
+// recoveryReason tells why recoveryEnd is what it is.
+func (c *Core) recoveryReason(e RosterEntry) string {
+	switch {
+	case e.Seal == nil:
+		return "no seal"
+	case !c.trusts(e.Seal):
+		return fmt.Sprintf("the seal of term %d does not count", e.Seal.Term)
+	default:
+		return fmt.Sprintf("sealed in term %d", e.Seal.Term)
+	}
+}
+
+// SilentLeases returns the number of workers that do not answer, and the longest time for which a
+// lease may last at one of them.
+func (c *Core) SilentLeases(now Instant) (workers int, longest time.Duration) {
+	for _, w := range c.sortedWorkers {
+		if w.unreached() {
+			workers++
+			longest = max(longest, c.leasesEnd(w)-now.Steady)
+		}
+	}
+	return workers, longest
+}
+
 // mustSeal reports whether the stored entry of a worker is to have a seal: while the worker does not
 // answer, and until its lists are read.
 func (w *worker) mustSeal(e RosterEntry) bool {
--- a/node/election.go
+++ b/node/election.go
@@ -57,6 +57,8 @@
 	// modRevision is the key's, 0 if the key is missing; revision is the store's,
 	// from which the key is watched.
 	modRevision, revision int64
+	// vacantSince is the steady time at which this entry saw that nobody owns the cell.
+	vacantSince time.Duration
 }
 
 // run takes part in the election until ctx ends.
@@ -85,10 +87,15 @@
 	if err != nil {
 		return err
 	}
+	began := e.node.clock()
 	won, err := e.acquire(ctx, s)
 	if err != nil || won == nil {
 		return err
 	}
+	won.acquireTook = e.node.clock() - began
+	if s.lead == nil {
+		won.vacantFor = began - s.vacantSince
+	}
 	e.node.setOwner(&won.lead)
 	err = e.node.runOwner(ctx, won)
 	e.node.setOwner(nil)
@@ -109,6 +116,7 @@
 		case s.lead != nil:
 			return s, nil
 		default:
+			s.vacantSince = e.node.clock()
 			var changed bool
 			s, changed, err = e.awaitChange(ctx, s, campaignDelay(e.node.opts, s.revision))
 			if err == nil && !changed {
@@ -146,6 +154,20 @@
 	return term, p.ModRevision, errors.Annotate(err, termKey)
 }
 
+// readPredecessor reads the previous owner's record, which outlasts its lease. Owners of earlier
+// versions leave none.
+func (e *election) readPredecessor(ctx context.Context) (*leadRecord, error) {
+	p, err := e.node.store.Get(ctx, chainKey)
+	if err != nil || p == nil {
+		return nil, errors.Trace(err)
+	}
+	lead := &leadRecord{}
+	if json.Unmarshal(p.Value, lead) != nil {
+		return nil, nil
+	}
+	return lead, nil
+}
+
 // decodeLead reads who owns the cell. A damaged record under a lease belongs to some
 // owner and expires with it; one without a lease belongs to nobody.
 func (n *Node) decodeLead(p kv.Pair) *leadRecord {
@@ -223,6 +245,8 @@
 type ownership struct {
 	lead  leadRecord
 	lease int64
+	// record is lead as it is stored.
+	record []byte
 	// leadRev and chainRev are the revisions at which leadKey and chainKey were last written;
 	// the owner's writes require that the keys are unchanged.
 	leadRev  int64
@@ -234,6 +258,11 @@
 	endedTerm uint64
 	// sealsFrom is the first term of the unbroken sequence of owners that keep to seals.
 	sealsFrom uint64
+	// predecessor is the previous owner, nil if it is not known.
+	predecessor *leadRecord
+	// vacantFor is how long this entry saw the cell without an owner before it stood for election,
+	// acquireTook the duration of the calls by which it was elected.
+	vacantFor, acquireTook time.Duration
 }
 
 // acquire tries to become the owner. It returns nil without an error if
@@ -243,6 +272,7 @@
 		term    uint64
 		termRev int64
 		seals   sealsRecord
+		before  *leadRecord
 		group   errgroup.Group
 	)
 	group.Go(func() (err error) {
@@ -253,6 +283,10 @@
 		seals, err = e.readSeals(ctx)
 		return err
 	})
+	group.Go(func() (err error) {
+		before, err = e.readPredecessor(ctx)
+		return err
+	})
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
@@ -269,6 +303,9 @@
 	if s.lead != nil && s.lead.Entry == e.node.opts.Entry {
 		won.endedTerm = s.lead.Term
 	}
+	if before != nil && before.Term+dispatch.TokensPerTerm == won.lead.Term {
+		won.predecessor = before
+	}
 	value, err := json.Marshal(&won.lead)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -300,6 +337,6 @@
 		e.node.revokeLease(lease)
 		return nil, nil
 	}
-	won.leadRev, won.chainRev = res.Revision, res.Revision
+	won.leadRev, won.chainRev, won.record = res.Revision, res.Revision, value
 	return won, nil
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -105,7 +105,7 @@
 		slots: make(chan struct{}, orderLimit(n.opts.LinkBytes)), wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
 		pollerEnded: make(chan struct{}, 1), firstPolls: newPacer(n.clock, runtime.Gosched), ctx: octx, stop: stop, lastAlive: n.clock(),
 	}
-	n.log.Info().Str("event", "owner_begin").Uint64("term", own.lead.Term).Msg("")
+	o.logBegin()
 	o.running.Go(o.renewLoop)
 	o.running.Go(o.freezeLoop)
 	rev, err := o.load()
@@ -130,10 +130,32 @@
 	if stillOwner {
 		o.handOver()
 	}
-	n.log.Info().Str("event", "owner_end").Uint64("term", own.lead.Term).Err(cause).Msg("")
+	o.logEnd(cause)
 	return nil
 }
 
+// logBegin logs the takeover and its predecessor.
+func (o *owner) logBegin() {
+	e := o.node.log.Info().Str("event", "owner_begin").Uint64("term", o.own.lead.Term).
+		Dur("vacant", o.own.vacantFor).Dur("acquire", o.own.acquireTook)
+	if p := o.own.predecessor; p != nil {
+		e = e.Str("predecessor", p.Entry).Uint64("predecessor_term", p.Term)
+	}
+	e.Msg("")
+}
+
+// logEnd logs the end of the ownership, and which leases may last at workers that do not answer.
+func (o *owner) logEnd(cause error) {
+	o.mu.Lock()
+	silent, longest := 0, time.Duration(0)
+	if o.core != nil {
+		silent, longest = o.core.SilentLeases(o.now())
+	}
+	o.mu.Unlock()
+	o.node.log.Info().Str("event", "owner_end").Uint64("term", o.own.lead.Term).Dur("since_renewal", o.node.clock()-o.own.lastRenewal).
+		Int("silent_workers", silent).Dur("their_leases", longest).Err(cause).Msg("")
+}
+
 // end stops everything that decides and sends. Once it returns, nothing more is sent
 // under this term.
 func (o *owner) end() {
--- a/node/record.go
+++ b/node/record.go
@@ -196,7 +196,7 @@
 func (o *owner) write(ctx context.Context, ops []kv.Op, conditions ...kv.Compare) bool {
 	txn := kv.Txn{
 		If:   append([]kv.Compare{{Key: leadKey, ModRevision: o.own.leadRev}, {Key: chainKey, ModRevision: o.own.chainRev}}, conditions...),
-		Then: append([]kv.Op{kv.Put(chainKey, []byte(o.own.lead.Session), 0)}, ops...),
+		Then: append([]kv.Op{kv.Put(chainKey, o.own.record, 0)}, ops...),
 	}
 	wctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
--- a/node/store.go
+++ b/node/store.go
@@ -66,7 +66,7 @@
 	termKey = "ls/own/term"
 	// chainKey is written with every record of the owner, under the condition that it is
 	// unchanged since the owner's previous write: a write whose answer was lost can't take
-	// effect after a later one.
+	// effect after a later one. It holds the owner as leadKey does, also once the lease is over.
 	chainKey = "ls/own/chain"
 	// rosterKey holds rosterInParts, and rosterPrefix the parts of the list of all workers
 	// that may have orders. An entry that expects the whole list under rosterKey reads that
