--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -75,6 +75,9 @@
 	// strict: no task that has ended done starts again, whether its owner has read the
 	// end or not. That holds while the owner is active and all workers are reachable.
 	strict bool
+	// ownersEnd: leases run out while the store is down, and an owner that the store answers ends soon
+	// after another one has taken over.
+	ownersEnd bool
 
 	moreFaults
 	sameIDFaults
@@ -200,6 +203,9 @@
 		s.old = append(s.old, s.owner)
 		s.takeovers++
 	}
+	if s.ownersEnd {
+		s.endPrevious()
+	}
 	s.term += TokensPerTerm
 	o := &simOwner{polling: map[WorkerID]bool{}, leaseEnd: s.now + simTTL}
 	o.core = New(s.params, s.term, func(d Decision) {
@@ -262,6 +268,16 @@
 	s.owner = o
 }
 
+// ownerEndDelay is the longest time after a takeover within which the previous owner learns of it.
+const ownerEndDelay = 200 * time.Millisecond
+
+// endPrevious has the previous owner learn of the takeover, if it runs and the store answers it.
+func (s *sim) endPrevious() {
+	if o := s.owner; o != nil && !o.dead && !o.paused && !o.storeUnreachable {
+		s.later(s.within(ownerEndDelay), func() { o.dead = true })
+	}
+}
+
 func (s *sim) reportWorkers(o *simOwner) {
 	var list []WorkerInfo
 	for _, w := range s.workers {
@@ -538,7 +554,7 @@
 	for _, w := range s.workers {
 		w.advance()
 	}
-	if s.now < s.renewalsLost {
+	if s.now < s.renewalsLost || s.ownersEnd && s.owner != nil && s.now > s.owner.leaseEnd {
 		// Renewals are carried out or not; the owner gets no answer to them.
 	} else if s.owner != nil && !s.owner.handedOver && !s.owner.dead && !s.owner.paused && !s.owner.storeUnreachable && !s.storeDown {
 		s.owner.leaseEnd = s.now + simTTL
