Leases of earlier owners count as long as owners give them, not as long as workers accept

Callers saw: a long-running task whose worker was lost up to 5 s after a takeover stood still for 10.2 s more where workers accept leases of 10 s (LOST after 9 s), 6.2 s where they accept 6 s; no second change of owner is needed. Cause: an owner that reads a worker's lists took the runs there to be leased for MaxTaskLease from then on. All owners give 5 s. Only a call meant for an earlier incarnation under the worker's id, by another clock, may have given the longest. Change: TaskLease, unless the worker may restart under its id and its entry is not fenced. An entry is fenced once the worker has refused all calls to earlier incarnations for as long as the longest lease lasts; that costs one write of each part of the roster. Why it works: deadlines are absolute on the worker's clock, at most TaskLease ahead when sent, and a worker that has answered under the new term refuses older calls.

--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -189,8 +189,7 @@
 // end of a task may not have fitted in it: what it lacks is not known until an answer is not
 // full, and runs keep their leases.
 func (c *Core) sync(w *worker, request PollRequest, reply PollReply, now Instant) {
-	// Runs here may have any lease that the previous owner could give.
-	w.lastDeadline = max(w.lastDeadline, reply.ClockMS+c.params.MaxTaskLease.Milliseconds())
+	w.lastDeadline = max(w.lastDeadline, reply.ClockMS+c.earlierLease(w).Milliseconds())
 	if w.fencedAt == 0 {
 		w.fencedAt = now.Steady
 	}
@@ -202,6 +201,17 @@
 	c.resolve(w.info.ID, "lists read", now)
 }
 
+// earlierLease returns the longest lease, on the worker's clock, that calls of previous owners can have
+// given to the runs at a worker that answers under this term. They are the same length as this owner's;
+// only a call meant for an earlier incarnation, by another clock, may have given the longest that the
+// worker accepts.
+func (c *Core) earlierLease(w *worker) time.Duration {
+	if w.info.ID.Born() == 0 || c.roster.entries[w.info.ID].Fenced {
+		return c.params.TaskLease
+	}
+	return c.params.MaxTaskLease
+}
+
 // mayBeStarting reports whether a list of a worker of the previous owner, or of one that has
 // restarted under its id, may lack a run that was ordered before: the worker may check the
 // start's token before a poll brings the new one, and carry the start out after it has
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -22,6 +22,9 @@
 	Tasks  []string `json:"tasks,omitempty"`
 	// RecentRuns are the runs of which one may have crashed the worker, if it has crashed.
 	RecentRuns []LostRun `json:"young,omitempty"`
+	// Fenced is set, for a worker that may restart under its id, once no lease lasts there that it
+	// took from a call meant for an earlier incarnation.
+	Fenced bool `json:"fenced,omitempty"`
 	// Seal is set while no owner extends leases at the worker.
 	Seal *Seal `json:"seal,omitempty"`
 	// sealed is set if the entry is to be stored with a seal.
@@ -140,6 +143,7 @@
 func (c *Core) updateEntries(now Instant) {
 	var awaited time.Duration
 	for _, w := range c.sortedWorkers {
+		c.updateFenced(w, now)
 		if c.updateEntry(w) && (len(w.attempts) > 0 || c.Awaits(w.info.ID)) {
 			awaited = max(awaited, c.leasesEnd(w))
 		}
@@ -147,6 +151,18 @@
 	c.seals.update(awaited, now)
 }
 
+// updateFenced sets Fenced in the entry of a worker that has refused, for as long as a lease may last,
+// all calls that were sent before its incarnation was known.
+func (c *Core) updateFenced(w *worker, now Instant) {
+	if w.info.ID.Born() == 0 || !w.synced || now.Steady < w.fencedAt+c.longestLease() {
+		return
+	}
+	if e, ok := c.roster.entries[w.info.ID]; ok && !e.Fenced {
+		e.Fenced = true
+		c.roster.put(e)
+	}
+}
+
 // updateEntry closes the entry of a worker that gets no starts, and reopens it afterwards.
 // Otherwise all tasks wait after a takeover for a worker that left long ago, since any of them may
 // have been started there: ten seconds in 2 of 27 takeovers of a day with rolling restarts. The
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -61,8 +61,13 @@
 
 // nextIncarnationLeaseEnd returns the steady time from which none of these leases lasts.
 func (c *Core) nextIncarnationLeaseEnd(w *worker) time.Duration {
-	longest := time.Duration(float64(c.params.MaxTaskLease)/clockRate) + clockMargin
-	return w.leaseSent + maxCallDelay + longest
+	return w.leaseSent + maxCallDelay + c.longestLease()
+}
+
+// longestLease returns how long the longest lease that a worker accepts lasts on a clock at its
+// slowest.
+func (c *Core) longestLease() time.Duration {
+	return time.Duration(float64(c.params.MaxTaskLease)/clockRate) + clockMargin
 }
 
 // releaseAllLost releases all attempts at a worker: none of them can be running.
