Seals cover the leases of a next incarnation only for starts that the worker had not listed

Callers saw: where workers may restart under their ids, long-running tasks of lost workers waited 12.6 to 18.3 s after one or two changes of owner where workers accept leases of 10 s: seals shortened nothing. Cause: a seal covered the longest lease that the worker's next incarnation could take, for all tasks. Only a start that the worker has not listed can be carried out by the next incarnation; the owner that sets the seal makes that difference for its own decisions already. Change: a seal has two times and the tasks that the worker had not listed. expires_ms covers all, as before, for owners of earlier versions.

--- a/dispatch/incarnations.go
+++ b/dispatch/incarnations.go
@@ -253,6 +253,7 @@
 	}
 	known.open = known.open || u.open
 	known.until = max(known.until, u.until)
+	known.listedUntil, known.listedExpired = known.until, false
 	for id := range u.tasks {
 		known.tasks[id] = true
 	}
--- a/dispatch/owner_loss_lease_test.go
+++ b/dispatch/owner_loss_lease_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"leverstile.dev/job"
 )
 
 // Bounds on the time from the loss of a worker until its tasks run again.
@@ -155,3 +158,63 @@
 	}
 	return list
 }
+
+// restartedThenCut are workers that restart under their ids and are cut off right after that: the next
+// incarnation carries out starts that were sent to the previous one.
+var restartedThenCut = lossKind{"restarted under their ids, then cut off", func(s *sim, i int) {
+	w := s.workers[i]
+	w.advance()
+	s.oracle.crashed(w)
+	w.alive, w.running = false, map[job.TaskID]*simRun{}
+	s.later(20*time.Millisecond, func() { s.workers[i] = s.newWorker(i); s.workers[i].cut = true })
+}}
+
+// startsBeforeTheLoss has long-running tasks start right before the loss of a lossPlay; the workers
+// carry the starts out late and without an answer.
+func startsBeforeTheLoss(s *sim) {
+	restartable(s)
+	s.later(lossAt-100*time.Millisecond, func() {
+		s.delayShare = 1
+		s.submit(longRunningJob(3, 20))
+	})
+	s.later(lossAt, func() { s.delayShare = 0 })
+}
+
+// TestNoTaskRunsTwiceBesideLostWorkersThatMayRestart guards against a start while a run may be alive at
+// a lost worker, or at the next incarnation under its id.
+func TestNoTaskRunsTwiceBesideLostWorkersThatMayRestart(t *testing.T) {
+	for _, lose := range slices.Concat(lossKinds, lossIslands, []lossKind{restartedThenCut}) {
+		t.Run(lose.name, func(t *testing.T) {
+			t.Parallel()
+			for i, p := range lossPlaysOf(lose) {
+				if testing.Short() && i%4 > 0 {
+					continue
+				}
+				p.alter = startsBeforeTheLoss
+				for _, b := range p.play(uint64(i)).broken {
+					t.Errorf("%v: %s", p, b)
+				}
+			}
+		})
+	}
+}
+
+// TestRestartSweepFindsFaults checks that the sweep fails if starts that a worker has not listed are
+// awaited no longer than its listed runs.
+func TestRestartSweepFindsFaults(t *testing.T) {
+	for i, p := range lossPlaysOf(restartedThenCut) {
+		p.alter = func(s *sim) {
+			startsBeforeTheLoss(s)
+			s.alterRoster = func(e *RosterEntry) {
+				if e.Seal != nil && e.Seal.ListedExpireMS > 0 {
+					e.Seal.ExpiresMS = e.Seal.ListedExpireMS
+				}
+			}
+		}
+		if r := p.play(uint64(i)); len(r.broken) > 0 {
+			t.Logf("%v: %s", p, r.broken[0])
+			return
+		}
+	}
+	t.Error("no play finds it")
+}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -12,6 +12,11 @@
 // answered yet.
 type unresolvedWorker struct {
 	until time.Duration // when all leases there have expired
+	// listedUntil is when they have but for those of the tasks in unlisted, see leaseBound;
+	// listedExpired is set from then on.
+	listedUntil   time.Duration
+	unlisted      map[string]bool
+	listedExpired bool
 	// open is set if any task may run there, else only those in tasks.
 	open  bool
 	tasks map[string]bool
@@ -29,7 +34,8 @@
 			c.recoverDuplicate(first, e, now)
 			continue
 		}
-		u := unresolvedWorker{until: c.recoveryEnd(e, now), open: !e.Closed, tasks: map[string]bool{}, reason: c.recoveryReason(e)}
+		b := c.recoveryBound(e, now)
+		u := unresolvedWorker{until: b.all, listedUntil: b.listed, unlisted: b.unlisted, open: !e.Closed, tasks: map[string]bool{}, reason: c.recoveryReason(e)}
 		for _, id := range e.Tasks {
 			u.tasks[id] = true
 		}
@@ -55,7 +61,8 @@
 // the roster and added to another, and the first part was not written since. The tasks of both
 // entries may run there.
 func (c *Core) recoverDuplicate(u unresolvedWorker, e RosterEntry, now Instant) {
-	u.until = max(u.until, c.recoveryEnd(e, now))
+	u.until = max(u.until, c.recoveryBound(e, now).all)
+	u.listedUntil = u.until
 	e.sealed = c.trusts(e.Seal)
 	c.workers[e.ID].sealed = c.workers[e.ID].sealed || e.sealed
 	for _, id := range e.Tasks {
@@ -131,7 +138,7 @@
 	}
 	id := t.id().String()
 	for _, u := range c.unresolved {
-		if u.tasks[id] {
+		if u.tasks[id] && (!u.listedExpired || u.unlisted[id]) {
 			return true
 		}
 	}
@@ -158,13 +165,32 @@
 	for id, u := range c.unresolved {
 		w := c.workers[id]
 		expired := w == nil || c.silent(w, now) && (!w.partlyRead || w.deadlinePassed(w.lastDeadline, now))
-		if expired && now.Steady >= u.until && c.holdsLease(now) {
+		switch {
+		case !expired || !c.holdsLease(now):
+		case now.Steady >= u.until:
 			c.resolve(id, "the previous owner's leases are over", now)
+		case now.Steady >= u.listedUntil && !u.open && !u.listedExpired:
+			c.expireListed(id, u)
 		}
 	}
 	c.settleUnknown(now)
 }
 
+// expireListed stops waiting for a worker except for tasks that its next incarnation may run, and
+// those whose start is recorded, since they may have crashed it.
+func (c *Core) expireListed(id WorkerID, u unresolvedWorker) {
+	for _, r := range c.recordedStarts[id] {
+		u.unlisted[r.task.id().String()] = true
+	}
+	u.listedExpired = true
+	c.unresolved[id] = u
+	if w := c.workers[id]; w == nil || w.lastContact == 0 {
+		c.recordUnreadLoss(u)
+	}
+	c.unknownPending = true
+	c.trace(Decision{Event: "recovery_partly_done", Worker: id, Reason: fmt.Sprintf("the leases of listed runs are over; %d tasks may run in its next incarnation", len(u.unlisted))})
+}
+
 // releaseUnknown makes the tasks in phaseUnknown ready that run at no worker.
 func (c *Core) releaseUnknown(now Instant) {
 	ids := slices.Sorted(maps.Keys(c.jobs))
--- a/dispatch/seal.go
+++ b/dispatch/seal.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -15,6 +17,10 @@
 	Term uint64 `json:"term"`
 	// ExpiresMS is the elapsed time, see seals, from which no lease lasts at the worker.
 	ExpiresMS int64 `json:"expires_ms"`
+	// ListedExpireMS, if set, is the elapsed time from which no lease lasts there but those of the
+	// tasks in Unlisted; see leaseBound.
+	ListedExpireMS int64    `json:"listed_expire_ms,omitempty"`
+	Unlisted       []string `json:"unlisted,omitempty"`
 }
 
 // seals holds what an owner needs to read the seals of its predecessors and to set its own.
@@ -89,41 +95,73 @@
 	if !e.sealed {
 		return nil
 	}
-	end := c.elapsedAt(c.leasesEnd(c.workers[e.ID]))
-	return &Seal{Term: c.term, ExpiresMS: max(end, 0).Milliseconds() + 1}
+	b := c.leaseBoundOf(c.workers[e.ID])
+	seal := &Seal{Term: c.term, ExpiresMS: max(c.elapsedAt(b.all), 0).Milliseconds() + 1}
+	if b.listed < b.all {
+		seal.ListedExpireMS, seal.Unlisted = max(c.elapsedAt(b.listed), 0).Milliseconds()+1, slices.Sorted(maps.Keys(b.unlisted))
+	}
+	return seal
 }
 
-// leasesEnd returns the steady time from which no lease lasts at a worker, unless this owner extends
-// one.
-func (c *Core) leasesEnd(w *worker) time.Duration {
-	end := time.Duration(0)
+// leaseBound bounds the leases at a worker, unless its owner extends one.
+type leaseBound struct {
+	// all is the steady time from which no lease lasts there, listed the time from which none lasts
+	// but those of the tasks in unlisted. The next incarnation under the worker's id may carry out a
+	// start that the worker has not listed, and take a longer lease by its own clock.
+	all, listed time.Duration
+	unlisted    map[string]bool
+}
+
+// leaseBoundOf returns the bound on the leases at a worker.
+func (c *Core) leaseBoundOf(w *worker) leaseBound {
+	b := leaseBound{unlisted: map[string]bool{}}
 	if w.lastDeadline > 0 {
-		end = w.passes(w.lastDeadline)
+		b.all = w.passes(w.lastDeadline)
 	}
-	if w.info.ID.Born() != 0 && w.leaseSent > 0 {
-		end = max(end, c.nextIncarnationLeaseEnd(w)+startWindow) // a start may be sent again within its window
+	b.listed = b.all
+	for _, a := range w.attempts {
+		if a.mayBeOfNextIncarnation() {
+			b.unlisted[a.task.id().String()] = true
+			b.all = max(b.all, c.nextIncarnationLeaseEnd(w)+startWindow) // a start may be sent again within its window
+		}
 	}
 	if u, waits := c.unresolved[w.info.ID]; waits {
-		end = max(end, u.until)
+		b.all, b.listed = max(b.all, u.until), max(b.listed, u.listedUntil)
+		maps.Copy(b.unlisted, u.unlisted)
 	}
-	return end
+	return b
 }
 
+// leasesEnd returns the steady time from which no lease lasts at a worker, unless this owner extends
+// one.
+func (c *Core) leasesEnd(w *worker) time.Duration { return c.leaseBoundOf(w).all }
+
 // trusts reports whether all owners since a seal was stored have kept to it.
 func (c *Core) trusts(s *Seal) bool { return s != nil && s.Term >= c.seals.from }
 
-// recoveryEnd returns the steady time from which no lease of earlier owners lasts at the worker of a
-// stored entry.
-func (c *Core) recoveryEnd(e RosterEntry, now Instant) time.Duration {
+// recoveryBound returns the bound on the leases of earlier owners at the worker of a stored entry.
+func (c *Core) recoveryBound(e RosterEntry, now Instant) leaseBound {
 	longest := now.Steady + c.recoveryWaitFor(e.ID)
+	b := leaseBound{all: longest, listed: longest, unlisted: map[string]bool{}}
 	if !c.trusts(e.Seal) {
-		return longest
+		return b
+	}
+	expiry := func(ms int64) time.Duration {
+		left := time.Duration(ms)*time.Millisecond - c.elapsedAt(now.Steady)
+		return min(longest, now.Steady+max(left, 0)+clockMargin)
+	}
+	b.all = expiry(e.Seal.ExpiresMS)
+	b.listed = b.all
+	if e.Seal.ListedExpireMS > 0 && e.Closed {
+		b.listed = min(b.all, expiry(e.Seal.ListedExpireMS))
+		for _, id := range e.Seal.Unlisted {
+			b.unlisted[id] = true
+		}
 	}
-	left := time.Duration(e.Seal.ExpiresMS)*time.Millisecond - c.elapsedAt(now.Steady)
-	return min(longest, now.Steady+max(left, 0)+clockMargin)
+	return b
 }
 
-// recoveryReason tells why recoveryEnd is what it is.
+// recoveryReason tells why recoveryBound is what it is.
 func (c *Core) recoveryReason(e RosterEntry) string {
 	switch {
 	case e.Seal == nil:
