An owner that ends while its process lives tells its successor which leases may last

Callers saw: LOST, when workers left and the store fell silent so that the owner's lease ran out: long-running tasks stood still for 15 s. Cause: what an owner knew of leases ended with its term. Seals need the store, just when it can't be written; the owner lived on and told nobody, not even itself when it was elected again. Change: once an owner has sent its last call, its process keeps, for each worker, until when leases may last there and, if the worker was silent, which tasks may run there (dispatch.EndedTerm). The successor asks for it by a new call between entries (EndTerm), which also ends a predecessor that has not learned of the takeover; a process that succeeds itself reads it. The key of the owner's writes names the predecessor. If another process answers at its VM, the predecessor has ended, and only its last leases are awaited. Why it works: the bound is that of the owner's own decisions, on its steady clock, given only after all its calls have returned; deadlines are absolute. Time on the way is not counted in the successor's favour.

--- a/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
+++ b/api/gen/leverstile/jobs/v1/jobsv1connect/jobs.connect.go
@@ -54,6 +54,8 @@
 	OwnerNoteEvacuationsProcedure = "/leverstile.jobs.v1.Owner/NoteEvacuations"
 	// OwnerExplainJobProcedure is the fully-qualified name of the Owner's ExplainJob RPC.
 	OwnerExplainJobProcedure = "/leverstile.jobs.v1.Owner/ExplainJob"
+	// OwnerEndTermProcedure is the fully-qualified name of the Owner's EndTerm RPC.
+	OwnerEndTermProcedure = "/leverstile.jobs.v1.Owner/EndTerm"
 	// RelayRenewLeaseProcedure is the fully-qualified name of the Relay's RenewLease RPC.
 	RelayRenewLeaseProcedure = "/leverstile.jobs.v1.Relay/RenewLease"
 	// RelayWriteProcedure is the fully-qualified name of the Relay's Write RPC.
@@ -90,6 +92,9 @@
 	NoteEvacuations(context.Context, *connect.Request[v1.NoteEvacuationsRequest]) (*connect.Response[v1.NoteEvacuationsResponse], error)
 	// ExplainJob returns where a job's tasks run and why others wait.
 	ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error)
+	// EndTerm informs the previous owner that another entry has taken over, and returns what
+	// it knows of the leases at workers once its term has ended.
+	EndTerm(context.Context, *connect.Request[v1.EndTermRequest]) (*connect.Response[v1.EndTermResponse], error)
 }
 
 // NewOwnerClient constructs a client for the leverstile.jobs.v1.Owner service. By default, it uses
@@ -151,6 +156,12 @@
 			connect.WithSchema(ownerMethods.ByName("ExplainJob")),
 			connect.WithClientOptions(opts...),
 		),
+		endTerm: connect.NewClient[v1.EndTermRequest, v1.EndTermResponse](
+			httpClient,
+			baseURL+OwnerEndTermProcedure,
+			connect.WithSchema(ownerMethods.ByName("EndTerm")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -164,6 +175,7 @@
 	noteIntake      *connect.Client[v1.NoteIntakeRequest, v1.NoteIntakeResponse]
 	noteEvacuations *connect.Client[v1.NoteEvacuationsRequest, v1.NoteEvacuationsResponse]
 	explainJob      *connect.Client[v1.ExplainJobRequest, v1.ExplainJobResponse]
+	endTerm         *connect.Client[v1.EndTermRequest, v1.EndTermResponse]
 }
 
 // GetJob calls leverstile.jobs.v1.Owner.GetJob.
@@ -206,6 +218,11 @@
 	return c.explainJob.CallUnary(ctx, req)
 }
 
+// EndTerm calls leverstile.jobs.v1.Owner.EndTerm.
+func (c *ownerClient) EndTerm(ctx context.Context, req *connect.Request[v1.EndTermRequest]) (*connect.Response[v1.EndTermResponse], error) {
+	return c.endTerm.CallUnary(ctx, req)
+}
+
 // OwnerHandler is an implementation of the leverstile.jobs.v1.Owner service.
 type OwnerHandler interface {
 	// GetJob returns a job's state according to the owner's records.
@@ -226,6 +243,9 @@
 	NoteEvacuations(context.Context, *connect.Request[v1.NoteEvacuationsRequest]) (*connect.Response[v1.NoteEvacuationsResponse], error)
 	// ExplainJob returns where a job's tasks run and why others wait.
 	ExplainJob(context.Context, *connect.Request[v1.ExplainJobRequest]) (*connect.Response[v1.ExplainJobResponse], error)
+	// EndTerm informs the previous owner that another entry has taken over, and returns what
+	// it knows of the leases at workers once its term has ended.
+	EndTerm(context.Context, *connect.Request[v1.EndTermRequest]) (*connect.Response[v1.EndTermResponse], error)
 }
 
 // NewOwnerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -283,6 +303,12 @@
 		connect.WithSchema(ownerMethods.ByName("ExplainJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	ownerEndTermHandler := connect.NewUnaryHandler(
+		OwnerEndTermProcedure,
+		svc.EndTerm,
+		connect.WithSchema(ownerMethods.ByName("EndTerm")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/leverstile.jobs.v1.Owner/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OwnerGetJobProcedure:
@@ -301,6 +327,8 @@
 			ownerNoteEvacuationsHandler.ServeHTTP(w, r)
 		case OwnerExplainJobProcedure:
 			ownerExplainJobHandler.ServeHTTP(w, r)
+		case OwnerEndTermProcedure:
+			ownerEndTermHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -342,6 +370,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.ExplainJob is not implemented"))
 }
 
+func (UnimplementedOwnerHandler) EndTerm(context.Context, *connect.Request[v1.EndTermRequest]) (*connect.Response[v1.EndTermResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("leverstile.jobs.v1.Owner.EndTerm is not implemented"))
+}
+
 // RelayClient is a client for the leverstile.jobs.v1.Relay service.
 type RelayClient interface {
 	// RenewLease renews a lease of the caller.
--- a/dispatch/endedowner_test.go
+++ b/dispatch/endedowner_test.go
@@ -45,3 +45,22 @@
 		}
 	}
 }
+
+// TestRestartedPredecessorLeavesOneLease guards against a wait for what a predecessor may extend whose
+// process has ended, and against a shorter one at workers that may restart under their ids.
+func TestRestartedPredecessorLeavesOneLease(t *testing.T) {
+	now := Instant{Steady: time.Second}
+	core := leasedCore(Params{RecoveryWait: 10 * time.Second}, 2, now)
+	restartable := IncarnationID("w2", 77)
+	core.Recover([]RosterEntry{{ID: "w1", Address: "a"}, {ID: restartable, Address: "b"}}, now)
+	now.Steady += 2 * time.Second
+	core.PredecessorRestarted(now)
+	for id, want := range map[WorkerID]time.Duration{
+		"w1":        now.Steady + EndedOwnerWaitFor(core.params),
+		restartable: time.Second + core.params.RecoveryWait,
+	} {
+		if until := core.unresolved[id].until; until != want {
+			t.Errorf("%s is awaited until %v, want %v", id, until, want)
+		}
+	}
+}
--- a/dispatch/owner_loss_lease_test.go
+++ b/dispatch/owner_loss_lease_test.go
@@ -218,3 +218,66 @@
 	}
 	t.Error("no play finds it")
 }
+
+// tellingPlays returns plays of a way to lose workers beside an owner that lives and tells its successor
+// which leases may last.
+func tellingPlays(lose lossKind, setup func(s *sim)) (plays []lossPlay) {
+	handOver := ownerChanges[len(ownerChanges)-1]
+	for _, change := range []ownerChange{storeSilent, handOver} {
+		for first := -time.Second; first <= 4*time.Second; first += 250 * time.Millisecond {
+			plays = append(plays, lossPlay{workers: 2, lose: lose, change: change, changes: 1, first: first, alter: setup})
+		}
+	}
+	return plays
+}
+
+// TestNoTaskRunsTwiceBesideAnOwnerThatTells guards against a start while a run may be alive at a lost
+// worker whose leases the previous owner has told.
+func TestNoTaskRunsTwiceBesideAnOwnerThatTells(t *testing.T) {
+	for _, lose := range slices.Concat(lossKinds, lossIslands, []lossKind{restartedThenCut}) {
+		t.Run(lose.name, func(t *testing.T) {
+			t.Parallel()
+			for i, p := range slices.Concat(tellingPlays(lose, longLeases), tellingPlays(lose, startsBeforeTheLoss)) {
+				if testing.Short() && i%4 > 0 {
+					continue
+				}
+				for _, b := range p.play(uint64(i)).broken {
+					t.Errorf("%v: %s", p, b)
+				}
+			}
+		})
+	}
+}
+
+// TestTellingSweepFindsFaults checks that the sweep fails without each safeguard of what an owner tells.
+func TestTellingSweepFindsFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose  lossKind
+		setup func(s *sim)
+		alter func(e *EndedTerm)
+	}{
+		"leases count as over": {lossKinds[2], longLeases, func(e *EndedTerm) { *e = e.After(time.Hour) }},
+		"starts that were not listed are left out": {restartedThenCut, startsBeforeTheLoss, func(e *EndedTerm) {
+			for i := range e.Workers {
+				e.Workers[i].LeftMS = e.Workers[i].ListedLeftMS
+			}
+		}},
+		"workers are left out": {lossKinds[2], longLeases, func(e *EndedTerm) { e.Workers = nil }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for i, p := range tellingPlays(c.lose, c.setup) {
+				setup := p.alter
+				p.alter = func(s *sim) {
+					setup(s)
+					s.alterEnded = c.alter
+				}
+				if r := p.play(uint64(i)); len(r.broken) > 0 {
+					t.Logf("%v: %s", p, r.broken[0])
+					return
+				}
+			}
+			t.Error("no play finds it")
+		})
+	}
+}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -281,8 +281,12 @@
 
 // recoveryWaitFor returns how long the orders of previous owners may be in force at a worker.
 func (c *Core) recoveryWaitFor(id WorkerID) time.Duration {
-	if c.params.EndedOwnerWait > 0 && id.Born() == 0 {
+	switch {
+	case c.params.EndedOwnerWait == 0:
+		return c.params.RecoveryWait
+	case id.Born() == 0:
 		return c.params.EndedOwnerWait
+	default: // its next incarnation may have carried out a start that was sent right before the takeover
+		return max(c.params.RecoveryWait, maxCallDelay+c.longestLease())
 	}
-	return c.params.RecoveryWait
 }
--- a/dispatch/seal.go
+++ b/dispatch/seal.go
@@ -154,9 +154,7 @@
 	b.listed = b.all
 	if e.Seal.ListedExpireMS > 0 && e.Closed {
 		b.listed = min(b.all, expiry(e.Seal.ListedExpireMS))
-		for _, id := range e.Seal.Unlisted {
-			b.unlisted[id] = true
-		}
+		b.unlisted = setOf(e.Seal.Unlisted)
 	}
 	return b
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -78,6 +78,8 @@
 	// ownersEnd: leases run out while the store is down, and an owner that the store answers ends soon
 	// after another one has taken over.
 	ownersEnd bool
+	// alterEnded changes what an owner that has ended tells its successor.
+	alterEnded func(e *EndedTerm)
 
 	moreFaults
 	sameIDFaults
@@ -203,9 +205,7 @@
 		s.old = append(s.old, s.owner)
 		s.takeovers++
 	}
-	if s.ownersEnd {
-		s.endPrevious()
-	}
+	s.endPrevious(s.owner)
 	s.term += TokensPerTerm
 	o := &simOwner{polling: map[WorkerID]bool{}, leaseEnd: s.now + simTTL}
 	o.core = New(s.params, s.term, func(d Decision) {
@@ -271,11 +271,26 @@
 // ownerEndDelay is the longest time after a takeover within which the previous owner learns of it.
 const ownerEndDelay = 200 * time.Millisecond
 
-// endPrevious has the previous owner learn of the takeover, if it runs and the store answers it.
-func (s *sim) endPrevious() {
-	if o := s.owner; o != nil && !o.dead && !o.paused && !o.storeUnreachable {
-		s.later(s.within(ownerEndDelay), func() { o.dead = true })
+// endPrevious has the previous owner tell its successor what it knows, once it has ended: an owner that
+// has handed over, and with ownersEnd one that learns of the takeover from the store.
+func (s *sim) endPrevious(previous *simOwner) {
+	if previous == nil {
+		return
+	}
+	learns := s.ownersEnd && !previous.dead && !previous.paused && !previous.storeUnreachable
+	if !learns && !(previous.handedOver && s.stopBeforeHandover) {
+		return
 	}
+	s.later(s.within(ownerEndDelay), func() {
+		previous.dead = true
+		ended, next, sent := previous.core.EndedTerm(s.instant()), s.owner, s.now
+		if s.alterEnded != nil {
+			s.alterEnded(&ended)
+		}
+		s.later(s.within(ownerEndDelay), func() {
+			s.deliver(next, func() { next.core.PredecessorEnded(ended.After(s.now-sent), s.instant()) })
+		})
+	})
 }
 
 func (s *sim) reportWorkers(o *simOwner) {
--- a/node/election.go
+++ b/node/election.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/rs/xid"
 	"golang.org/x/sync/errgroup"
 
 	"leverstile.dev/dispatch"
@@ -47,8 +46,7 @@
 
 // election is this entry's part in the election, which keeps one owner for the cell.
 type election struct {
-	node    *Node
-	session string
+	node *Node
 }
 
 // leadState is the last known state of the owner's key.
@@ -63,7 +61,6 @@
 
 // run takes part in the election until ctx ends.
 func (e *election) run(ctx context.Context) error {
-	e.session = xid.New().String()
 	wait := backoff{minDelay: electionRetryMin, maxDelay: electionRetryMax}
 	for ctx.Err() == nil {
 		err := e.round(ctx)
@@ -296,7 +293,7 @@
 		return nil, errors.Trace(err)
 	}
 	won := &ownership{
-		lead:        leadRecord{Entry: e.node.opts.Entry, Address: e.node.opts.PeerAddress, Term: term + 1, Session: e.session},
+		lead:        leadRecord{Entry: e.node.opts.Entry, Address: e.node.opts.PeerAddress, Term: term + 1, Session: e.node.session},
 		lease:       lease,
 		lastRenewal: sent,
 	}
@@ -305,6 +302,9 @@
 	}
 	if before != nil && before.Term+dispatch.TokensPerTerm == won.lead.Term {
 		won.predecessor = before
+		if before.Entry == e.node.opts.Entry {
+			won.endedTerm = before.Term
+		}
 	}
 	value, err := json.Marshal(&won.lead)
 	if err != nil {
--- a/node/load.go
+++ b/node/load.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -77,10 +75,10 @@
 // long-running tasks of workers that left meanwhile stand still for 5.5 s instead of 10.1.
 func (o *owner) recoveryParams(own []kv.Pair) dispatch.Params {
 	p := o.node.opts.Params
-	settled := slices.ContainsFunc(own, func(pair kv.Pair) bool {
-		return pair.Key == settledKey && string(pair.Value) == strconv.FormatUint(o.own.endedTerm, 10)
-	})
-	if settled && o.own.endedTerm != 0 {
+	if o.own.predecessor != nil {
+		o.settledBefore = isSettled(own, o.own.predecessor.Term)
+	}
+	if isSettled(own, o.own.endedTerm) {
 		p.EndedOwnerWait = dispatch.EndedOwnerWaitFor(p)
 	}
 	return p
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
+	"github.com/rs/xid"
 
 	"leverstile.dev/clock"
 	"leverstile.dev/dispatch"
@@ -67,8 +68,13 @@
 	config atomic.Pointer[job.Config]
 	// current is this entry's ownership, nil while another entry or none owns the cell; lead
 	// is the cell's owner as this entry knows it.
-	current  atomic.Pointer[owner]
-	lead     atomic.Pointer[leadRecord]
+	current atomic.Pointer[owner]
+	lead    atomic.Pointer[leadRecord]
+	// session distinguishes this process from others that run as the same entry. owning is the
+	// ownership from its start to its end, ended what is known of the newest one that has ended.
+	session  string
+	owning   atomic.Pointer[owner]
+	ended    atomic.Pointer[endedTerm]
 	draining atomic.Bool
 	drained  chan struct{} // closed by Drain
 	// skipRoutineLogs is set while the owner lacks processor time: routine decisions
@@ -109,7 +115,7 @@
 func New(opts Options, ports Ports, logger *log.Logger, set *metrics.Set) *Node {
 	n := &Node{
 		opts: opts, lister: ports.Lister, workers: ports.Workers, advisor: ports.Advisor, vms: ports.VMs, log: logger, steady: clock.New(),
-		peers: newPeerClient(), hints: make(chan struct{}, maxHints), drained: make(chan struct{}),
+		session: xid.New().String(), peers: newPeerClient(), hints: make(chan struct{}, maxHints), drained: make(chan struct{}),
 	}
 	p := &n.opts.Params
 	p.OwnerTTL, p.OwnerHorizon = max(ownerTTL, opts.MinLeaseTTL), ownerHorizon
--- a/node/owner.go
+++ b/node/owner.go
@@ -92,6 +92,8 @@
 	// waveRecords are the stored records of maintenance waves at the takeover, by key.
 	// They don't change after the core is in place.
 	waveRecords map[string][]byte
+	// settledBefore is set if the previous owner had resolved all workers of those before it.
+	settledBefore bool
 	// suspended is set after a freeze until the lease is renewed; meanwhile no call to a
 	// worker is made.
 	suspended bool
@@ -105,6 +107,7 @@
 		slots: make(chan struct{}, orderLimit(n.opts.LinkBytes)), wake: make(chan struct{}, 1), flushNow: make(chan struct{}, 1),
 		pollerEnded: make(chan struct{}, 1), firstPolls: newPacer(n.clock, runtime.Gosched), ctx: octx, stop: stop, lastAlive: n.clock(),
 	}
+	n.owning.Store(o)
 	o.logBegin()
 	o.running.Go(o.renewLoop)
 	o.running.Go(o.freezeLoop)
@@ -114,6 +117,7 @@
 		o.locked(o.applyWaves) // a wave may have been read since the load
 		o.locked(o.applyEvacuations)
 		o.running.Go(func() { o.intakeLoop(rev) })
+		o.running.Go(o.askPredecessor)
 		o.running.Go(o.listLoop)
 		o.running.Go(o.pollersLoop)
 		o.running.Go(o.tickLoop)
@@ -127,6 +131,8 @@
 	cause := context.Cause(octx)
 	stillOwner := octx.Err() == nil || ctx.Err() != nil
 	o.end()
+	o.recordEnded()
+	n.owning.Store(nil)
 	if stillOwner {
 		o.handOver()
 	}
