--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
@@ -307,6 +308,25 @@
 	b.ReportMetric(perJob, "bytes/job")
 }
 
+// BenchmarkEndedTerm measures what an owner tells its successor as its term ends: encoded, with each
+// worker's leases, and the size of that.
+func BenchmarkEndedTerm(b *testing.B) {
+	for _, workers := range []int{66, 2000, 16_000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			core := benchCore(b, workers)
+			size := 0
+			for b.Loop() {
+				value, err := json.Marshal(core.EndedTerm(Instant{Steady: 2 * time.Second}))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(value)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
 // heapInUse returns the bytes of live objects.
 func heapInUse() int64 {
 	var m runtime.MemStats
