Tasks of a worker's dropped incarnation wait for the one that follows it, where the owner has told of that one only

Callers could have seen: a second run beside one that a late start had begun at the next incarnation of a worker (found by reading, not played). An owner that lives tells of the incarnations that it knows; its successor took the others in the roster for dropped. If the store took neither the end of the one nor the entry of the next, to which runs had been transferred, the tasks were released at once. Change: such a worker is awaited as long as the owner told of any incarnation under its id.

--- a/dispatch/endedterm.go
+++ b/dispatch/endedterm.go
@@ -13,8 +13,8 @@
 	Term    uint64        `json:"term"`
 	Workers []EndedLeases `json:"workers"`
 	// Partial is set if other workers, which the owner had no record of, may have orders. Otherwise
-	// none lasts at a worker that is missing here: the owner has dropped its entry in the roster, and
-	// may not have stored that.
+	// no lease lasts at a worker that is missing here, unless another incarnation under its id is not:
+	// the owner has dropped its entry in the roster, and may not have stored that.
 	Partial bool `json:"partial,omitempty"`
 }
 
@@ -73,17 +73,22 @@
 
 // PredecessorEnded applies what the previous owner knew as its term ended.
 func (c *Core) PredecessorEnded(e EndedTerm, now Instant) {
-	known := make(map[WorkerID]EndedLeases, len(e.Workers))
+	known, byName := map[WorkerID]EndedLeases{}, map[string]int64{}
 	for _, l := range e.Workers {
 		known[IncarnationID(string(l.ID), l.Born)] = l
+		byName[string(l.ID)] = max(byName[string(l.ID)], l.LeftMS)
 	}
 	for id, u := range c.unresolved {
 		l, ok := known[id]
-		if id == unknownWorker || !ok && (e.Partial || c.addedInTerm(id)) {
+		left, otherKnown := byName[id.Name()]
+		switch {
+		case ok:
+		case id == unknownWorker || e.Partial || c.addedInTerm(id):
 			continue
-		}
-		if !ok {
-			l.Silent = true
+		case otherKnown: // it may run what was sent to this one
+			l = EndedLeases{LeftMS: left, ListedLeftMS: left}
+		default:
+			l = EndedLeases{Silent: true}
 		}
 		c.unresolved[id] = c.boundedBy(id, u, l, now)
 	}
