Reverts: long-running tasks that lost their run are started before anything new

The lost tasks had taken what they would have got. Change: reverted. No promise is traded for another. What is left: who gets the next free room, with tasks that are moved for short ones counted like those that lost their run.

--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -16,20 +16,15 @@
 	// lateValue is the value of a late job to its customer, as a share of its value
 	// on time. The users' own accounting uses this share.
 	lateValue = 0.15
-	// interruptedFirst is how long a long-running task that lost its run goes before all others of
-	// its priority. If it finds no capacity by then, too little is left for all of them.
-	interruptedFirst = 10 * time.Second
 )
 
-// rankClass orders steps of one priority. A long-running task that lost its run was at work and is
-// started again before anything new. Tasks that end soon and can be on time
+// rankClass orders steps of one priority. Tasks that end soon and can be on time
 // go before long-running ones, which would hold their capacity for a minute or more; a
 // long-running task earns value with each second that it runs, so it goes before late ones.
 type rankClass uint8
 
 const (
-	rankInterrupted rankClass = iota
-	rankOnTime
+	rankOnTime rankClass = iota
 	rankLongRunning
 	rankLate
 	rankExpired
@@ -107,8 +102,6 @@
 	b := c.basisOf(s, q, now)
 	r.slack, r.remainingShare = b.objective-waited-b.criticalPath, b.remainingShare
 	switch {
-	case s.spec.LongRunning && s.interrupted(now):
-		r.class = rankInterrupted
 	case s.spec.LongRunning:
 		r.class = rankLongRunning
 	case r.slack >= 0:
@@ -154,13 +147,6 @@
 	minWork       = 1e-9
 )
 
-// interrupted reports whether a ready task of the step has recently lost its run, or may have.
-func (s *stepRun) interrupted(now Instant) bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return t.phase == phaseReady && t.endUnknown && now.Steady-t.readySince < interruptedFirst
-	})
-}
-
 // active returns how many of the step's tasks run or were ordered to start.
 func (s *stepRun) active() int {
 	n := 0
