Tests of crowds with wide jobs and with text that is no UTF-8

Cause: a job of 80 bytes may have 20,000 tasks, and text that is no UTF-8 is three times as long once it is decoded; neither was among the kinds. Change: two kinds more, with the bounds of the others.

--- a/soak/crowdclients_test.go
+++ b/soak/crowdclients_test.go
@@ -18,6 +18,9 @@
 	client func(c *crowdCell) crowdClient
 }
 
+// widestStep is a job with as many tasks as one may have.
+const widestStep = `{"spec":"x","steps":[{"count":20000,"cpu":10,"mem_mb":1,"estimated_ms":10}]}`
+
 // Bodies that the clients of a crowd share.
 var (
 	largest     = largeJob(maxBody)
@@ -25,6 +28,8 @@
 	longestList = longList(maxBody)
 	smallChunks = strings.Repeat("1\r\n \r\n", maxBody-1)
 	endlessHead = manyLines(1_000_000)
+	// invalidText has a string whose bytes are no UTF-8: decoding makes it three times as long.
+	invalidText = `{"spec":"x","steps":[{"count":1,"cpu":10,"image":"` + strings.Repeat("\xff", maxBody-100) + `"}]}`
 )
 
 var crowdKinds = []crowdKind{
@@ -57,6 +62,8 @@
 		return repeat("", strings.Repeat("GET /a/"+id+" HTTP/1.1\r\nHost: h.example\r\n\r\n", 50), 0)
 	})},
 	{name: "connections", size: 3 * crowdDescriptors, client: same(hold)},
+	{name: "wide_jobs", client: withJob(func(id string) crowdClient { return exchange(id, widestStep) })},
+	{name: "invalid_text", client: withJob(func(id string) crowdClient { return exchange(id, invalidText) })},
 	{name: "large_jobs", client: withJob(func(id string) crowdClient { return exchange(id, largest) })},
 }
 
