Connections and heads count against budgets of memory and descriptors

Callers saw: processes that ended, or had no descriptor left for the store and the workers, while clients that nobody controls held heads or connections open. Cause: memory_mb was not read, and of the configuration's limits only that of the body; a head could have net/http's 1 MiB, at any number of connections. Change: package inbound. Heads are weighed by bytes and lines before net/http parses them. When a budget is used up, the connection whose client is the furthest behind a least rate is closed; one whose request was read as a whole is not. max_header_bytes, header_timeout_ms and idle_timeout_ms apply, to open connections too. The heap has a limit, so that the collector runs before the memory is used up. Why it works: the sum is bounded whatever the number of clients, and an ordinary request is hardly ever behind.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -17,6 +19,8 @@
 
 	"leverstile.dev/api/result"
 	"leverstile.dev/dispatch"
+	"leverstile.dev/inbound"
+	"leverstile.dev/job"
 	"leverstile.dev/logging"
 	"leverstile.dev/node"
 	"leverstile.dev/platform"
@@ -43,9 +47,13 @@
 	// jobRetentionMargin is how long job records are kept beyond the time that
 	// job states must be readable.
 	jobRetentionMargin = 30 * time.Second
-	// headerTimeout and idleTimeout bound customers' connections.
+	// headerTimeout, idleTimeout and unreadTimeout bound connections where the configuration sets
+	// no limit. Other entries keep idle connections for a minute.
 	headerTimeout = 3 * time.Second
-	idleTimeout   = 60 * time.Second
+	idleTimeout   = 75 * time.Second
+	unreadTimeout = 15 * time.Second
+	// defaultHeadBytes bounds heads where the configuration sets no limit.
+	defaultHeadBytes = 16 << 10
 )
 
 // Execute implements flags.Commander.
@@ -64,24 +72,29 @@
 }
 
 func runNode(s platform.Settings, metricsPort uint16, disabled disabledParts, logger *log.Logger, set *metrics.Set) error {
+	budgets := inbound.BudgetsFor(s.Memory, s.Descriptors)
+	if budgets.HeapBytes > 0 {
+		debug.SetMemoryLimit(budgets.HeapBytes)
+	}
 	store := platform.NewStore(s.StoreAddress, set)
 	ports := node.Ports{
-		Store: store, Lister: store, Workers: platform.NewWorkers(set, s.Descriptors), Advisor: platform.NewAdvisor(s.AdviceAddress),
+		Store: store, Lister: store, Workers: platform.NewWorkers(set, budgets.WorkerConnections), Advisor: platform.NewAdvisor(s.AdviceAddress),
 		VMs: platform.NewVMs(s.CloudAddress, s.Entry),
 	}
 	n := node.New(nodeOptions(s, disabled), ports, logger, set)
 	logger.Info().Str("event", "start").Str("data_centre", s.DataCentre).Str("disabled", disabled.String()).Msg("")
 
 	var g oklog.Group
-	servers, err := listenAll(s, n, logger, set)
+	servers, err := listenAll(s, n, budgets, logger, set)
 	if err != nil {
 		return err
 	}
-	if metricsServer := listenMetrics(s.IP, metricsPort, logger, set); metricsServer != nil {
+	if metricsServer := listenMetrics(s.IP, metricsPort, budgets.Internal, logger, set); metricsServer != nil {
 		servers = append(servers, metricsServer)
 	}
 	for _, srv := range servers {
 		g.Add(srv.serve, srv.interrupt)
+		addLoop(&g, srv.guard.Run)
 	}
 	addLoop(&g, n.RunOperators)
 	addLoop(&g, n.RunElection)
@@ -111,10 +124,21 @@
 type server struct {
 	name     string
 	listener net.Listener
+	guard    *inbound.Guard
 	http     *http.Server
 }
 
-func listenAll(s platform.Settings, n *node.Node, logger *log.Logger, set *metrics.Set) ([]*server, error) {
+// newServer listens on an address. All its connections share a budget.
+func newServer(name, address string, handler http.Handler, budget inbound.Budget, limits func() inbound.Limits, logger *log.Logger, set *metrics.Set) (*server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	guard := inbound.NewGuard(inbound.Options{Name: name, Budget: budget, Limits: limits}, logger, set)
+	return &server{name, guard.Listen(l), guard, guard.Server(handler)}, nil
+}
+
+func listenAll(s platform.Settings, n *node.Node, budgets inbound.Budgets, logger *log.Logger, set *metrics.Set) ([]*server, error) {
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !n.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -124,32 +148,50 @@
 	for _, x := range []struct {
 		name, address string
 		handler       http.Handler
+		budget        inbound.Budget
+		limits        func() inbound.Limits
 	}{
-		{"callers", s.Callers, platform.NewCallHandler(n, logger, set)},
-		{"ready", s.Ready, ready},
-		{"peers", s.Peers, n.PeersHandler()},
+		{"callers", s.Callers, platform.NewCallHandler(n, logger, set), budgets.Callers, func() inbound.Limits { return callerLimits(n.Config()) }},
+		{"ready", s.Ready, ready, budgets.Internal, internalLimits},
+		{"peers", s.Peers, n.PeersHandler(), budgets.Peers, internalLimits},
 	} {
-		l, err := net.Listen("tcp", x.address)
+		srv, err := newServer(x.name, x.address, x.handler, x.budget, x.limits, logger, set)
 		if err != nil {
 			return nil, result.New(result.BadSettings, "%s: %v", x.name, err)
 		}
-		servers = append(servers, &server{x.name, l, &http.Server{
-			Handler: x.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		}})
+		servers = append(servers, srv)
 	}
 	return servers, nil
 }
 
+// callerLimits returns the limits of customers' requests in a configuration, which is nil before
+// the first.
+func callerLimits(config *job.Config) inbound.Limits {
+	l := internalLimits()
+	if config == nil {
+		return l
+	}
+	l.HeadBytes = cmp.Or(config.MaxHeadBytes, l.HeadBytes)
+	l.HeadTimeout = cmp.Or(config.HeadTimeout, l.HeadTimeout)
+	l.IdleTimeout = cmp.Or(config.IdleTimeout, l.IdleTimeout)
+	return l
+}
+
+// internalLimits returns the limits of requests that don't come from customers.
+func internalLimits() inbound.Limits {
+	return inbound.Limits{HeadBytes: defaultHeadBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: unreadTimeout}
+}
+
 // listenMetrics returns the server of the metrics, or nil if it can't listen:
 // the node then runs without it, as scheduling jobs is more important.
-func listenMetrics(ip string, port uint16, logger *log.Logger, set *metrics.Set) *server {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(int(port))))
+func listenMetrics(ip string, port uint16, budget inbound.Budget, logger *log.Logger, set *metrics.Set) *server {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	srv, err := newServer("metrics", net.JoinHostPort(ip, strconv.Itoa(int(port))), handler, budget, internalLimits, logger, set)
 	if err != nil {
 		logger.Error().Str("event", "metrics_not_served").Err(err).Msg("")
 		return nil
 	}
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
-	return &server{"metrics", l, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
+	return srv
 }
 
 func (s *server) serve() error {
--- a/job/config.go
+++ b/job/config.go
@@ -69,8 +69,12 @@
 	Queues  []Queue
 	// Services are those that the configuration lists, also without a queue.
 	Services []Service
-	// MaxBodyBytes bounds a submitted job; 0 means that it is not set.
-	MaxBodyBytes int64
+	// MaxHeadBytes bounds the request line and the headers of a customer's request, MaxBodyBytes
+	// its body; 0 means that a limit is not set.
+	MaxHeadBytes, MaxBodyBytes int64
+	// HeadTimeout bounds the time in which a head must arrive, IdleTimeout the time without a
+	// request, or without progress in one; 0 means that a limit is not set.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // QueueFor returns the queue for a request: of the queues of its host, the one with
