Calls onward that customers' calls make are bounded

Callers saw: a process without descriptors for the store and the workers while clients sent calls without reading the answers. Cause: each call opened connections onward, to the store or the owner, and nothing bounded how many did so at the same time. Why it works: descriptors for calls onward have a share of their own, and calls last milliseconds, so that the turn comes at once in calm.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -144,6 +144,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	calls := platform.NewCallHandler(n, logger, set)
+	calls.LimitOnward(budgets.OnwardCalls)
 	var servers []*server
 	for _, x := range []struct {
 		name, address string
@@ -151,7 +153,7 @@
 		budget        inbound.Budget
 		limits        func() inbound.Limits
 	}{
-		{"callers", s.Callers, platform.NewCallHandler(n, logger, set), budgets.Callers, func() inbound.Limits { return callerLimits(n.Config()) }},
+		{"callers", s.Callers, calls, budgets.Callers, func() inbound.Limits { return callerLimits(n.Config()) }},
 		{"ready", s.Ready, ready, budgets.Internal, internalLimits},
 		{"peers", s.Peers, n.PeersHandler(), budgets.Peers, internalLimits},
 	} {
