The owner's memory for accepted jobs is bounded

Callers saw: an owner beyond its memory, or ended, after many jobs of legal size: 80 bytes may ask for 20,000 tasks. Its successor reads the same jobs. Cause: the owner built the steps and tasks of each job at once and kept every record, whatever memory it had. Change: the owner counts records and open tasks against a share of the VM's memory (dispatch/jobmemory.go). It refuses what does not fit (429, before anything is recorded), and reserves memory for what it admits; entries ask for heavy jobs, and for all while half is used. Recorded jobs beyond it are opened as others end, as occurrences of repeated jobs are. Small jobs have a share that large ones can't use. The shares are set against each other: customers 0.20 of the memory, was 0.25. Why it works: nothing accepted is lost, since an unopened job is a job whose occurrence is not due; the sum is bounded at the owner, also after a takeover.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -81,7 +81,7 @@
 		Store: store, Lister: store, Workers: platform.NewWorkers(set, budgets.WorkerConnections), Advisor: platform.NewAdvisor(s.AdviceAddress),
 		VMs: platform.NewVMs(s.CloudAddress, s.Entry),
 	}
-	n := node.New(nodeOptions(s, disabled), ports, logger, set)
+	n := node.New(nodeOptions(s, budgets, disabled), ports, logger, set)
 	logger.Info().Str("event", "start").Str("data_centre", s.DataCentre).Str("disabled", disabled.String()).Msg("")
 
 	var g oklog.Group
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func nodeOptions(s platform.Settings, disabled disabledParts) node.Options {
+func nodeOptions(s platform.Settings, budgets inbound.Budgets, disabled disabledParts) node.Options {
 	b := s.Bounds
 	return node.Options{
 		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, LinkBytes: s.LinkBytes, DrainNotice: b.Drain, FreezeSlack: b.FreezeSlack,
@@ -115,7 +115,7 @@
 			MaxTaskLease: b.MaxTaskLease, OverTarget: b.OverTarget,
 			JobKept: b.JobStateKept + jobRetentionMargin, RemoteFactor: max(b.RemoteFactor, 1), PaceAfter: b.PaceAfter,
 			Restore: b.Restore, Maintenance: b.Maintenance, HolderGap: b.HolderGap, MaxWorkerListAge: b.Contact,
-			NoCopies: disabled[partCopies],
+			NoCopies: disabled[partCopies], JobMemory: budgets.JobBytes,
 		},
 	}
 }
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -25,7 +25,7 @@
 
 // Admission is the owner's decision on a job that is not recorded yet.
 type Admission struct {
-	// Refused is set if the job would find no capacity while it is of use.
+	// Refused is set if the job would find no capacity while it is of use, or no memory.
 	Refused bool
 	Reason  string
 	// RetryAfter is the delay after which capacity is expected, bounded by minAdmitRetry and
@@ -39,6 +39,10 @@
 // is one whose capacity can't be determined.
 func (c *Core) Admit(spec *job.Spec, now Instant) Admission {
 	q, known := c.queues[spec.Queue]
+	if c.jobs[spec.ID] == nil && !c.deposed && !c.memory.admit(spec, now.Steady) {
+		c.trace(Decision{Event: "job_not_admitted", Job: spec.ID, Reason: "memory", Age: memoryRetry})
+		return Admission{Refused: true, Reason: "no memory left for its tasks or its record", RetryAfter: memoryRetry}
+	}
 	if !known || c.jobs[spec.ID] != nil || c.deposed || len(c.unresolved) > 0 || spec.Occurrences > 0 {
 		return Admission{}
 	}
@@ -195,7 +199,7 @@
 // Crowded reports whether entries must ask for the admission of short jobs: short tasks have
 // waited for capacity for longer than crowdedAfter, or will wait as long for the placement policy.
 func (c *Core) Crowded(now Instant) bool {
-	if c.policyWait(leastUrgent, now) > crowdedAfter {
+	if c.memory.crowded() || c.policyWait(leastUrgent, now) > crowdedAfter {
 		return true
 	}
 	for _, k := range c.reservedCapacity {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -46,6 +46,9 @@
 	// EndedOwnerWait replaces RecoveryWait, if it is set, for workers whose incarnations have
 	// ids of their own; see EndedOwnerWaitFor.
 	EndedOwnerWait time.Duration
+	// JobMemory bounds the memory of the cell's jobs in bytes: half of it is for their records,
+	// half for their open tasks. 0 means no limit.
+	JobMemory int64
 	// NoCopies turns second runs of tasks of speculative steps off.
 	NoCopies bool
 }
@@ -135,8 +138,10 @@
 	// evacuated holds the data centres whose workers get no new tasks.
 	evacuated map[string]bool
 	openSteps []*stepRun // steps with tasks that may start
-	// repeated holds the jobs whose occurrences are opened one by one.
+	// repeated holds the jobs whose occurrences are opened one by one, and those whose only one
+	// waits for memory.
 	repeated []*jobState
+	memory   jobMemory
 	refusals refusals
 	overload overload
 	policy   policyQueue
@@ -260,7 +265,7 @@
 		trace = func(Decision) {}
 	}
 	return &Core{
-		params: params, term: term,
+		params: params, term: term, memory: jobMemory{limit: params.JobMemory / 2},
 		queues: map[string]job.Queue{}, queueRecords: queueRecords{versions: map[string]int64{}}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostIncarnations: map[string]lostIncarnation{}, crashed: map[string]crashRecord{}, fellSilent: map[string]time.Duration{},
 		workers: map[WorkerID]*worker{}, workersByVM: map[string][]*worker{}, incarnationsByName: map[string]*sameIDIncarnations{}, workersByService: map[string][]*worker{}, workersByRack: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slowCounts: map[string]*slowCount{}, ended: map[WorkerID]bool{}, recordedStarts: map[WorkerID][]recordedStart{}, unresolved: map[WorkerID]unresolvedWorker{},
--- a/dispatch/dropped.go
+++ b/dispatch/dropped.go
@@ -50,12 +50,14 @@
 			continue
 		}
 		if j.active == 0 {
+			c.countClosed(j, len(j.steps))
 			j.steps = nil
 		}
 		// In steady time, from the takeover on for jobs that ended before it: a clock
 		// that jumps ahead would remove the states of jobs that have just ended.
 		if now.Steady-j.endedAt > c.params.JobKept && j.active == 0 {
 			delete(c.jobs, id)
+			c.dropRecord(j)
 			c.dropped.drop(id)
 		}
 	}
--- /dev/null
+++ b/dispatch/jobmemory.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"time"
+
+	"leverstile.dev/job"
+)
+
+// Memory of accepted jobs, in bytes, with what the collector has not freed yet. A job of eighty
+// bytes may have 20,000 tasks.
+const (
+	// recordJobBytes and recordStepBytes are for a job and each of its steps as long as their
+	// records are kept: what customers and takeovers read of them.
+	recordJobBytes  = 1536
+	recordStepBytes = 448
+	// openStepBytes and openTaskBytes are for each step and task of an open occurrence.
+	openStepBytes = 512
+	openTaskBytes = 512
+)
+
+const (
+	// smallJobBytes is the memory from which on a job counts as large, largeJobShare the share of
+	// the memory for these.
+	smallJobBytes = 64 << 10
+	largeJobShare = 0.75
+	// admittedFor is how long memory stays reserved for a job that was admitted: an entry's write
+	// takes at most as long as its caller waits.
+	admittedFor = 3 * time.Second
+	// crowdedShare is the share of the memory from which on entries ask for the admission of each
+	// job. The rest is for the jobs that they record until they know.
+	crowdedShare = 0.5
+	// heavyJobBytes is the memory from which on entries ask for a job's admission in any case.
+	heavyJobBytes = 512 << 10
+	// memoryRetry is the delay after which a customer may retry that was refused for lack of
+	// memory: tasks end meanwhile, and the records of old jobs are removed.
+	memoryRetry = 5 * time.Second
+)
+
+// jobMemory is the memory of the cell's jobs. The owner refuses jobs for which there is none left.
+// Those that entries recorded nevertheless are opened one after the other, as others end.
+//
+// It answers more work than the owner can hold, whatever its jobs look like. Large jobs have a share
+// of their own, so that they do not keep small ones out.
+type jobMemory struct {
+	// limit bounds records and the open occurrences, each; 0 means no limit.
+	limit        int64
+	small, large sizeClass
+	// admitted are jobs that were admitted and are not added yet.
+	admitted map[string]admittedJob
+}
+
+// sizeClass counts the memory of the small or of the large jobs.
+type sizeClass struct {
+	// records is for all jobs that are kept, open for their open occurrences, waiting for the
+	// occurrences that jobs without times have not opened yet, admitted for jobs to come.
+	records, open, waiting, admitted int64
+}
+
+// admittedJob is a job that an entry is about to record.
+type admittedJob struct {
+	spec *job.Spec
+	at   time.Duration
+}
+
+// recordCost returns the memory of a job as long as its record is kept.
+func recordCost(spec *job.Spec) int64 {
+	n := recordJobBytes + 2*int64(len(spec.Payload))
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		n += recordStepBytes + 16*int64(len(s.After)) + 2*int64(len(s.Requires)+len(s.DataRack)+len(s.Image))
+	}
+	return n
+}
+
+// openCost returns the memory of one open occurrence of a job.
+func openCost(spec *job.Spec) int64 {
+	return openStepBytes*int64(len(spec.Steps)) + openTaskBytes*int64(spec.TasksPerOccurrence())
+}
+
+// IsHeavy reports whether a job takes so much memory that it needs the owner's admission.
+func IsHeavy(spec *job.Spec) bool { return recordCost(spec)+openCost(spec) > heavyJobBytes }
+
+// isLarge reports whether a job counts as large.
+func isLarge(spec *job.Spec) bool { return max(recordCost(spec), openCost(spec)) > smallJobBytes }
+
+// classOf returns the class of a job and the limit of each of its two kinds of memory.
+func (m *jobMemory) classOf(spec *job.Spec) (c *sizeClass, limit int64) {
+	large := int64(largeJobShare * float64(m.limit))
+	if isLarge(spec) {
+		return &m.large, large
+	}
+	return &m.small, m.limit - large
+}
+
+// mayOpen reports whether one more occurrence of a job may be opened. One of each class is open
+// whatever it costs.
+func (m *jobMemory) mayOpen(spec *job.Spec, cost int64) bool {
+	c, limit := m.classOf(spec)
+	return m.limit <= 0 || c.open == 0 || c.open+cost <= limit
+}
+
+// admit reports whether there is memory for one more job, and reserves it until the job is added.
+func (m *jobMemory) admit(spec *job.Spec, now time.Duration) bool {
+	if m.limit <= 0 {
+		return true
+	}
+	m.forgetAdmitted(now)
+	c, limit := m.classOf(spec)
+	demand := c.open + c.waiting + c.admitted
+	if c.records+recordCost(spec) > limit || demand > 0 && demand+openCost(spec) > limit {
+		return false
+	}
+	if _, again := m.admitted[spec.ID]; !again {
+		if m.admitted == nil {
+			m.admitted = map[string]admittedJob{}
+		}
+		m.admitted[spec.ID] = admittedJob{spec, now}
+		c.admitted += openCost(spec)
+	}
+	return true
+}
+
+// forgetAdmitted ends the reservations of jobs that their entries have not recorded.
+func (m *jobMemory) forgetAdmitted(now time.Duration) {
+	for id, a := range m.admitted {
+		if now-a.at > admittedFor {
+			m.endAdmission(id)
+		}
+	}
+}
+
+func (m *jobMemory) endAdmission(id string) {
+	if a, ok := m.admitted[id]; ok {
+		c, _ := m.classOf(a.spec)
+		c.admitted -= openCost(a.spec)
+		delete(m.admitted, id)
+	}
+}
+
+// crowded reports whether entries must ask before they record a job.
+func (m *jobMemory) crowded() bool {
+	large := largeJobShare * float64(m.limit)
+	over := func(c *sizeClass, limit float64) bool {
+		return float64(max(c.records, c.open+c.waiting+c.admitted)) > crowdedShare*limit
+	}
+	return m.limit > 0 && (over(&m.large, large) || over(&m.small, float64(m.limit)-large))
+}
+
+// countRecord counts a job that is added.
+func (c *Core) countRecord(j *jobState) {
+	c.memory.endAdmission(j.spec.ID)
+	j.openCost = openCost(j.spec)
+	class, _ := c.memory.classOf(j.spec)
+	class.records += recordCost(j.spec)
+}
+
+// dropRecord is the opposite of countRecord.
+func (c *Core) dropRecord(j *jobState) {
+	class, _ := c.memory.classOf(j.spec)
+	class.records -= recordCost(j.spec)
+}
+
+// countWaiting counts the only occurrence of a job without times, if it is not open.
+func (c *Core) countWaiting(j *jobState) {
+	waits := j.spec.Occurrences == 0 && j.nextOccurrence == 0 && !j.progress.State.Final()
+	if waits == j.waiting {
+		return
+	}
+	j.waiting = waits
+	class, _ := c.memory.classOf(j.spec)
+	if waits {
+		class.waiting += j.openCost
+		c.trace(Decision{Event: "job_not_opened", Job: j.spec.ID, Reason: "no memory left for its tasks"})
+		return
+	}
+	class.waiting -= j.openCost
+}
+
+// countOpened and countClosed count the steps of occurrences that are built and dropped.
+func (c *Core) countOpened(j *jobState) {
+	class, _ := c.memory.classOf(j.spec)
+	class.open += j.openCost
+}
+
+func (c *Core) countClosed(j *jobState, steps int) {
+	if steps == 0 {
+		return
+	}
+	class, _ := c.memory.classOf(j.spec)
+	class.open -= int64(steps/len(j.spec.Steps)) * j.openCost
+}
+
+// JobMemory returns the memory that the cell's jobs take, as estimated, in bytes: of their
+// records, of their open tasks and of those that wait for memory.
+func (c *Core) JobMemory() (records, open, waiting int64) {
+	s, l := &c.memory.small, &c.memory.large
+	return s.records + l.records, s.open + l.open, s.waiting + l.waiting
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -37,6 +37,10 @@
 	// copies is the number of copies that the job has had in this term.
 	copies   int
 	outcomes jobOutcomes
+	// openCost is the memory of an open occurrence; waiting is set while the job's only one waits
+	// for memory.
+	openCost int64
+	waiting  bool
 }
 
 // stepRun is one step of one occurrence of a job.
@@ -234,6 +238,7 @@
 	j := &jobState{spec: spec, shown: job.Queued, idleSince: now.Steady, acceptedAt: acceptedAt, endedAt: now.Steady}
 	j.progress.State = job.Queued
 	c.jobs[spec.ID] = j
+	c.countRecord(j)
 	if progress != nil {
 		j.progress = *progress
 		j.shown = progress.State
@@ -246,7 +251,8 @@
 	j.stored = stored
 	c.openStored(j)
 	c.openDue(j, now)
-	if spec.Occurrences > 0 {
+	c.countWaiting(j)
+	if spec.Occurrences > 0 || j.waiting {
 		c.repeated = append(c.repeated, j)
 	}
 	c.restoreCrashes(j)
--- a/dispatch/occurrences.go
+++ b/dispatch/occurrences.go
@@ -19,6 +19,7 @@
 func (c *Core) openOccurrences(now Instant) {
 	c.repeated = slices.DeleteFunc(c.repeated, func(j *jobState) bool {
 		if j.progress.State.Final() {
+			c.countWaiting(j)
 			return true
 		}
 		if j.occurrenceEnded {
@@ -30,21 +31,29 @@
 		}
 		if j.nextOccurrence > opened {
 			c.finishIfDone(j, now) // an owner whose clock was ahead may have done them
+			c.countWaiting(j)
 		}
-		return false
+		return j.spec.Occurrences == 0 && j.nextOccurrence > 0
 	})
 }
 
 // openDue opens the occurrences of a job that are due, in their order, and returns their steps.
 func (c *Core) openDue(j *jobState, now Instant) []*stepRun {
 	var steps []*stepRun
-	for j.nextOccurrence < j.spec.OccurrenceCount() && (j.spec.Occurrences == 0 || j.spec.DueMS(j.nextOccurrence) <= now.UnixMS) && j.mayOpen() {
+	for j.nextOccurrence < j.spec.OccurrenceCount() && (j.spec.Occurrences == 0 || j.spec.DueMS(j.nextOccurrence) <= now.UnixMS) && c.mayOpenNext(j) {
 		steps = append(steps, c.openOccurrence(j, j.nextOccurrence)...)
 		j.nextOccurrence++
 	}
 	return steps
 }
 
+// mayOpenNext reports whether the next occurrence of a job may be opened, or is open since a worker
+// reported a run of it.
+func (c *Core) mayOpenNext(j *jobState) bool {
+	_, open := j.searchOccurrence(j.nextOccurrence)
+	return open || j.mayOpen() && c.memory.mayOpen(j.spec, j.openCost)
+}
+
 // mayOpen reports whether one more occurrence of the job may be open.
 func (j *jobState) mayOpen() bool {
 	open := len(j.steps) / len(j.spec.Steps)
@@ -61,6 +70,7 @@
 	unknown := j.stored && len(c.unresolved) > 0
 	c.unknownPending = c.unknownPending || unknown
 	steps := j.buildOccurrence(occurrence, unknown)
+	c.countOpened(j)
 	j.steps = slices.Insert(j.steps, at, steps...)
 	return steps
 }
@@ -109,6 +119,7 @@
 			}
 		}
 	}
+	c.countClosed(j, len(j.steps)-len(kept))
 	clear(j.steps[len(kept):])
 	j.steps = kept
 }
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -57,8 +57,10 @@
 	codeBytes = 16 << 20
 	minHeap   = 24 << 20
 	// callerMemoryShare and peerMemoryShare are parts of the VM's memory.
-	callerMemoryShare = 0.25
+	callerMemoryShare = 0.20
 	peerMemoryShare   = 0.10
+	// jobMemoryShare is for the jobs of the cell, while the process owns it.
+	jobMemoryShare = 0.18
 	// callerDescriptorShare and peerDescriptorShare are for connections of customers and of
 	// other entries, OnwardDescriptorShare for the calls that customers' calls make, and
 	// WorkerDescriptorShare for connections to workers.
@@ -95,6 +97,8 @@
 	// Callers is for customers, Peers for other entries, Internal for each listener that only
 	// the platform calls.
 	Callers, Peers, Internal Budget
+	// JobBytes is the memory for the jobs of the cell.
+	JobBytes int64
 	// OnwardCalls is how many of the customers' calls may call the store or other entries at
 	// the same time.
 	OnwardCalls int
@@ -119,6 +123,7 @@
 	b.Callers = budgetFor(callerMemoryShare*float64(memory), callerDescriptorShare*float64(descriptors), minMemory)
 	b.Peers = budgetFor(peerMemoryShare*float64(memory), peerDescriptorShare*float64(descriptors), minPeerMemory)
 	b.Peers.BodyByteCost = peerByteCost
+	b.JobBytes = int64(jobMemoryShare * float64(memory))
 	b.OnwardCalls = max(int(onwardDescriptorShare*float64(descriptors))/onwardPerCall, minOnwardCalls)
 	return b
 }
--- a/inbound/limits_test.go
+++ b/inbound/limits_test.go
@@ -23,8 +23,8 @@
 			for _, x := range []Budget{b.Callers, b.Peers} {
 				memory += x.Memory + int64(x.Connections)*connectionBytes
 			}
-			if memory > b.HeapBytes*2/3 {
-				t.Errorf("%d MB, %d descriptors: %d bytes for clients of a heap of %d", mb, descriptors, memory, b.HeapBytes)
+			if memory > b.HeapBytes*2/3 || memory+b.JobBytes > b.HeapBytes {
+				t.Errorf("%d MB, %d descriptors: %d bytes for clients and %d for jobs of a heap of %d", mb, descriptors, memory, b.JobBytes, b.HeapBytes)
 			}
 		}
 	}
--- a/node/admit.go
+++ b/node/admit.go
@@ -44,12 +44,13 @@
 }
 
 // needsAdmission reports whether a job needs the owner's admission. Long-running jobs do:
-// they are few and occupy their capacity for long. Short jobs do only while some wait.
+// they are few and occupy their capacity for long. So do those that take much memory. Other jobs do
+// only while some wait, or memory is short.
 func (n *Node) needsAdmission(spec *job.Spec) bool {
 	if n.current.Load() != nil {
 		return true // the owner checks without a call
 	}
-	return spec.LongRunning() || int64(n.clock()) < n.crowdedUntil.Load()
+	return spec.LongRunning() || dispatch.IsHeavy(spec) || int64(n.clock()) < n.crowdedUntil.Load()
 }
 
 // recordCrowded records whether short jobs wait at the owner.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -108,6 +108,18 @@
 		_, late := c.Load()
 		return late.Seconds()
 	})
+	n.ownerGauge(`leverstile_job_memory_bytes{part="records"}`, func(c *dispatch.Core) float64 {
+		records, _, _ := c.JobMemory()
+		return float64(records)
+	})
+	n.ownerGauge(`leverstile_job_memory_bytes{part="open"}`, func(c *dispatch.Core) float64 {
+		_, open, _ := c.JobMemory()
+		return float64(open)
+	})
+	n.ownerGauge(`leverstile_job_memory_bytes{part="waiting"}`, func(c *dispatch.Core) float64 {
+		_, _, waiting := c.JobMemory()
+		return float64(waiting)
+	})
 	n.ownerGauge("leverstile_kept_cores", func(c *dispatch.Core) float64 {
 		reserved, _ := c.ReservedCPU()
 		return float64(reserved) / milliPerCore
