Short jobs are refused only once it is known how fast waiting ones start

Callers saw: 429 with Retry-After 10 s from an entry that had just become the owner, while its workers were idle. Cause: admission divides by the rate at which waiting short tasks start, which is 0 until the first starts are counted, so that any task that waits for the first pass looks like a wait of minutes. Change: tasks that have waited for less than 500 ms, as in the check that has entries ask, and an owner that has counted no starts for 5 s or less, say nothing about capacity; the job is admitted. Where nothing starts for longer, jobs are refused as before. Why it works: a refusal now rests on starts that were observed, or on their absence for longer than the first polls of all workers take.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -14,6 +14,9 @@
 	// crowdedAfter is how long short tasks must have waited without interruption before
 	// entries ask for admission of further ones: a burst is placed within a pass or two.
 	crowdedAfter = 500 * time.Millisecond
+	// startRateWindow is how long an owner must have counted starts to conclude from none that
+	// there is no capacity. It polls all workers for the first time within that.
+	startRateWindow = 5 * time.Second
 	// minAdmitRetry and maxAdmitRetry bound the time after which a refused customer is asked to
 	// retry.
 	minAdmitRetry = 1 * time.Second
@@ -67,7 +70,7 @@
 		return c.admitLongRunning(k, q, s, now)
 	}
 	if s := firstOf(spec, (*job.Step).IsShort); s != nil {
-		return c.admitShort(k, q, spec, s)
+		return c.admitShort(k, q, spec, s, now)
 	}
 	return Admission{}
 }
@@ -139,8 +142,8 @@
 
 // admitShort refuses a short job that would start so late, behind the tasks that
 // wait, that it is of no use by its end.
-func (c *Core) admitShort(k *reservedCapacity, q job.Queue, spec *job.Spec, s *job.Step) Admission {
-	if k.waiting == 0 {
+func (c *Core) admitShort(k *reservedCapacity, q job.Queue, spec *job.Spec, s *job.Step, now Instant) Admission {
+	if k.waiting == 0 || !k.startRateKnown(now) {
 		return Admission{}
 	}
 	useful := c.usefulWait(q, spec)
@@ -151,6 +154,15 @@
 	return Admission{Refused: true, Reason: "short tasks wait longer for room than it is of use", RetryAfter: time.Duration(min(wait, maxAdmitRetry.Seconds()) * float64(time.Second))}
 }
 
+// startRateKnown reports whether it is known how fast waiting tasks start: a new owner has seen none
+// start, and tasks that came just now may start in the next pass.
+func (d *shortDemand) startRateKnown(now Instant) bool {
+	if now.Steady-d.waitingSince < crowdedAfter {
+		return false
+	}
+	return d.starts.mean > 0 || d.starts.age >= startRateWindow
+}
+
 // usefulWait returns how late a job may start and still be of use by its end.
 func (c *Core) usefulWait(q job.Queue, spec *job.Spec) time.Duration {
 	j := &jobState{spec: spec}
--- a/dispatch/admit_test.go
+++ b/dispatch/admit_test.go
@@ -59,3 +59,25 @@
 		t.Error("not crowded though tasks have waited")
 	}
 }
+
+// TestShortJobAfterTakeoverIsAdmitted guards against a new owner that refuses jobs on idle workers,
+// since it has not counted any starts yet. Where nothing starts for long, there is no capacity.
+func TestShortJobAfterTakeoverIsAdmitted(t *testing.T) {
+	for _, c := range []struct {
+		observed, waited time.Duration
+		refused          bool
+	}{
+		{300 * time.Millisecond, 300 * time.Millisecond, false},
+		{time.Second, time.Second, false},
+		{time.Minute, 300 * time.Millisecond, false},
+		{time.Minute, time.Minute, true},
+	} {
+		core, now := idleCore(t, 4)
+		now.Steady += time.Hour
+		k := core.reservedCapacityOf("svc")
+		k.starts, k.waiting, k.waitingSince = average{age: c.observed}, 4000, now.Steady-c.waited
+		if a := core.Admit(simpleJob(1, 4), now); a.Refused != c.refused {
+			t.Errorf("observed for %v, tasks wait for %v: %+v", c.observed, c.waited, a)
+		}
+	}
+}
