Large jobs have a limited share of the memory for jobs, small ones all that is left

Change: large jobs may use three quarters, small ones what these leave; the shares of customers, entries and jobs are 0.18, 0.06 and 0.24 of the memory. Three more kinds of crowds: small jobs, cancellations, states.

--- a/dispatch/jobmemory.go
+++ b/dispatch/jobmemory.go
@@ -11,7 +11,7 @@
 const (
 	// recordJobBytes and recordStepBytes are for a job and each of its steps as long as their
 	// records are kept: what customers and takeovers read of them.
-	recordJobBytes  = 1536
+	recordJobBytes  = 1024
 	recordStepBytes = 448
 	// openStepBytes and openTaskBytes are for each step and task of an open occurrence.
 	openStepBytes = 512
@@ -20,7 +20,7 @@
 
 const (
 	// smallJobBytes is the memory from which on a job counts as large, largeJobShare the share of
-	// the memory for these.
+	// the memory that these may use.
 	smallJobBytes = 64 << 10
 	largeJobShare = 0.75
 	// admittedFor is how long memory stays reserved for a job that was admitted: an entry's write
@@ -39,8 +39,8 @@
 // jobMemory is the memory of the cell's jobs. The owner refuses jobs for which there is none left.
 // Those that entries recorded nevertheless are opened one after the other, as others end.
 //
-// It answers more work than the owner can hold, whatever its jobs look like. Large jobs have a share
-// of their own, so that they do not keep small ones out.
+// It answers more work than the owner can hold, whatever its jobs look like. Large jobs are
+// limited to a share, so that they do not keep small ones out.
 type jobMemory struct {
 	// limit bounds records and the open occurrences, each; 0 means no limit.
 	limit        int64
@@ -56,6 +56,9 @@
 	records, open, waiting, admitted int64
 }
 
+// demand is the memory of all tasks that are open or will be.
+func (c *sizeClass) demand() int64 { return c.open + c.waiting + c.admitted }
+
 // admittedJob is a job that an entry is about to record.
 type admittedJob struct {
 	spec *job.Spec
@@ -83,20 +86,27 @@
 // isLarge reports whether a job counts as large.
 func isLarge(spec *job.Spec) bool { return max(recordCost(spec), openCost(spec)) > smallJobBytes }
 
-// classOf returns the class of a job and the limit of each of its two kinds of memory.
-func (m *jobMemory) classOf(spec *job.Spec) (c *sizeClass, limit int64) {
-	large := int64(largeJobShare * float64(m.limit))
+func (m *jobMemory) classOf(spec *job.Spec) *sizeClass {
 	if isLarge(spec) {
-		return &m.large, large
+		return &m.large
+	}
+	return &m.small
+}
+
+// fits reports whether a job may take more memory, where the large and the small jobs use some.
+// Large ones may exceed their share by one job, which does not count against the small ones.
+func (m *jobMemory) fits(large bool, largeUsed, smallUsed, more int64) bool {
+	share := int64(largeJobShare * float64(m.limit))
+	if large && largeUsed+more > share {
+		return false
 	}
-	return &m.small, m.limit - large
+	return min(largeUsed, share)+smallUsed+more <= m.limit
 }
 
 // mayOpen reports whether one more occurrence of a job may be opened. One of each class is open
 // whatever it costs.
 func (m *jobMemory) mayOpen(spec *job.Spec, cost int64) bool {
-	c, limit := m.classOf(spec)
-	return m.limit <= 0 || c.open == 0 || c.open+cost <= limit
+	return m.limit <= 0 || m.classOf(spec).open == 0 || m.fits(isLarge(spec), m.large.open, m.small.open, cost)
 }
 
 // admit reports whether there is memory for one more job, and reserves it until the job is added.
@@ -105,9 +115,9 @@
 		return true
 	}
 	m.forgetAdmitted(now)
-	c, limit := m.classOf(spec)
-	demand := c.open + c.waiting + c.admitted
-	if c.records+recordCost(spec) > limit || demand > 0 && demand+openCost(spec) > limit {
+	c, large := m.classOf(spec), isLarge(spec)
+	if !m.fits(large, m.large.records, m.small.records, recordCost(spec)) ||
+		c.demand() > 0 && !m.fits(large, m.large.demand(), m.small.demand(), openCost(spec)) {
 		return false
 	}
 	if _, again := m.admitted[spec.ID]; !again {
@@ -131,33 +141,30 @@
 
 func (m *jobMemory) endAdmission(id string) {
 	if a, ok := m.admitted[id]; ok {
-		c, _ := m.classOf(a.spec)
-		c.admitted -= openCost(a.spec)
+		m.classOf(a.spec).admitted -= openCost(a.spec)
 		delete(m.admitted, id)
 	}
 }
 
 // crowded reports whether entries must ask before they record a job.
 func (m *jobMemory) crowded() bool {
-	large := largeJobShare * float64(m.limit)
-	over := func(c *sizeClass, limit float64) bool {
-		return float64(max(c.records, c.open+c.waiting+c.admitted)) > crowdedShare*limit
+	share := int64(largeJobShare * float64(m.limit))
+	over := func(large, small int64) bool {
+		return float64(large) > crowdedShare*float64(share) || float64(min(large, share)+small) > crowdedShare*float64(m.limit)
 	}
-	return m.limit > 0 && (over(&m.large, large) || over(&m.small, float64(m.limit)-large))
+	return m.limit > 0 && (over(m.large.records, m.small.records) || over(m.large.demand(), m.small.demand()))
 }
 
 // countRecord counts a job that is added.
 func (c *Core) countRecord(j *jobState) {
 	c.memory.endAdmission(j.spec.ID)
 	j.openCost = openCost(j.spec)
-	class, _ := c.memory.classOf(j.spec)
-	class.records += recordCost(j.spec)
+	c.memory.classOf(j.spec).records += recordCost(j.spec)
 }
 
 // dropRecord is the opposite of countRecord.
 func (c *Core) dropRecord(j *jobState) {
-	class, _ := c.memory.classOf(j.spec)
-	class.records -= recordCost(j.spec)
+	c.memory.classOf(j.spec).records -= recordCost(j.spec)
 }
 
 // countWaiting counts the only occurrence of a job without times, if it is not open.
@@ -167,7 +174,7 @@
 		return
 	}
 	j.waiting = waits
-	class, _ := c.memory.classOf(j.spec)
+	class := c.memory.classOf(j.spec)
 	if waits {
 		class.waiting += j.openCost
 		c.trace(Decision{Event: "job_not_opened", Job: j.spec.ID, Reason: "no memory left for its tasks"})
@@ -178,16 +185,14 @@
 
 // countOpened and countClosed count the steps of occurrences that are built and dropped.
 func (c *Core) countOpened(j *jobState) {
-	class, _ := c.memory.classOf(j.spec)
-	class.open += j.openCost
+	c.memory.classOf(j.spec).open += j.openCost
 }
 
 func (c *Core) countClosed(j *jobState, steps int) {
 	if steps == 0 {
 		return
 	}
-	class, _ := c.memory.classOf(j.spec)
-	class.open -= int64(steps/len(j.spec.Steps)) * j.openCost
+	c.memory.classOf(j.spec).open -= int64(steps/len(j.spec.Steps)) * j.openCost
 }
 
 // JobMemory returns the memory that the cell's jobs take, as estimated, in bytes: of their
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -57,10 +57,10 @@
 	codeBytes = 16 << 20
 	minHeap   = 24 << 20
 	// callerMemoryShare and peerMemoryShare are parts of the VM's memory.
-	callerMemoryShare = 0.20
-	peerMemoryShare   = 0.10
+	callerMemoryShare = 0.18
+	peerMemoryShare   = 0.06
 	// jobMemoryShare is for the jobs of the cell, while the process owns it.
-	jobMemoryShare = 0.18
+	jobMemoryShare = 0.24
 	// callerDescriptorShare and peerDescriptorShare are for connections of customers and of
 	// other entries, OnwardDescriptorShare for the calls that customers' calls make, and
 	// WorkerDescriptorShare for connections to workers.
--- a/soak/crowdclients_test.go
+++ b/soak/crowdclients_test.go
@@ -64,6 +64,17 @@
 	{name: "connections", size: 3 * crowdDescriptors, client: same(hold)},
 	{name: "wide_jobs", client: withJob(func(id string) crowdClient { return exchange(id, widestStep) })},
 	{name: "invalid_text", client: withJob(func(id string) crowdClient { return exchange(id, invalidText) })},
+	{name: "small_jobs", client: withJob(func(id string) crowdClient { return exchange(id, ordinaryJob) })},
+	{name: "cancellations", client: withJob(func(id string) crowdClient {
+		return send("DELETE /a/" + id + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+	})},
+	{name: "states", client: func(c *crowdCell) crowdClient {
+		id := c.jobID()
+		if status, err := submitOnce(c.nodes[0].front, id, invalidText); err != nil || status != http.StatusOK {
+			c.t.Errorf("the job whose state is asked for: status %d, %v", status, err)
+		}
+		return repeat("", "GET /a/"+id+" HTTP/1.1\r\nHost: h.example\r\n\r\n", time.Millisecond)
+	}},
 	{name: "large_jobs", client: withJob(func(id string) crowdClient { return exchange(id, largest) })},
 }
 
