A job whose memory is reserved is not refused when it is submitted again

Cause: found by reading: a submission that comes again, after its write got no answer, counted its own reservation against itself. Measured: TestOneJobIsOpenWhateverItCosts has the case; the tests of memory and admission passed.

--- a/dispatch/jobmemory.go
+++ b/dispatch/jobmemory.go
@@ -86,6 +86,7 @@
 // isLarge reports whether a job counts as large.
 func isLarge(spec *job.Spec) bool { return max(recordCost(spec), openCost(spec)) > smallJobBytes }
 
+// classOf returns the count that a job belongs to.
 func (m *jobMemory) classOf(spec *job.Spec) *sizeClass {
 	if isLarge(spec) {
 		return &m.large
@@ -115,18 +116,19 @@
 		return true
 	}
 	m.forgetAdmitted(now)
+	if _, again := m.admitted[spec.ID]; again {
+		return true // its memory is reserved
+	}
 	c, large := m.classOf(spec), isLarge(spec)
 	if !m.fits(large, m.large.records, m.small.records, recordCost(spec)) ||
 		c.demand() > 0 && !m.fits(large, m.large.demand(), m.small.demand(), openCost(spec)) {
 		return false
 	}
-	if _, again := m.admitted[spec.ID]; !again {
-		if m.admitted == nil {
-			m.admitted = map[string]admittedJob{}
-		}
-		m.admitted[spec.ID] = admittedJob{spec, now}
-		c.admitted += openCost(spec)
+	if m.admitted == nil {
+		m.admitted = map[string]admittedJob{}
 	}
+	m.admitted[spec.ID] = admittedJob{spec, now}
+	c.admitted += openCost(spec)
 	return true
 }
 
--- a/dispatch/jobmemory_test.go
+++ b/dispatch/jobmemory_test.go
@@ -73,6 +73,9 @@
 	if a := c.Admit(spec, now); a.Refused {
 		t.Errorf("refused: %s", a.Reason)
 	}
+	if a := c.Admit(spec, now); a.Refused {
+		t.Error("a job that was admitted is refused when it is submitted again")
+	}
 	c.AddJob(spec, nil, false, now)
 	if c.builtTasks() != job.MaxTasks {
 		t.Error("the job is not open")
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -62,8 +62,8 @@
 	// jobMemoryShare is for the jobs of the cell, while the process owns it.
 	jobMemoryShare = 0.24
 	// callerDescriptorShare and peerDescriptorShare are for connections of customers and of
-	// other entries, OnwardDescriptorShare for the calls that customers' calls make, and
-	// WorkerDescriptorShare for connections to workers.
+	// other entries, onwardDescriptorShare for the calls that customers' calls make, and
+	// workerDescriptorShare for connections to workers.
 	callerDescriptorShare = 0.17
 	peerDescriptorShare   = 0.08
 	onwardDescriptorShare = 0.06
