--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -87,6 +87,17 @@
 	descriptors                  atomic.Int64 // the most that were open
 }
 
+// TestMain removes the program that crowdBinary has built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if *crowds {
+		if binary, err := crowdBinary(); err == nil {
+			_ = os.RemoveAll(filepath.Dir(binary))
+		}
+	}
+	os.Exit(code)
+}
+
 // crowdBinary builds the program once for all tests.
 var crowdBinary = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "leverstile-crowd-")
