Tests of what the budgets count, found by taking safeguards out

The limit in TestOneJobIsOpenWhateverItCosts is larger, so that two small jobs fit beside the large one.

--- a/dispatch/jobmemory_test.go
+++ b/dispatch/jobmemory_test.go
@@ -69,7 +69,7 @@
 	c := newMemoryCore(2000)
 	now := Instant{Steady: time.Second, UnixMS: 1_700_000_000_000}
 	spec := jobOfWidth(1, job.MaxTasks)
-	c.memory.limit = 4 * recordCost(spec)
+	c.memory.limit = 16 * recordCost(spec)
 	if a := c.Admit(spec, now); a.Refused {
 		t.Errorf("refused: %s", a.Reason)
 	}
@@ -80,6 +80,14 @@
 	if c.builtTasks() != job.MaxTasks {
 		t.Error("the job is not open")
 	}
+	if len(c.memory.admitted) != 0 || c.memory.large.admitted != 0 {
+		t.Errorf("%d bytes are still reserved for the job", c.memory.large.admitted)
+	}
+	c.AddJob(jobOfWidth(3, 1), nil, false, now)
+	c.AddJob(jobOfWidth(4, 1), nil, false, now)
+	if n := c.builtTasks(); n != job.MaxTasks+2 {
+		t.Errorf("%d tasks: small jobs wait for a large one", n)
+	}
 	if a := c.Admit(jobOfWidth(2, job.MaxTasks), now); !a.Refused || a.RetryAfter <= 0 {
 		t.Errorf("a second one: %+v", a)
 	}
--- a/inbound/guard_test.go
+++ b/inbound/guard_test.go
@@ -129,6 +129,10 @@
 			if open, held := s.guard.usage(); open > budget.Connections || held > budget.Memory {
 				t.Errorf("%d connections and %d bytes of %+v", open, held, budget)
 			}
+			s.wait("the bodies that don't fit are closed", func() bool {
+				open, _ := s.guard.usage()
+				return int64(open-1)*200_000 <= budget.Memory // one is the request that was answered
+			})
 		})
 	}
 }
@@ -173,6 +177,22 @@
 	}
 }
 
+// TestLinesOfHeadsAreCounted guards against heads that take far more memory than they have bytes.
+func TestLinesOfHeadsAreCounted(t *testing.T) {
+	s := startServer(t, Budget{Connections: 100, Memory: 1 << 20})
+	const heads, lines = 20, 3000
+	for range heads {
+		s.send("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", lines))
+	}
+	s.wait("the heads that don't fit are closed", func() bool {
+		open, _ := s.guard.usage()
+		return int64(open-1)*lines*headLineCost <= s.guard.budget.Memory
+	})
+	if got := status(s.send(request("body", 4))); got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
+
 // TestLimitsApplyToOpenConnections guards against a new configuration that only later connections
 // heed.
 func TestLimitsApplyToOpenConnections(t *testing.T) {
@@ -203,6 +223,11 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 	}
 	s.wait("nothing held between requests", func() bool { _, held := s.guard.usage(); return held == 0 })
+	_, _ = io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n") // net/http answers it without the handler
+	if resp, err := http.ReadResponse(answers, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	s.wait("nothing held after a request without the handler", func() bool { _, held := s.guard.usage(); return held == 0 })
 	_ = c.Close()
 	for _, text := range []string{"", "\r\n\r\n", "GET / HT", "nonsense\r\n\r\n", request("x", 100), request("", 1<<30), request("x", 1), "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"} {
 		_ = s.send(text).Close()
