Jobs that have ended are kept small by the owner

Callers saw: 429 for ordinary jobs for minutes, beside and after a crowd of small jobs. Cause: a job that has ended kept its whole record in the owner's memory until its state expired, 150 s later, so that some 7,000 small jobs used the memory for records of 96 MB up. Evidence: TestCrowd/small_jobs failed; 1,240 bytes of heap for an ended job of one step, 1,435 for an open one. Change: of a job that has ended, is stored and has no runs the owner keeps state, reason and the sizes of its steps, some 600 bytes; also when it takes over. Records have 0.65 of the memory for jobs, open tasks the rest, each task counted with 448 bytes (335 are live). TestEndedJobsAreKeptSmall is new.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -46,8 +46,8 @@
 	// EndedOwnerWait replaces RecoveryWait, if it is set, for workers whose incarnations have
 	// ids of their own; see EndedOwnerWaitFor.
 	EndedOwnerWait time.Duration
-	// JobMemory bounds the memory of the cell's jobs in bytes: half of it is for their records,
-	// half for their open tasks. 0 means no limit.
+	// JobMemory bounds the memory of the cell's jobs in bytes, of their records and their open
+	// tasks. 0 means no limit.
 	JobMemory int64
 	// NoCopies turns second runs of tasks of speculative steps off.
 	NoCopies bool
@@ -265,7 +265,7 @@
 		trace = func(Decision) {}
 	}
 	return &Core{
-		params: params, term: term, memory: jobMemory{limit: params.JobMemory / 2},
+		params: params, term: term, memory: newJobMemory(params.JobMemory),
 		queues: map[string]job.Queue{}, queueRecords: queueRecords{versions: map[string]int64{}}, services: map[string]bool{}, unguarded: map[string]bool{}, jobs: map[string]*jobState{}, cancelled: map[string]time.Duration{}, held: map[string]bool{},
 		lostIncarnations: map[string]lostIncarnation{}, crashed: map[string]crashRecord{}, fellSilent: map[string]time.Duration{},
 		workers: map[WorkerID]*worker{}, workersByVM: map[string][]*worker{}, incarnationsByName: map[string]*sameIDIncarnations{}, workersByService: map[string][]*worker{}, workersByRack: map[string][]*worker{}, unstoredEnds: map[*worker]bool{}, slowCounts: map[string]*slowCount{}, ended: map[WorkerID]bool{}, recordedStarts: map[WorkerID][]recordedStart{}, unresolved: map[WorkerID]unresolvedWorker{},
--- a/dispatch/dropped.go
+++ b/dispatch/dropped.go
@@ -50,8 +50,7 @@
 			continue
 		}
 		if j.active == 0 {
-			c.countClosed(j, len(j.steps))
-			j.steps = nil
+			c.compactEnded(j)
 		}
 		// In steady time, from the takeover on for jobs that ended before it: a clock
 		// that jumps ahead would remove the states of jobs that have just ended.
--- a/dispatch/jobmemory.go
+++ b/dispatch/jobmemory.go
@@ -9,15 +9,20 @@
 // Memory of accepted jobs, in bytes, with what the collector has not freed yet. A job of eighty
 // bytes may have 20,000 tasks.
 const (
-	// recordJobBytes and recordStepBytes are for a job and each of its steps as long as their
-	// records are kept: what customers and takeovers read of them.
+	// recordJobBytes and recordStepBytes are for a job and each of its steps, until it has ended.
 	recordJobBytes  = 1024
 	recordStepBytes = 448
+	// endedJobBytes and endedStepBytes are for a job that has ended, as long as its state is kept.
+	endedJobBytes  = 512
+	endedStepBytes = 192
 	// openStepBytes and openTaskBytes are for each step and task of an open occurrence.
 	openStepBytes = 512
-	openTaskBytes = 512
+	openTaskBytes = 448
 )
 
+// recordShare is the part of the memory for records; the rest is for open tasks.
+const recordShare = 0.65
+
 const (
 	// smallJobBytes is the memory from which on a job counts as large, largeJobShare the share of
 	// the memory that these may use.
@@ -42,9 +47,9 @@
 // It answers more work than the owner can hold, whatever its jobs look like. Large jobs are
 // limited to a share, so that they do not keep small ones out.
 type jobMemory struct {
-	// limit bounds records and the open occurrences, each; 0 means no limit.
-	limit        int64
-	small, large sizeClass
+	// recordLimit bounds records, openLimit the open occurrences; 0 means no limit.
+	recordLimit, openLimit int64
+	small, large           sizeClass
 	// admitted are jobs that were admitted and are not added yet.
 	admitted map[string]admittedJob
 }
@@ -65,6 +70,12 @@
 	at   time.Duration
 }
 
+// newJobMemory divides a number of bytes; 0 means no limit.
+func newJobMemory(bytes int64) jobMemory {
+	records := int64(recordShare * float64(bytes))
+	return jobMemory{recordLimit: records, openLimit: bytes - records}
+}
+
 // recordCost returns the memory of a job as long as its record is kept.
 func recordCost(spec *job.Spec) int64 {
 	n := recordJobBytes + 2*int64(len(spec.Payload))
@@ -75,6 +86,9 @@
 	return n
 }
 
+// endedCost is recordCost for a job that has ended and is stored.
+func endedCost(spec *job.Spec) int64 { return endedJobBytes + endedStepBytes*int64(len(spec.Steps)) }
+
 // openCost returns the memory of one open occurrence of a job.
 func openCost(spec *job.Spec) int64 {
 	return openStepBytes*int64(len(spec.Steps)) + openTaskBytes*int64(spec.TasksPerOccurrence())
@@ -94,25 +108,26 @@
 	return &m.small
 }
 
-// fits reports whether a job may take more memory, where the large and the small jobs use some.
-// Large ones may exceed their share by one job, which does not count against the small ones.
-func (m *jobMemory) fits(large bool, largeUsed, smallUsed, more int64) bool {
-	share := int64(largeJobShare * float64(m.limit))
+// fits reports whether a job may take more memory of a limit, where the large and the small jobs
+// use some. Large ones may exceed their share by one job, which does not count against the small
+// ones.
+func fits(limit int64, large bool, largeUsed, smallUsed, more int64) bool {
+	share := int64(largeJobShare * float64(limit))
 	if large && largeUsed+more > share {
 		return false
 	}
-	return min(largeUsed, share)+smallUsed+more <= m.limit
+	return min(largeUsed, share)+smallUsed+more <= limit
 }
 
 // mayOpen reports whether one more occurrence of a job may be opened. One of each class is open
 // whatever it costs.
 func (m *jobMemory) mayOpen(spec *job.Spec, cost int64) bool {
-	return m.limit <= 0 || m.classOf(spec).open == 0 || m.fits(isLarge(spec), m.large.open, m.small.open, cost)
+	return m.openLimit <= 0 || m.classOf(spec).open == 0 || fits(m.openLimit, isLarge(spec), m.large.open, m.small.open, cost)
 }
 
 // admit reports whether there is memory for one more job, and reserves it until the job is added.
 func (m *jobMemory) admit(spec *job.Spec, now time.Duration) bool {
-	if m.limit <= 0 {
+	if m.openLimit <= 0 {
 		return true
 	}
 	m.forgetAdmitted(now)
@@ -120,8 +135,8 @@
 		return true // its memory is reserved
 	}
 	c, large := m.classOf(spec), isLarge(spec)
-	if !m.fits(large, m.large.records, m.small.records, recordCost(spec)) ||
-		c.demand() > 0 && !m.fits(large, m.large.demand(), m.small.demand(), openCost(spec)) {
+	if !fits(m.recordLimit, large, m.large.records, m.small.records, recordCost(spec)) ||
+		c.demand() > 0 && !fits(m.openLimit, large, m.large.demand(), m.small.demand(), openCost(spec)) {
 		return false
 	}
 	if m.admitted == nil {
@@ -150,23 +165,43 @@
 
 // crowded reports whether entries must ask before they record a job.
 func (m *jobMemory) crowded() bool {
-	share := int64(largeJobShare * float64(m.limit))
-	over := func(large, small int64) bool {
-		return float64(large) > crowdedShare*float64(share) || float64(min(large, share)+small) > crowdedShare*float64(m.limit)
-	}
-	return m.limit > 0 && (over(m.large.records, m.small.records) || over(m.large.demand(), m.small.demand()))
+	return crowded(m.recordLimit, m.large.records, m.small.records) || crowded(m.openLimit, m.large.demand(), m.small.demand())
+}
+
+func crowded(limit, large, small int64) bool {
+	share := largeJobShare * float64(limit)
+	used := min(float64(large), share) + float64(small)
+	return limit > 0 && (float64(large) > crowdedShare*share || used > crowdedShare*float64(limit))
 }
 
 // countRecord counts a job that is added.
 func (c *Core) countRecord(j *jobState) {
 	c.memory.endAdmission(j.spec.ID)
-	j.openCost = openCost(j.spec)
-	c.memory.classOf(j.spec).records += recordCost(j.spec)
+	j.memory, j.openCost, j.recordCost = c.memory.classOf(j.spec), openCost(j.spec), recordCost(j.spec)
+	j.memory.records += j.recordCost
 }
 
 // dropRecord is the opposite of countRecord.
-func (c *Core) dropRecord(j *jobState) {
-	c.memory.classOf(j.spec).records -= recordCost(j.spec)
+func (c *Core) dropRecord(j *jobState) { j.memory.records -= j.recordCost }
+
+// compactEnded drops what only the tasks need of a job that has ended, is stored and has no runs.
+// The sizes of its steps stay: a late run takes capacity at its worker.
+func (c *Core) compactEnded(j *jobState) {
+	if j.compacted {
+		return
+	}
+	c.countClosed(j, len(j.steps))
+	c.dropRecord(j)
+	j.steps, j.compacted = nil, true
+	j.progress = job.Progress{State: j.progress.State, Reason: j.progress.Reason, EndedMS: j.progress.EndedMS}
+	spec := *j.spec
+	spec.Payload, spec.AcceptedQueue, spec.Steps = "", nil, make([]job.Step, len(j.spec.Steps))
+	for i := range spec.Steps {
+		s := &j.spec.Steps[i]
+		spec.Steps[i] = job.Step{Count: s.Count, CPUMilli: s.CPUMilli, MemoryMiB: s.MemoryMiB, Accelerators: s.Accelerators, LongRunning: s.LongRunning, Fills: s.Fills}
+	}
+	j.spec, j.recordCost = &spec, endedCost(&spec)
+	j.memory.records += j.recordCost
 }
 
 // countWaiting counts the only occurrence of a job without times, if it is not open.
@@ -176,25 +211,22 @@
 		return
 	}
 	j.waiting = waits
-	class := c.memory.classOf(j.spec)
 	if waits {
-		class.waiting += j.openCost
+		j.memory.waiting += j.openCost
 		c.trace(Decision{Event: "job_not_opened", Job: j.spec.ID, Reason: "no memory left for its tasks"})
 		return
 	}
-	class.waiting -= j.openCost
+	j.memory.waiting -= j.openCost
 }
 
 // countOpened and countClosed count the steps of occurrences that are built and dropped.
-func (c *Core) countOpened(j *jobState) {
-	c.memory.classOf(j.spec).open += j.openCost
-}
+func (c *Core) countOpened(j *jobState) { j.memory.open += j.openCost }
 
 func (c *Core) countClosed(j *jobState, steps int) {
 	if steps == 0 {
 		return
 	}
-	c.memory.classOf(j.spec).open -= int64(steps/len(j.spec.Steps)) * j.openCost
+	j.memory.open -= int64(steps/len(j.spec.Steps)) * j.openCost
 }
 
 // JobMemory returns the memory that the cell's jobs take, as estimated, in bytes: of their
--- a/dispatch/jobmemory_test.go
+++ b/dispatch/jobmemory_test.go
@@ -39,7 +39,8 @@
 	const tasks, jobs = 5000, 12
 	cost := openCost(jobOfWidth(0, tasks))
 	for _, stored := range []bool{false, true} {
-		c := newMemoryCore(2 * 4 * cost) // for three of them, as large jobs leave some free
+		c := newMemoryCore(1)
+		c.memory.openLimit = 4 * cost // for three of them, as large jobs leave some free
 		now := Instant{Steady: time.Second, UnixMS: 1_700_000_000_000}
 		for i := range jobs {
 			c.AddJob(jobOfWidth(i, tasks), nil, stored, now)
@@ -69,7 +70,7 @@
 	c := newMemoryCore(2000)
 	now := Instant{Steady: time.Second, UnixMS: 1_700_000_000_000}
 	spec := jobOfWidth(1, job.MaxTasks)
-	c.memory.limit = 16 * recordCost(spec)
+	c.memory.recordLimit, c.memory.openLimit = 16*recordCost(spec), 16*recordCost(spec)
 	if a := c.Admit(spec, now); a.Refused {
 		t.Errorf("refused: %s", a.Reason)
 	}
@@ -134,3 +135,42 @@
 		}
 	})
 }
+
+// TestEndedJobsAreKeptSmall guards against an owner that runs out of memory by jobs that have ended,
+// and against forgetting of them what customers and workers may still ask for.
+func TestEndedJobsAreKeptSmall(t *testing.T) {
+	for _, stored := range []bool{false, true} {
+		c := newMemoryCore(1 << 20)
+		now := Instant{Steady: time.Second, UnixMS: 1_700_000_000_000}
+		spec := jobOfWidth(1, 30)
+		spec.Payload, spec.Steps[0].Image, spec.Steps[0].MemoryMiB = "text", "image", 7
+		ended := &job.Progress{State: job.Failed, Reason: "its reason", EndedMS: now.UnixMS, Done: map[string][]byte{"0.0": {1}}}
+		if stored {
+			c.AddJob(spec, ended, true, now)
+		} else {
+			c.AddJob(spec, nil, false, now)
+			j := c.jobs[spec.ID]
+			before, _, _ := c.JobMemory()
+			c.setFinal(j, job.Failed, "its reason", now)
+			j.persisted, j.shown = j.version, job.Failed
+			c.dropOldJobs(now)
+			if after, open, _ := c.JobMemory(); open != 0 || after >= before {
+				t.Errorf("%d bytes of %d are counted, %d open", after, before, open)
+			}
+		}
+		c.dropOldJobs(now)
+		if status, known := c.JobStatus(spec.ID); !known || status.State != job.Failed || status.Reason != "its reason" {
+			t.Errorf("stored %v: %+v, known %v", stored, status, known)
+		}
+		if amount, unsized := c.sizeOf(job.TaskID{Job: spec.ID}); unsized || amount.cpu != 10 || amount.memory != 7 {
+			t.Errorf("stored %v: the size of a late run is %+v, unknown %v", stored, amount, unsized)
+		}
+		c.AddJob(spec, nil, false, now)
+		if c.builtTasks() != 0 {
+			t.Errorf("stored %v: the job runs again", stored)
+		}
+		if spec.Payload != "text" || spec.Steps[0].Image != "image" {
+			t.Errorf("stored %v: the caller's job was changed", stored)
+		}
+	}
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -37,10 +37,12 @@
 	// copies is the number of copies that the job has had in this term.
 	copies   int
 	outcomes jobOutcomes
-	// openCost is the memory of an open occurrence; waiting is set while the job's only one waits
-	// for memory.
-	openCost int64
-	waiting  bool
+	// memory counts the job's memory: recordCost for its record, openCost for each open
+	// occurrence. waiting is set while its only one waits for memory, compacted once only what
+	// customers may ask for is kept.
+	memory               *sizeClass
+	recordCost, openCost int64
+	waiting, compacted   bool
 }
 
 // stepRun is one step of one occurrence of a job.
@@ -245,6 +247,7 @@
 		j.started = progress.State != job.Queued
 	}
 	if j.progress.State.Final() {
+		c.compactEnded(j)
 		return
 	}
 	c.serveQueueOf(spec)
