States read from the store are bounded

Callers saw: nothing yet; found by reading what a customer can make a process hold. Cause: while no owner answers, a state is read from the store with the job's whole record, as often at a time as calls onward are allowed: 123 of up to 1 MiB, which are four as text and decoded. Change: a semaphore bounds these reads by the memory of customers' requests: 8 at a time on 284 MB. Others wait as long as their callers. Why it works: the answer of one read is counted as the largest that the store holds.

--- a/cmd/leverstile/node.go
+++ b/cmd/leverstile/node.go
@@ -108,6 +108,7 @@
 	b := s.Bounds
 	return node.Options{
 		Entry: s.Entry, PeerAddress: s.Peers, MinLeaseTTL: s.MinLeaseTTL, ProcessorShare: s.ProcessorShare, LinkBytes: s.LinkBytes, DrainNotice: b.Drain, FreezeSlack: b.FreezeSlack,
+		RecordReads:       budgets.RecordReads,
 		DisableAcceptance: disabled[partAcceptance],
 		OperatorPrefix:    platform.OperatorPrefix, ConfigKey: platform.ConfigKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeConfig: platform.DecodeConfig,
 		DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -85,6 +85,10 @@
 	// those of its other ways to the store.
 	onwardPerCall  = 2
 	minOnwardCalls = 4
+	// recordReadBytes is the memory for the answer with the store's largest value: as text, and
+	// decoded.
+	recordReadBytes = 4 << 20
+	minRecordReads  = 2
 	// internalConnections is for listeners that only the platform calls.
 	internalConnections = 8
 	internalMemory      = 512 << 10
@@ -102,6 +106,8 @@
 	// OnwardCalls is how many of the customers' calls may call the store or other entries at
 	// the same time.
 	OnwardCalls int
+	// RecordReads is how many records of jobs may be read for customers at the same time.
+	RecordReads int
 	// WorkerConnections is the number of connections to workers; 0 means no bound.
 	WorkerConnections int
 }
@@ -124,6 +130,7 @@
 	b.Peers = budgetFor(peerMemoryShare*float64(memory), peerDescriptorShare*float64(descriptors), minPeerMemory)
 	b.Peers.BodyByteCost = peerByteCost
 	b.JobBytes = int64(jobMemoryShare * float64(memory))
+	b.RecordReads = max(int(b.Callers.Memory/recordReadBytes), minRecordReads)
 	b.OnwardCalls = max(int(onwardDescriptorShare*float64(descriptors))/onwardPerCall, minOnwardCalls)
 	return b
 }
--- a/node/intake.go
+++ b/node/intake.go
@@ -246,6 +246,17 @@
 	if state, ok := n.ownerState(ctx, id); ok {
 		return state, true, nil
 	}
+	return n.storedState(ctx, id)
+}
+
+// storedState reads a job's state from the store.
+func (n *Node) storedState(ctx context.Context, id string) (job.Status, bool, error) {
+	if n.recordReads != nil {
+		if err := n.recordReads.Acquire(ctx, 1); err != nil {
+			return job.Status{}, false, errors.Annotate(err, "waiting to read the store")
+		}
+		defer n.recordReads.Release(1)
+	}
 	p, err := n.store.Get(ctx, progressPrefix+id)
 	if err != nil {
 		return job.Status{}, false, err
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"github.com/rs/xid"
+	"golang.org/x/sync/semaphore"
 
 	"leverstile.dev/clock"
 	"leverstile.dev/dispatch"
@@ -47,6 +48,9 @@
 	DecodeWave func(key string, value []byte) (wave dispatch.Wave, ok bool, err error)
 	// WaveStatus returns the key and value that report a wave's result to the operators.
 	WaveStatus func(number int64, succeeded bool) (key string, value []byte)
+	// RecordReads bounds how many states are read from the store at the same time, while no owner
+	// answers: an answer may be as large as the store's largest value. 0 means no limit.
+	RecordReads int
 	// DisableAcceptance turns off the recovery of acceptance (docs/design/acceptance.md): a
 	// submission or cancellation then keeps to the way that it began with.
 	DisableAcceptance bool
@@ -91,6 +95,8 @@
 	// evacuations are the states of data centres that this entry has read or received.
 	evacuations evacuationList
 	hints       chan struct{} // holds one value per hint in progress
+	// recordReads bounds the reads of Options.RecordReads; nil means no limit.
+	recordReads *semaphore.Weighted
 	// relays are entries that the store has answered recently; relayed is set while one of
 	// them makes store calls for this one.
 	relays  relayList
@@ -117,6 +123,9 @@
 		opts: opts, lister: ports.Lister, workers: ports.Workers, advisor: ports.Advisor, vms: ports.VMs, log: logger, steady: clock.New(),
 		session: xid.New().String(), peers: newPeerClient(), hints: make(chan struct{}, maxHints), drained: make(chan struct{}),
 	}
+	if opts.RecordReads > 0 {
+		n.recordReads = semaphore.NewWeighted(int64(opts.RecordReads))
+	}
 	p := &n.opts.Params
 	p.OwnerTTL, p.OwnerHorizon = max(ownerTTL, opts.MinLeaseTTL), ownerHorizon
 	p.RecoveryWait = dispatch.RecoveryWaitFor(p.OwnerTTL, p.OwnerHorizon)
